--- /dev/null
+++ b/coordination/src/main/java/brookpath/coordination/action/Actions.java
@@ -0,0 +1,66 @@
+package brookpath.coordination.action;
+
+import brookpath.coordination.message.Msg;
+import brookpath.coordination.message.Response;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Collects the actions of one event. */
+public final class Actions {
+    private List<Action> list = new ArrayList<>();
+    private long writes;
+    private long bytesSinceRoll;
+
+    public void send(final int node, final Msg msg) {
+        list.add(new Action.Send(node, msg));
+    }
+
+    public long write(final byte[] entry) {
+        bytesSinceRoll += entry.length;
+        list.add(new Action.Write(++writes, entry));
+        return writes;
+    }
+
+    public void roll(final byte[] snapshot) {
+        bytesSinceRoll = 0;
+        list.add(new Action.Roll(++writes, snapshot));
+    }
+
+    public long bytesSinceRoll() {
+        return bytesSinceRoll;
+    }
+
+    public long writes() {
+        return writes;
+    }
+
+    public void beatNow() {
+        list.add(new Action.BeatNow());
+    }
+
+    public void respond(final long jobId, final Response response) {
+        list.add(new Action.Respond(jobId, response));
+    }
+
+    public void deliver(final long sessionId, final byte[] line) {
+        list.add(new Action.Deliver(sessionId, line));
+    }
+
+    public void close(final long sessionId, final String why) {
+        list.add(new Action.CloseSession(sessionId, why));
+    }
+
+    public void note(final String text) {
+        list.add(new Action.Note(false, text));
+    }
+
+    public void grave(final String text) {
+        list.add(new Action.Note(true, text));
+    }
+
+    public List<Action> drain() {
+        final List<Action> drained = list;
+        list = new ArrayList<>();
+        return drained;
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/brookpath/coordination/group/GroupMachine.java
@@ -0,0 +1,853 @@
+package brookpath.coordination.group;
+
+import static brookpath.coordination.group.Copies.majority;
+import static brookpath.coordination.message.Msg.PullReply.FULL;
+import static brookpath.coordination.message.Msg.PullReply.MISMATCH;
+import static brookpath.coordination.message.Msg.PullReply.RECORDS;
+
+import brookpath.coordination.Tempo;
+import brookpath.coordination.action.Actions;
+import brookpath.coordination.beat.BeatTable;
+import brookpath.coordination.message.Msg;
+import brookpath.coordination.message.Msg.BeatEntry;
+import brookpath.coordination.message.Msg.Pull;
+import brookpath.coordination.message.Msg.PullReply;
+import brookpath.coordination.message.Msg.VoteAsk;
+import brookpath.coordination.message.Msg.VoteReply;
+import brookpath.state.record.Pack;
+import brookpath.state.record.Rec;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.function.Supplier;
+
+/**
+ * One member of one replication group: the source's election and pulled replication, with the epochs, the copies floor,
+ * the lease and the lost-disk rule that it lacks. Takes (event, now) and adds actions; it has no clock and no I/O.
+ */
+public final class GroupMachine {
+    public static final int SLAVE = 0;
+    public static final int CANDIDATE = 1;
+    public static final int MASTER = 2;
+
+    public static final int SYNC_PEER = 0;
+    public static final int SYNC_CATCH_UP = 1;
+    public static final int SYNC_LOST = 2;
+
+    private static final int W_REC = 1;
+    private static final int W_TRUNCATE = 2;
+    private static final int W_VOTE = 3;
+    private static final int W_INIT = 4;
+    private static final int W_IMAGE = 5;
+    private static final int REPLY_BYTES = 256 << 10;
+    private static final int DEFERENCE = 3;
+
+    private record Waiting(long write, int node, Msg msg) {
+    }
+
+    private record Unsynced(long write, long lsn) {
+    }
+
+        private final int id;
+    private final int self;
+    private final Tempo tempo;
+    private final int toleratedLosses;
+    private final Supplier<LogState> states;
+    private final Actions out;
+    private final SplittableRandom rnd;
+
+    private List<Member> members = List.of();
+    private int groupVersion;
+    private boolean founded;
+    private BeatTable table = BeatTable.EMPTY;
+    private long startedAt = Long.MIN_VALUE;
+
+    private boolean initialised;
+    private boolean lost;
+    private long epoch;
+    private int votedFor;
+    private long epochSeen;
+
+    private long baseLsn;
+    private long baseEpoch;
+    private LogState base;
+    private LogState live;
+    private final ArrayList<Rec> recs = new ArrayList<>();
+    private long syncedLsn;
+    private long accepted;
+    private final ArrayDeque<Unsynced> unsynced = new ArrayDeque<>();
+    private final ArrayDeque<Waiting> afterSync = new ArrayDeque<>();
+
+    private int role = SLAVE;
+    private long openLsn;
+    private long masterSince;
+    private final TreeMap<Integer, Long> copies = new TreeMap<>();
+    private final TreeMap<Integer, Pull> held = new TreeMap<>();
+
+    private final TreeSet<Integer> votes = new TreeSet<>();
+    private long goEndsAt;
+    private long nextGo;
+    private int lostGoes;
+    private int masterHeard;
+    private String why = "started";
+
+    private int pullSource;
+    private long pullSentAt;
+    private boolean pulling;
+    private boolean wantFull;
+    private long joinTarget = -1;
+    private boolean inSync;
+
+    public GroupMachine(final int id, final int self, final Tempo tempo, final int toleratedLosses, final long seed,
+                        final Supplier<LogState> states, final Actions out) {
+        this.id = id;
+        this.self = self;
+        this.tempo = tempo;
+        this.toleratedLosses = toleratedLosses;
+        this.states = states;
+        this.out = out;
+        rnd = new SplittableRandom(seed * 31 + id * 7919L + self);
+        base = states.get();
+        live = states.get();
+    }
+
+    // ---- what others may read
+
+    public int id() {
+        return id;
+    }
+
+    public int role() {
+        return role;
+    }
+
+    public long epoch() {
+        return epoch;
+    }
+
+    public long accepted() {
+        return accepted;
+    }
+
+    public long endLsn() {
+        return baseLsn + recs.size();
+    }
+
+    public long baseLsn() {
+        return baseLsn;
+    }
+
+    public long syncedLsn() {
+        return syncedLsn;
+    }
+
+    public int groupVersion() {
+        return groupVersion;
+    }
+
+    public List<Member> members() {
+        return members;
+    }
+
+    public LogState live() {
+        return live;
+    }
+
+    public LogState base() {
+        return base;
+    }
+
+    public boolean lost() {
+        return lost;
+    }
+
+    public String why() {
+        return why;
+    }
+
+    /** The master as this member sees it, 0 for none. */
+    public int masterHeard() {
+        return masterHeard;
+    }
+
+    public Rec rec(final long lsn) {
+        return recs.get((int) (lsn - baseLsn - 1));
+    }
+
+    public int floor() {
+        return Copies.floor(members.size(), toleratedLosses);
+    }
+
+    /** Copies of a record that are known to be synced. */
+    public int copies(final long lsn) {
+        int n = syncedLsn >= lsn ? 1 : 0;
+        for (final long match : copies.values()) {
+            n += match >= lsn ? 1 : 0;
+        }
+        return n;
+    }
+
+    public int active(final long now) {
+        int n = 1;
+        for (final Member m : members) {
+            n += m.node() != self && voting(m.node(), now) ? 1 : 0;
+        }
+        return n;
+    }
+
+    /** May this member act as the master just now? Asked again immediately before each response. */
+    public boolean mayAct(final long now) {
+        return role == MASTER && openLsn > 0 && accepted >= openLsn && leaseHeld(now);
+    }
+
+    /** Has a slave the accepted position of a master that it hears? */
+    public boolean inSync(final long now) {
+        return role == MASTER ? mayAct(now) : inSync && !lost && masterHeard != 0;
+    }
+
+    public BeatEntry entry(final long now) {
+        final int sync = lost ? SYNC_LOST : inSync(now) ? SYNC_PEER : SYNC_CATCH_UP;
+        return new BeatEntry(id, groupVersion, epoch, role, sync, baseLsn + 1, syncedLsn, epochAt(syncedLsn), accepted,
+                masterHeard, weight(self));
+    }
+
+    // ---- set-up and recovery
+
+    public void replay(final Pack in, final long now) {
+        final int kind = (int) in.num();
+        switch (kind) {
+            case W_REC -> {
+                final Rec rec = Rec.wrap(in.bytes(), now);
+                push(rec);
+                if (rec.epoch() > epoch) {
+                    epoch = rec.epoch();
+                    votedFor = 0;
+                }
+            }
+            case W_TRUNCATE -> cutTo(in.num());
+            case W_VOTE -> {
+                epoch = in.num();
+                votedFor = (int) in.num();
+            }
+            case W_INIT -> {
+                initialised = true;
+                lost = in.num() == 1;
+            }
+            case W_IMAGE -> loadImage(in.bytes(), now);
+            default -> throw new IllegalStateException("group " + id + ": unknown entry kind " + kind);
+        }
+        syncedLsn = endLsn();
+        epochSeen = Math.max(epochSeen, epoch);
+    }
+
+    /** Everything of this group, for the snapshot that begins a segment, as entries to replay. */
+    public List<byte[]> checkpoint() {
+        final List<byte[]> entries = new ArrayList<>();
+        entries.add(entryOf(W_VOTE).num(epoch).num(votedFor).done());
+        if (initialised) {
+            entries.add(entryOf(W_INIT).num(lost ? 1 : 0).done());
+        }
+        entries.add(entryOf(W_IMAGE).bytes(image()).done());
+        return entries;
+    }
+
+    /** The control group's explicit founding: an empty member that knows it is new, not robbed of its disk. */
+    public void found() {
+        if (!initialised) {
+            initialised = true;
+            out.write(entryOf(W_INIT).num(0).done());
+        }
+    }
+
+    public void configure(final List<Member> newMembers, final int version, final boolean isFounded, final long now) {
+        members = newMembers;
+        groupVersion = version;
+        founded = isFounded;
+        if (startedAt == Long.MIN_VALUE) {
+            startedAt = now;
+        }
+        if (!initialised) {
+            // why: an empty folder of a founded group has lost its log; it must not vote as if it had never had one
+            initialised = true;
+            lost = founded;
+            out.write(entryOf(W_INIT).num(lost ? 1 : 0).done());
+        }
+    }
+
+    // ---- events
+
+    public void tick(final long now, final BeatTable newTable) {
+        table = newTable;
+        if (members.isEmpty() || weight(self) < 0) {
+            return;
+        }
+        for (final Member m : members) {
+            final BeatEntry e = m.node() == self ? null : table.fresh(m.node(), id, now);
+            if (e != null) {
+                epochSeen = Math.max(epochSeen, e.epoch());
+            }
+        }
+        if (role == MASTER) {
+            if (epochSeen > epoch) {
+                stepDown("epoch " + epochSeen + " seen");
+            } else if (now - masterSince > tempo.down() && !majorityAnswers(now)) {
+                stepDown("no majority answers");
+            } else {
+                advance(now);
+            }
+        }
+        if (role == CANDIDATE && now >= goEndsAt) {
+            role = SLAVE;
+            lostGoes++;
+            nextGo = now + spread();
+            why = "go for epoch " + epoch + " lost";
+        }
+        final int heard = role == MASTER ? (leaseHeld(now) ? self : 0) : liveMaster(now);
+        if (heard != masterHeard) {
+            masterHeard = heard;
+            if (heard == 0 || heard == self) {
+                // why: the others wait to stand until nobody tells of a live master, so they are told at once
+                out.beatNow();
+            }
+            if (heard != self && heard != 0) {
+                lostGoes = 0;
+            }
+            pulling = false;
+        }
+        if (role == SLAVE && masterHeard == 0) {
+            inSync = false;
+            if (now >= nextGo && mayStand(now)) {
+                stand(now, false);
+            }
+        }
+        pull(now);
+        trim(now);
+    }
+
+    /** All writes up to this number are synced. */
+    public void synced(final long number, final long now) {
+        while (!unsynced.isEmpty() && unsynced.peek().write <= number) {
+            syncedLsn = Math.max(syncedLsn, unsynced.poll().lsn);
+        }
+        while (!afterSync.isEmpty() && afterSync.peek().write <= number) {
+            final Waiting w = afterSync.poll();
+            if (w.node == self) {
+                onVoteReply(self, (VoteReply) w.msg, now);
+            } else {
+                out.send(w.node, w.msg);
+            }
+        }
+        if (lost && joinTarget >= 0 && syncedLsn >= joinTarget && unsynced.isEmpty()) {
+            lost = false;
+            joinTarget = -1;
+            why = "copy rebuilt up to " + syncedLsn;
+            out.write(entryOf(W_INIT).num(0).done());
+        }
+        if (role == MASTER) {
+            advance(now);
+        } else if (unsynced.isEmpty()) {
+            pull(now);
+        }
+    }
+
+    public void on(final int from, final Msg msg, final long now) {
+        if (weight(from) < 0 || weight(self) < 0) {
+            return;
+        }
+        if (msg instanceof VoteAsk m) {
+            onVoteAsk(from, m, now);
+        } else if (msg instanceof VoteReply m) {
+            onVoteReply(from, m, now);
+        } else if (msg instanceof Pull m) {
+            onPull(from, m, now);
+        } else if (msg instanceof PullReply m) {
+            onPullReply(from, m, now);
+        }
+    }
+
+    /** Appends a record as the master; the caller has asked {@link #mayAct}. */
+    public long append(final int kind, final byte[] body, final long now, final long wall) {
+        final long last = recs.isEmpty() ? 0 : recs.get(recs.size() - 1).stamp();
+        final Rec rec = Rec.of(endLsn() + 1, epoch, Math.max(last, wall), kind, body, now);
+        store(rec);
+        serveHeld(now);
+        return rec.lsn();
+    }
+
+    // ---- election
+
+    private boolean mayStand(final long now) {
+        if (lost || !initialised || now - startedAt <= tempo.down()) {
+            return false;
+        }
+        int answering = 1;
+        int better = 0;
+        for (final Member m : members) {
+            if (m.node() == self) {
+                continue;
+            }
+            final BeatEntry e = table.fresh(m.node(), id, now);
+            if (e == null || e.sync() == SYNC_LOST) {
+                continue;
+            }
+            if (e.masterHeard() != 0 && e.masterHeard() != self || e.role() == MASTER && e.epoch() >= epoch) {
+                return false;
+            }
+            if (newer(e.endEpoch(), e.endLsn(), epochAt(syncedLsn), syncedLsn)) {
+                return false;
+            }
+            if (table.up(m.node())) {
+                answering++;
+                if (e.endLsn() == syncedLsn && e.endEpoch() == epochAt(syncedLsn) && outranks(m.node(), self)) {
+                    better++;
+                }
+            }
+        }
+        if (answering < majority(members.size()) || !founded && answering < members.size()) {
+            return false;
+        }
+        // why: the tie order says who wins, so the lower ranks give the higher ones a head start, for a few goes
+        return lostGoes >= DEFERENCE || better == 0 || deferred(now, better);
+    }
+
+    private long deferUntil = Long.MIN_VALUE / 2;
+
+    private boolean deferred(final long now, final int better) {
+        if (now - deferUntil > tempo.down()) {
+            deferUntil = now + better * tempo.goHorizon();
+        }
+        return now >= deferUntil;
+    }
+
+    private void stand(final long now, final boolean manual) {
+        epoch = Math.max(epoch, epochSeen) + 1;
+        epochSeen = epoch;
+        votedFor = self;
+        role = CANDIDATE;
+        votes.clear();
+        goEndsAt = now + tempo.goHorizon();
+        why = "stands for epoch " + epoch;
+        final long write = out.write(entryOf(W_VOTE).num(epoch).num(self).done());
+        for (final Member m : members) {
+            afterSync.add(new Waiting(write, m.node(), m.node() == self
+                    ? new VoteReply(id, epoch, true, epoch, "own vote")
+                    : new VoteAsk(id, groupVersion, epoch, syncedLsn, epochAt(syncedLsn), weight(self), lostGoes, manual)));
+        }
+    }
+
+    private void onVoteAsk(final int from, final VoteAsk m, final long now) {
+        epochSeen = Math.max(epochSeen, role == MASTER ? epochSeen : m.epoch());
+        final String refusal = refusal(from, m, now);
+        if (refusal != null) {
+            out.send(from, new VoteReply(id, m.epoch(), false, Math.max(epoch, epochSeen), refusal));
+            return;
+        }
+        epoch = m.epoch();
+        votedFor = from;
+        role = SLAVE;
+        nextGo = now + tempo.down();
+        why = "voted for " + from + " in epoch " + epoch;
+        // why: a vote that is forgotten after a crash could be given twice
+        final long write = out.write(entryOf(W_VOTE).num(epoch).num(from).done());
+        afterSync.add(new Waiting(write, from, new VoteReply(id, epoch, true, epoch, "granted")));
+    }
+
+    private String refusal(final int from, final VoteAsk m, final long now) {
+        if (lost || !initialised) {
+            return "copy is being rebuilt";
+        }
+        if (now - startedAt <= tempo.down()) {
+            // why: before the restart it may have answered a master's beat whose lease still runs
+            return "just started";
+        }
+        if (m.groupVersion() < groupVersion) {
+            return "older group version";
+        }
+        if (m.epoch() < epoch || m.epoch() == epoch && votedFor != from) {
+            return "epoch " + epoch + " is taken";
+        }
+        if (!m.manual()) {
+            if (role == MASTER) {
+                return "master lives";
+            }
+            final int master = liveMaster(now);
+            if (master != 0 && master != from) {
+                return "hears master " + master;
+            }
+        }
+        // why: the table's LSNs may be stale; the voter's own log as it is now is what counts
+        if (newer(epochAt(syncedLsn), syncedLsn, m.endEpoch(), m.endLsn())) {
+            return "own log is newer";
+        }
+        if (m.endLsn() == syncedLsn && m.endEpoch() == epochAt(syncedLsn) && outranks(self, from) && m.goes() < DEFERENCE
+                && !m.manual() && mayStand(now)) {
+            nextGo = now;
+            return "ranks higher and stands itself";
+        }
+        return null;
+    }
+
+    private void onVoteReply(final int from, final VoteReply m, final long now) {
+        if (role == MASTER) {
+            return;
+        }
+        epochSeen = Math.max(epochSeen, m.epochSeen());
+        if (role != CANDIDATE || m.epoch() != epoch || !m.granted()) {
+            return;
+        }
+        votes.add(from);
+        if (votes.size() < (founded ? majority(members.size()) : members.size())) {
+            return;
+        }
+        role = MASTER;
+        masterSince = now;
+        masterHeard = self;
+        lostGoes = 0;
+        copies.clear();
+        held.clear();
+        pulling = false;
+        why = "won epoch " + epoch + " with votes of " + votes;
+        out.note("group " + id + ": " + why);
+        out.beatNow();
+        // why: records of earlier epochs count as accepted only once a record of this one is
+        openLsn = endLsn() + 1;
+        append(Rec.OPEN, new byte[0], now, 0);
+    }
+
+    private void stepDown(final String reason) {
+        role = SLAVE;
+        openLsn = 0;
+        masterHeard = 0;
+        held.clear();
+        copies.clear();
+        pulling = false;
+        inSync = false;
+        why = "stepped down: " + reason;
+        out.note("group " + id + ": " + why);
+        out.beatNow();
+    }
+
+    private int liveMaster(final long now) {
+        int master = 0;
+        long best = epoch;
+        for (final Member m : members) {
+            final BeatEntry e = m.node() == self ? null : table.fresh(m.node(), id, now);
+            if (e != null && e.role() == MASTER && e.epoch() >= best) {
+                best = e.epoch();
+                master = m.node();
+            }
+        }
+        return master;
+    }
+
+    private boolean majorityAnswers(final long now) {
+        int n = 1;
+        for (final Member m : members) {
+            n += m.node() != self && table.up(m.node()) && now - table.row(m.node()).answeredSentAt() <= 2 * tempo.down() ? 1 : 0;
+        }
+        return n >= majority(members.size());
+    }
+
+    private boolean leaseHeld(final long now) {
+        int n = 1;
+        for (final Member m : members) {
+            final BeatTable.Row row = m.node() == self ? null : table.row(m.node());
+            if (row == null || now - row.answeredSentAt() > tempo.lease()) {
+                continue;
+            }
+            final BeatEntry told = row.answeredOwn().get(id);
+            final BeatEntry theirs = row.entries().get(id);
+            // why: only a beat that told of this mastership binds the one who answered it, and only a voter can be bound
+            if (told != null && told.role() == MASTER && told.epoch() == epoch && theirs != null && theirs.sync() != SYNC_LOST
+                    && theirs.epoch() <= epoch) {
+                n++;
+            }
+        }
+        return n >= majority(members.size());
+    }
+
+    private boolean voting(final int node, final long now) {
+        final BeatEntry e = table.fresh(node, id, now);
+        return e != null && e.sync() != SYNC_LOST && table.up(node);
+    }
+
+    private static boolean newer(final long epochA, final long lsnA, final long epochB, final long lsnB) {
+        return epochA > epochB || epochA == epochB && lsnA > lsnB;
+    }
+
+    private boolean outranks(final int a, final int b) {
+        final int wa = weight(a);
+        final int wb = weight(b);
+        return wa > wb || wa == wb && a > b;
+    }
+
+    private int weight(final int node) {
+        for (final Member m : members) {
+            if (m.node() == node) {
+                return m.weight();
+            }
+        }
+        return -1;
+    }
+
+    private long spread() {
+        return (long) (tempo.goHorizon() * (0.2 + rnd.nextDouble() * Math.min(4, lostGoes)));
+    }
+
+    // ---- replication
+
+    private void pull(final long now) {
+        if (role == MASTER || members.isEmpty() || !unsynced.isEmpty()) {
+            return;
+        }
+        final int source = source(now);
+        if (source == 0 || pulling && source == pullSource && now - pullSentAt < tempo.pullHorizon()) {
+            return;
+        }
+        sendPull(source, now);
+    }
+
+    private void sendPull(final int source, final long now) {
+        pulling = true;
+        pullSource = source;
+        pullSentAt = now;
+        final long next = wantFull ? -1 : endLsn() + 1;
+        out.send(source, new Pull(id, groupVersion, epoch, next, epochAt(endLsn()), syncedLsn, epochAt(syncedLsn), accepted, lost));
+    }
+
+    /** The master while it can be reached; else a slave that still hears it. */
+    private int source(final long now) {
+        if (masterHeard != 0 && table.up(masterHeard)) {
+            return masterHeard;
+        }
+        for (final Member m : members) {
+            final BeatEntry e = m.node() == self ? null : table.fresh(m.node(), id, now);
+            if (e != null && table.up(m.node()) && e.masterHeard() != 0 && e.masterHeard() != self && e.sync() == SYNC_PEER
+                    && e.epoch() >= epoch) {
+                return m.node();
+            }
+        }
+        return 0;
+    }
+
+    private void onPull(final int from, final Pull m, final long now) {
+        if (m.epoch() > epoch) {
+            epochSeen = Math.max(epochSeen, m.epoch());
+            if (role == MASTER) {
+                stepDown("sibling " + from + " is in epoch " + m.epoch());
+            }
+            return;
+        }
+        if (role == MASTER) {
+            if (m.lost()) {
+                copies.remove(from);
+            } else if (m.epoch() == epoch && m.syncedLsn() > baseLsn && m.syncedLsn() <= endLsn()
+                    && epochAt(m.syncedLsn()) == m.syncedEpoch()) {
+                // why: the same (epoch, LSN) means the same log up to there, so this copy holds everything before it too
+                copies.merge(from, m.syncedLsn(), Math::max);
+                advance(now);
+            }
+        } else if (!inSync(now)) {
+            return;
+        }
+        held.remove(from);
+        if (!reply(from, m, now)) {
+            held.put(from, m);
+        }
+    }
+
+    private boolean reply(final int to, final Pull m, final long now) {
+        final long prev = m.nextLsn() - 1;
+        // why: only a master that has opened its epoch knows everything that was accepted before it
+        final int lead = mayAct(now) ? PullReply.ACTING_MASTER : role == MASTER ? PullReply.MASTER : PullReply.SLAVE;
+        if (m.nextLsn() < 0 || prev < baseLsn) {
+            out.send(to, new PullReply(id, groupVersion, epoch, FULL, lead, accepted, 0, image(), List.of()));
+            return true;
+        }
+        if (prev > endLsn() || epochAt(prev) != m.prevEpoch()) {
+            long tryLsn = Math.min(endLsn(), prev - 1);
+            while (tryLsn > baseLsn && epochAt(tryLsn) > m.prevEpoch()) {
+                tryLsn--;
+            }
+            out.send(to, new PullReply(id, groupVersion, epoch, MISMATCH, lead, accepted, tryLsn, new byte[0], List.of()));
+            return true;
+        }
+        final List<Rec> part = new ArrayList<>();
+        int bytes = 0;
+        for (long lsn = m.nextLsn(); lsn <= endLsn() && bytes < REPLY_BYTES; lsn++) {
+            part.add(rec(lsn));
+            bytes += rec(lsn).bytes().length;
+        }
+        if (part.isEmpty() && m.accepted() >= accepted && m.epoch() == epoch) {
+            return false;
+        }
+        out.send(to, new PullReply(id, groupVersion, epoch, RECORDS, lead, accepted, 0, new byte[0], part));
+        return true;
+    }
+
+    private void serveHeld(final long now) {
+        held.entrySet().removeIf(h -> reply(h.getKey(), h.getValue(), now));
+    }
+
+    private void onPullReply(final int from, final PullReply m, final long now) {
+        // why: the fence: whoever acts for an older epoch or an older group is not obeyed, however late it wakes
+        if (m.epoch() < epoch || m.groupVersion() < groupVersion || role == MASTER || from != pullSource) {
+            return;
+        }
+        if (m.epoch() > epoch) {
+            if (role == CANDIDATE) {
+                role = SLAVE;
+            }
+            epoch = m.epoch();
+            votedFor = 0;
+            epochSeen = Math.max(epochSeen, epoch);
+            out.write(entryOf(W_VOTE).num(epoch).num(0).done());
+        }
+        pulling = false;
+        switch (m.kind()) {
+            case FULL -> {
+                if (m.image().length == 0 || m.standing() == PullReply.SLAVE && !lost && !wantFull && endLsn() > 0 && accepted > 0) {
+                    return;
+                }
+                loadImage(m.image(), now);
+                syncedLsn = baseLsn;
+                unsynced.clear();
+                wantFull = false;
+                unsynced.add(new Unsynced(out.write(entryOf(W_IMAGE).bytes(m.image()).done()), endLsn()));
+                why = "full sync from " + from + " up to " + endLsn();
+                out.note("group " + id + ": " + why);
+            }
+            case MISMATCH -> {
+                if (m.standing() == PullReply.SLAVE) {
+                    return;
+                }
+                if (m.tryLsn() < accepted && m.tryLsn() < baseLsn || m.tryLsn() <= baseLsn && endLsn() == baseLsn) {
+                    wantFull = true;
+                } else if (m.tryLsn() < accepted) {
+                    out.grave("group " + id + ": master " + from + " lacks accepted records after " + m.tryLsn());
+                    return;
+                } else {
+                    cutTo(m.tryLsn());
+                    out.write(entryOf(W_TRUNCATE).num(m.tryLsn()).done());
+                    why = "diverged tail cut to " + m.tryLsn();
+                    out.note("group " + id + ": " + why);
+                }
+            }
+            default -> {
+                for (final Rec rec : m.recs()) {
+                    if (rec.lsn() == endLsn() + 1) {
+                        store(Rec.wrap(rec.bytes(), now));
+                    }
+                }
+            }
+        }
+        if (m.kind() != MISMATCH) {
+            accepted = Math.max(accepted, Math.min(m.accepted(), endLsn()));
+            inSync = endLsn() >= m.accepted();
+            if (lost && m.standing() == PullReply.ACTING_MASTER && joinTarget < 0) {
+                joinTarget = m.accepted();
+            }
+            serveHeld(now);
+        }
+        if (unsynced.isEmpty()) {
+            synced(0, now);
+            pull(now);
+        }
+    }
+
+    private void store(final Rec rec) {
+        push(rec);
+        unsynced.add(new Unsynced(out.write(entryOf(W_REC).bytes(rec.bytes()).done()), rec.lsn()));
+    }
+
+    private void push(final Rec rec) {
+        if (rec.lsn() != endLsn() + 1) {
+            throw new IllegalStateException("group " + id + ": record " + rec.lsn() + " after " + endLsn());
+        }
+        recs.add(rec);
+        live.apply(rec);
+    }
+
+    private void cutTo(final long lsn) {
+        recs.subList((int) (lsn - baseLsn), recs.size()).clear();
+        live = states.get();
+        live.load(base.save());
+        recs.forEach(live::apply);
+        syncedLsn = Math.min(syncedLsn, lsn);
+        unsynced.removeIf(u -> u.lsn > lsn);
+    }
+
+    private void advance(final long now) {
+        if (!leaseHeld(now)) {
+            return;
+        }
+        final long[] synced = new long[members.size()];
+        int i = 0;
+        synced[i++] = syncedLsn;
+        for (final Map.Entry<Integer, Long> copy : copies.entrySet()) {
+            if (weight(copy.getKey()) >= 0 && i < synced.length) {
+                synced[i++] = copy.getValue();
+            }
+        }
+        Arrays.sort(synced);
+        final long lsn = synced[synced.length - floor()];
+        if (lsn > accepted && lsn >= openLsn && epochAt(lsn) == epoch) {
+            accepted = lsn;
+            serveHeld(now);
+        }
+    }
+
+    private void trim(final long now) {
+        int n = 0;
+        while (n < recs.size() && recs.get(n).lsn() <= Math.min(accepted, syncedLsn) && now - recs.get(n).learnedAt() > live.keepMs(recs.get(n))) {
+            n++;
+        }
+        // why: in steps, so that the list is not shifted for each record
+        if (n < 64) {
+            return;
+        }
+        for (final Rec rec : recs.subList(0, n)) {
+            base.apply(rec);
+            base.trimmed(rec);
+            live.trimmed(rec);
+            baseLsn = rec.lsn();
+            baseEpoch = rec.epoch();
+        }
+        recs.subList(0, n).clear();
+    }
+
+    private long epochAt(final long lsn) {
+        return lsn == baseLsn ? baseEpoch : lsn < baseLsn || lsn > endLsn() ? -1 : rec(lsn).epoch();
+    }
+
+    private byte[] image() {
+        final Pack pack = Pack.writer().num(baseLsn).num(baseEpoch).bytes(base.save()).num(recs.size());
+        recs.forEach(r -> pack.bytes(r.bytes()));
+        return pack.done();
+    }
+
+    private void loadImage(final byte[] image, final long now) {
+        final Pack in = Pack.reader(image);
+        recs.clear();
+        baseLsn = in.num();
+        baseEpoch = in.num();
+        final byte[] saved = in.bytes();
+        base = states.get();
+        base.load(saved);
+        live = states.get();
+        live.load(saved);
+        for (long n = in.num(); n > 0; n--) {
+            push(Rec.wrap(in.bytes(), now));
+        }
+        accepted = Math.max(accepted, baseLsn);
+    }
+
+    private Pack entryOf(final int kind) {
+        return Pack.writer().num(id).num(kind);
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/brookpath/coordination/message/Msg.java
@@ -0,0 +1,92 @@
+package brookpath.coordination.message;
+
+import brookpath.state.record.Rec;
+import java.util.List;
+
+/** What the processes say to each other. Every message that acts for a master carries its epoch and group version. */
+public sealed interface Msg {
+    /** One sharing-beat per pair of processes, with an entry per group; its reply carries the replier's entries. */
+    record Beat(boolean reply, long id, long stamp, List<BeatEntry> entries) implements Msg {
+    }
+
+    record BeatEntry(int group, int groupVersion, long epoch, int role, int sync, long startLsn, long endLsn, long endEpoch,
+                     long accepted, int masterHeard, int weight) {
+    }
+
+    record VoteAsk(int group, int groupVersion, long epoch, long endLsn, long endEpoch, int weight, int goes, boolean manual) implements Msg {
+    }
+
+    record VoteReply(int group, long epoch, boolean granted, long epochSeen, String why) implements Msg {
+    }
+
+    /** A slave asks its source for the log; what it has synced is its copy's acknowledgement. */
+    record Pull(int group, int groupVersion, long epoch, long nextLsn, long prevEpoch, long syncedLsn, long syncedEpoch,
+                long accepted, boolean lost) implements Msg {
+    }
+
+    record PullReply(int group, int groupVersion, long epoch, int kind, int standing, long accepted, long tryLsn,
+                     byte[] image, List<Rec> recs) implements Msg {
+        public static final int RECORDS = 0;
+        public static final int MISMATCH = 1;
+        public static final int FULL = 2;
+        public static final int SLAVE = 0;
+        public static final int MASTER = 1;
+        public static final int ACTING_MASTER = 2;
+    }
+
+    record Publish(long jobId, int group, long specVersion, int repl, long seq, String tenant, String topic, String sender, String text)
+            implements Msg {
+    }
+
+    record PublishReply(long jobId, int outcome, long position, int masterHint, long epoch, String why) implements Msg {
+        public static final int ACCEPTED = 0;
+        public static final int NOT_MASTER = 1;
+        public static final int REFUSED_FOR_GOOD = 2;
+        public static final int UNSETTLED = 3;
+        public static final int BUSY = 4;
+    }
+
+    /** A front reads accepted records of some topics after a position each; tail asks for the present position alone. */
+    record Fetch(long jobId, int group, boolean tail, boolean hold, List<TopicAt> topics) implements Msg {
+    }
+
+    record TopicAt(String topic, long from) {
+    }
+
+    record FetchReply(long jobId, int group, int status, long scannedTo, List<String> gone, List<Rec> recs) implements Msg {
+        public static final int OK = 0;
+        public static final int NOT_HERE = 1;
+    }
+
+    record SpecPoll(long pollId, int node, int role, String zone, String address, long specVersion, long rosterVersion,
+                    boolean drain) implements Msg {
+        public static final int FRONT = 1;
+        public static final int STORAGE = 2;
+    }
+
+    record SpecReply(long pollId, boolean master, int masterHint, long epoch, long specVersion, byte[] spec, long rosterVersion,
+                     byte[] roster) implements Msg {
+    }
+
+    /** An operator's or another process's job for the control master. */
+    record Op(long jobId, String kind, byte[] body) implements Msg {
+    }
+
+    record OpReply(long jobId, int status, int retryAfterMs, byte[] body) implements Msg {
+    }
+
+    /** How many sessions of a front listen to each topic of a group. */
+    record Listen(int group, List<TopicCount> counts) implements Msg {
+    }
+
+    record TopicCount(String topic, int count) {
+    }
+
+    record CountAsk(long jobId, int group, String topic) implements Msg {
+    }
+
+    record CountReply(long jobId, int status, int count) implements Msg {
+        public static final int OK = 0;
+        public static final int NOT_HERE = 1;
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/brookpath/coordination/node/BailiffNode.java
@@ -0,0 +1,467 @@
+package brookpath.coordination.node;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import brookpath.coordination.Tempo;
+import brookpath.coordination.group.Copies;
+import brookpath.coordination.group.GroupMachine;
+import brookpath.coordination.group.Member;
+import brookpath.coordination.message.Msg;
+import brookpath.coordination.message.Msg.BeatEntry;
+import brookpath.coordination.message.Msg.Op;
+import brookpath.coordination.message.Msg.OpReply;
+import brookpath.coordination.message.Msg.SpecPoll;
+import brookpath.coordination.message.Msg.SpecReply;
+import brookpath.coordination.message.Response;
+import brookpath.coordination.spec.ControlState;
+import brookpath.coordination.spec.ControlState.Outcome;
+import brookpath.coordination.spec.ControlState.SpecAt;
+import brookpath.coordination.spec.Finding;
+import brookpath.coordination.spec.Placement;
+import brookpath.coordination.spec.Roster;
+import brookpath.coordination.spec.Roster.GroupInfo;
+import brookpath.coordination.spec.Roster.NodeInfo;
+import brookpath.coordination.spec.SpecReader;
+import brookpath.state.record.Pack;
+import brookpath.state.record.Rec;
+import jakarta.json.Json;
+import jakarta.json.JsonArrayBuilder;
+import jakarta.json.JsonObjectBuilder;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.zip.CRC32C;
+
+/** A machine of the control plane: a member of the control group, and its duties while it is the master. */
+public final class BailiffNode extends Node {
+    /** The control group's number; topic groups count from 0. */
+    public static final int CONTROL = 1_000_000;
+
+    /** @param storages groups are founded once this many storage machines have come */
+    public record Founding(int groups, int copies, int storages, int toleratedLosses) {
+    }
+
+    private static final class Poller {
+        SpecPoll last;
+        long heldSince = -1;
+        long leaseEnds = Long.MIN_VALUE;
+        long heardAt;
+    }
+
+    /** A change on its way: its responders wait until it is everywhere. */
+    private record Waiting(int from, long jobId, String changeId, long horizon) {
+    }
+
+    private record Relayed(long jobId, int node, String kind, long horizon) {
+    }
+
+    private final Founding founding;
+    private final long rollBytes;
+    private final GroupMachine group;
+    private final TreeMap<Integer, Poller> pollers = new TreeMap<>();
+    private final List<Waiting> waitlist = new ArrayList<>();
+    private final TreeMap<Long, Relayed> relayed = new TreeMap<>();
+    private long ids;
+    private long dutySince = -1;
+
+    public BailiffNode(final int self, final List<Member> members, final Founding founding, final Tempo tempo, final long seed,
+                       final long firstId, final long rollBytes) {
+        super(self, tempo);
+        this.founding = founding;
+        this.rollBytes = rollBytes;
+        this.members = members;
+        ids = firstId;
+        group = new GroupMachine(CONTROL, self, tempo, founding.toleratedLosses, seed, ControlState::new, out);
+    }
+
+    private final List<Member> members;
+
+    public GroupMachine group() {
+        return group;
+    }
+
+    /** After replay: a first start that was asked for by the operator, or an ordinary one. */
+    public List<brookpath.coordination.action.Action> start(final boolean found, final Time time) {
+        if (found) {
+            group.found();
+        }
+        group.configure(members, 1, true, time.mono());
+        return out.drain();
+    }
+
+    @Override
+    public void replay(final byte[] entry, final Time time) {
+        final Pack in = Pack.reader(entry);
+        in.num();
+        group.replay(in, time.mono());
+    }
+
+    private ControlState state() {
+        return (ControlState) group.live();
+    }
+
+    private SpecAt spec() {
+        return state().specAt(group.accepted());
+    }
+
+    private Roster roster() {
+        return state().rosterAt(group.accepted());
+    }
+
+    private Roster newestRoster() {
+        return state().rosterAt(Long.MAX_VALUE);
+    }
+
+    // ---- events
+
+    @Override
+    protected void onTick(final Time time) {
+        final long now = time.mono();
+        group.tick(now, table);
+        after(time);
+        if (group.mayAct(now)) {
+            place(time);
+        }
+        relayed.values().removeIf(r -> {
+            if (now >= r.horizon) {
+                out.respond(r.jobId, lostResponse(r.kind, "no word from the control master in time"));
+            }
+            return now >= r.horizon;
+        });
+        if (out.bytesSinceRoll() > rollBytes) {
+            final Pack pack = Pack.writer();
+            group.checkpoint().forEach(pack::bytes);
+            out.roll(pack.done());
+        }
+    }
+
+    @Override
+    protected void onSynced(final long number, final Time time) {
+        group.synced(number, time.mono());
+        after(time);
+    }
+
+    @Override
+    protected void onMessage(final int from, final Msg msg, final Time time) {
+        final long now = time.mono();
+        if (msg instanceof SpecPoll m) {
+            poll(from, m, now);
+        } else if (msg instanceof Op m) {
+            operate(from, m, time);
+        } else if (msg instanceof OpReply m) {
+            final Relayed r = relayed.remove(m.jobId());
+            if (r != null) {
+                out.respond(r.jobId, new Response(m.status(), m.retryAfterMs(), new String(m.body(), UTF_8)));
+            }
+        } else {
+            group.on(from, msg, now);
+            after(time);
+        }
+    }
+
+    @Override
+    protected void onUnsent(final int to, final Msg msg, final Time time) {
+        if (msg instanceof Op m) {
+            final Relayed r = relayed.remove(m.jobId());
+            if (r != null) {
+                out.respond(r.jobId, masterless("no session to the control master"));
+            }
+        }
+    }
+
+    @Override
+    protected void onSessionLost(final int node, final Time time) {
+        relayed.values().removeIf(r -> {
+            if (r.node == node) {
+                out.respond(r.jobId, lostResponse(r.kind, "the session with the control master broke"));
+            }
+            return r.node == node;
+        });
+    }
+
+    @Override
+    protected void onJob(final Job job, final Time time) {
+        final long now = time.mono();
+        if (job instanceof Job.Status j) {
+            out.respond(j.jobId(), new Response(200, 0, statusJson(time)));
+        } else if (job instanceof Job.Ready j) {
+            out.respond(j.jobId(), Ready.response(group.masterHeard() != 0, false));
+        } else if (job instanceof Job.Operate j) {
+            if (group.mayAct(now)) {
+                operate(self, new Op(j.jobId(), j.kind(), j.body()), time);
+            } else if (group.masterHeard() != 0 && group.masterHeard() != self) {
+                relayed.put(++ids, new Relayed(j.jobId(), group.masterHeard(), j.kind(), now + tempo.opHorizon()));
+                out.send(group.masterHeard(), new Op(ids, j.kind(), j.body()));
+            } else {
+                out.respond(j.jobId(), masterless("the control group has no master just now"));
+            }
+        }
+    }
+
+    // ---- polls
+
+    private void poll(final int from, final SpecPoll m, final long now) {
+        if (!group.mayAct(now)) {
+            out.send(from, new SpecReply(m.pollId(), false, group.masterHeard() == self ? 0 : group.masterHeard(), group.epoch(), 0,
+                    new byte[0], 0, new byte[0]));
+            return;
+        }
+        final Poller p = pollers.computeIfAbsent(from, k -> new Poller());
+        p.last = m;
+        p.heardAt = now;
+        p.heldSince = now;
+        answerPoll(from, p, now);
+        if (!waitlist.isEmpty()) {
+            confirm(now);
+        }
+    }
+
+    /** Answers when there is news, or when the poll has been held long enough. */
+    private void answerPoll(final int node, final Poller p, final long now) {
+        final SpecAt spec = spec();
+        final Roster roster = roster();
+        final boolean news = p.last.specVersion() < spec.version() || p.last.rosterVersion() < roster.version();
+        if (!news && now - p.heldSince < tempo.specHold()) {
+            return;
+        }
+        p.heldSince = -1;
+        p.leaseEnds = now + tempo.specLease();
+        out.send(node, new SpecReply(p.last.pollId(), true, self, group.epoch(), spec.version(),
+                p.last.specVersion() < spec.version() ? spec.doc() : new byte[0], roster.version(),
+                p.last.rosterVersion() < roster.version() ? roster.save() : new byte[0]));
+    }
+
+    private void after(final Time time) {
+        final long now = time.mono();
+        if (!group.mayAct(now)) {
+            if (group.role() != GroupMachine.MASTER && dutySince >= 0) {
+                dutySince = -1;
+                pollers.clear();
+                waitlist.forEach(w -> respond(w.from, w.jobId, lostResponse("change", "the control master stepped down")));
+                waitlist.clear();
+            }
+            return;
+        }
+        if (dutySince < 0) {
+            dutySince = now;
+        }
+        pollers.forEach((node, p) -> {
+            if (p.heldSince >= 0) {
+                answerPoll(node, p, now);
+            }
+        });
+        // why: a process that is gone and whose lease has run out serves nothing, so nobody needs to wait for it
+        pollers.values().removeIf(p -> p.heldSince < 0 && now > p.leaseEnds && now - p.heardAt > 2 * tempo.specLease());
+        confirm(now);
+    }
+
+    // ---- duties of the master
+
+    private void place(final Time time) {
+        final Roster roster = newestRoster();
+        final List<NodeInfo> nodes = new ArrayList<>(roster.nodes());
+        boolean changed = false;
+        for (final Poller p : pollers.values()) {
+            if (p.last.role() != SpecPoll.STORAGE) {
+                continue;
+            }
+            final NodeInfo info = new NodeInfo(p.last.node(), p.last.zone(), p.last.address());
+            if (!nodes.contains(info)) {
+                nodes.removeIf(n -> n.node() == info.node());
+                nodes.add(info);
+                changed = true;
+            }
+        }
+        List<GroupInfo> groups = roster.groups();
+        if (groups.isEmpty() && nodes.size() >= founding.storages) {
+            groups = Placement.found(nodes, founding.groups, founding.copies);
+            changed = true;
+        }
+        if (changed) {
+            appendRoster(new Roster(roster.version() + 1, List.copyOf(nodes), groups), time);
+        }
+    }
+
+    private void appendRoster(final Roster roster, final Time time) {
+        group.append(Rec.CONTROL, ControlState.rosterBody(roster), time.mono(), time.wall());
+    }
+
+    private void founded(final int id, final Time time) {
+        final Roster roster = newestRoster();
+        final List<GroupInfo> groups = new ArrayList<>();
+        boolean changed = false;
+        for (final GroupInfo g : roster.groups()) {
+            changed |= g.id() == id && !g.founded();
+            groups.add(g.id() == id ? new GroupInfo(g.id(), g.version(), true, g.members()) : g);
+        }
+        if (changed) {
+            appendRoster(new Roster(roster.version() + 1, roster.nodes(), List.copyOf(groups)), time);
+        }
+    }
+
+    private void operate(final int from, final Op op, final Time time) {
+        if (!group.mayAct(time.mono())) {
+            respond(from, op.jobId(), masterless("this node is not the control master"));
+            return;
+        }
+        switch (op.kind()) {
+            case "founded" -> founded((int) Pack.reader(op.body()).num(), time);
+            case "change" -> change(from, op, time);
+            case "spec" -> {
+                final SpecAt at = spec();
+                respond(from, op.jobId(), at.version() == 0 ? new Response(404, 0, "{\"version\":0}")
+                        : new Response(200, 0, "{\"version\":" + at.version() + ",\"document\":" + new String(at.doc(), UTF_8) + "}"));
+            }
+            case "outcome" -> {
+                final Outcome o = state().outcome(new String(op.body(), UTF_8));
+                respond(from, op.jobId(), o == null || o.lsn() > group.accepted() ? new Response(404, 0, "{\"outcome\":\"unknown\"}")
+                        : outcome(o, o.status() != 200 || everywhere(o.version(), time.mono())));
+            }
+            case "nodes" -> respond(from, op.jobId(), new Response(200, 0, nodesJson(time.mono())));
+            default -> respond(from, op.jobId(), new Response(404, 0, "{}"));
+        }
+    }
+
+    private void change(final int from, final Op op, final Time time) {
+        final long now = time.mono();
+        if (op.body().length > SpecReader.MAX_BYTES) {
+            respond(from, op.jobId(), new Response(413, 0, findings(List.of(new Finding("/", "larger than " + SpecReader.MAX_BYTES + " bytes")))));
+            return;
+        }
+        // why: compared with the newest appended, not the newest accepted, so that of two racing changes one loses for certain
+        final SpecAt newest = state().specAt(Long.MAX_VALUE);
+        final SpecReader.Reading reading = SpecReader.read(op.body(), newest.version() + 1,
+                new SpecReader.Limits(founding.copies, Copies.floor(founding.copies, founding.toleratedLosses)), newest.spec());
+        if (!reading.json() || reading.spec() == null || reading.spec().changeId().isEmpty()) {
+            respond(from, op.jobId(), new Response(reading.json() ? 422 : 400, 0, findings(reading.findings())));
+            return;
+        }
+        final String changeId = reading.spec().changeId();
+        final CRC32C crc = new CRC32C();
+        crc.update(op.body());
+        final Outcome before = state().outcome(changeId);
+        if (before != null && before.sum() != crc.getValue()) {
+            respond(from, op.jobId(), new Response(409, 0, "{\"outcome\":\"refused\",\"changeId\":\"" + changeId
+                    + "\",\"why\":\"the change ID was used for another document\"}"));
+            return;
+        }
+        if (before == null) {
+            final boolean stale = reading.spec().basedOn() != newest.version();
+            final byte[] body = reading.findings().isEmpty() && !stale
+                    ? ControlState.specBody(changeId, crc.getValue(), newest.version() + 1, op.body())
+                    : ControlState.refusalBody(changeId, crc.getValue(), reading.findings().isEmpty() ? 409 : 422, newest.version(),
+                            reading.findings().isEmpty() ? "" : Finding.json(reading.findings()));
+            group.append(Rec.CONTROL, body, now, time.wall());
+        }
+        waitlist.add(new Waiting(from, op.jobId(), changeId, now + tempo.opHorizon() * 9 / 10));
+        confirm(now);
+    }
+
+    /** A change is confirmed when every live process has taken it, or its lease on what was before has run out. */
+    private boolean everywhere(final long version, final long now) {
+        // why: a predecessor may have granted leases that this master has not seen
+        if (dutySince < 0 || now - dutySince <= tempo.specLease()) {
+            return false;
+        }
+        for (final Poller p : pollers.values()) {
+            if (p.last.specVersion() < version && (now <= p.leaseEnds || p.heldSince >= 0)) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private void confirm(final long now) {
+        waitlist.removeIf(w -> {
+            final Outcome o = state().outcome(w.changeId);
+            if (o != null && o.lsn() <= group.accepted() && (o.status() != 200 || everywhere(o.version(), now))) {
+                if (!group.mayAct(now)) {
+                    return false;
+                }
+                respond(w.from, w.jobId, outcome(o, true));
+                return true;
+            }
+            if (now >= w.horizon) {
+                respond(w.from, w.jobId, lostResponse("change", "not confirmed in time"));
+                return true;
+            }
+            return false;
+        });
+    }
+
+    // ---- responses
+
+    private void respond(final int from, final long jobId, final Response r) {
+        if (from == self) {
+            out.respond(jobId, r);
+        } else if (jobId != 0) {
+            out.send(from, new OpReply(jobId, r.status(), r.retryAfterMs(), r.json().getBytes(UTF_8)));
+        }
+    }
+
+    private Response outcome(final Outcome o, final boolean confirmed) {
+        final String id = "\"changeId\":\"" + o.changeId() + "\"";
+        return switch (o.status()) {
+            case 200 -> confirmed ? new Response(200, 0, "{\"outcome\":\"confirmed\"," + id + ",\"version\":" + o.version() + "}")
+                    : new Response(202, tempo.retryAfterMs(), "{\"outcome\":\"spreading\"," + id + ",\"version\":" + o.version() + "}");
+            case 409 -> new Response(409, 0, "{\"outcome\":\"refused\"," + id + ",\"why\":\"basedOn is not the present version\",\"version\":"
+                    + o.version() + "}");
+            default -> new Response(o.status(), 0, "{\"outcome\":\"refused\"," + id + ",\"findings\":" + o.body() + "}");
+        };
+    }
+
+    private static String findings(final List<Finding> findings) {
+        return "{\"outcome\":\"refused\",\"findings\":" + Finding.json(findings) + "}";
+    }
+
+    private Response masterless(final String why) {
+        return new Response(503, tempo.retryAfterMs(), "{\"outcome\":\"refused\",\"why\":\"" + why + "\"}");
+    }
+
+    private Response lostResponse(final String kind, final String why) {
+        if (!kind.equals("change")) {
+            return masterless(why);
+        }
+        return new Response(504, tempo.retryAfterMs(), "{\"outcome\":\"unsettled\",\"why\":\"" + why + "; send it again with the same changeId\"}");
+    }
+
+    private String nodesJson(final long now) {
+        final JsonArrayBuilder arr = Json.createArrayBuilder();
+        pollers.forEach((node, p) -> arr.add(Json.createObjectBuilder().add("node", node)
+                .add("role", p.last.role() == SpecPoll.STORAGE ? "storage" : "front").add("zone", p.last.zone())
+                .add("specVersion", p.last.specVersion()).add("rosterVersion", p.last.rosterVersion()).add("draining", p.last.drain())
+                .add("leaseLeftMs", Math.max(0, p.leaseEnds - now)).add("heardMsAgo", now - p.heardAt)));
+        return Json.createObjectBuilder().add("controlMaster", self).add("epoch", group.epoch()).add("nodes", arr).build().toString();
+    }
+
+    // ---- for the listener thread and the status page
+
+    @Override
+    public List<BeatEntry> entries(final Time time) {
+        return List.of(group.entry(time.mono()));
+    }
+
+    @Override
+    public Set<Integer> beatSiblings() {
+        final Set<Integer> nodes = new HashSet<>();
+        members.forEach(m -> nodes.add(m.node()));
+        nodes.remove(self);
+        return nodes;
+    }
+
+    @Override
+    public String statusJson(final Time time) {
+        final JsonArrayBuilder placed = Json.createArrayBuilder();
+        final Roster roster = roster();
+        for (final GroupInfo g : roster.groups()) {
+            final JsonArrayBuilder ms = Json.createArrayBuilder();
+            g.members().forEach(m -> ms.add(Json.createObjectBuilder().add("node", m.node()).add("zone", m.zone()).add("weight", m.weight())));
+            placed.add(Json.createObjectBuilder().add("group", g.id()).add("groupVersion", g.version()).add("founded", g.founded()).add("members", ms));
+        }
+        final JsonObjectBuilder obj = Json.createObjectBuilder().add("node", self).add("role", "bailiff").add("specVersion", spec().version())
+                .add("rosterVersion", roster.version()).add("control", GroupStatus.json(group, table, time.mono())).add("placement", placed);
+        return obj.build().toString();
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/brookpath/coordination/node/GroupStatus.java
@@ -0,0 +1,35 @@
+package brookpath.coordination.node;
+
+import brookpath.coordination.beat.BeatTable;
+import brookpath.coordination.group.GroupMachine;
+import brookpath.coordination.message.Msg.BeatEntry;
+import jakarta.json.Json;
+import jakarta.json.JsonArrayBuilder;
+import jakarta.json.JsonObject;
+
+/** Who masters a group, and why, as one member sees it. */
+final class GroupStatus {
+    private static final String[] ROLES = {"slave", "candidate", "master"};
+    private static final String[] SYNCS = {"peer", "catch-up", "lost"};
+
+    private GroupStatus() {
+    }
+
+    static JsonObject json(final GroupMachine g, final BeatTable table, final long now) {
+        final JsonArrayBuilder seen = Json.createArrayBuilder();
+        g.members().forEach(m -> {
+            final BeatEntry e = table.fresh(m.node(), g.id(), now);
+            final var row = Json.createObjectBuilder().add("node", m.node()).add("zone", m.zone()).add("weight", m.weight())
+                    .add("up", table.up(m.node()));
+            if (e != null) {
+                row.add("role", ROLES[e.role()]).add("sync", SYNCS[e.sync()]).add("epoch", e.epoch()).add("startLsn", e.startLsn())
+                        .add("endLsn", e.endLsn()).add("masterHeard", e.masterHeard());
+            }
+            seen.add(row);
+        });
+        return Json.createObjectBuilder().add("group", g.id()).add("groupVersion", g.groupVersion()).add("role", ROLES[g.role()])
+                .add("master", g.masterHeard()).add("epoch", g.epoch()).add("mayAct", g.mayAct(now)).add("startLsn", g.baseLsn() + 1)
+                .add("endLsn", g.endLsn()).add("syncedLsn", g.syncedLsn()).add("accepted", g.accepted()).add("lost", g.lost())
+                .add("why", g.why()).add("table", seen).build();
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/brookpath/coordination/node/Node.java
@@ -0,0 +1,88 @@
+package brookpath.coordination.node;
+
+import brookpath.coordination.Tempo;
+import brookpath.coordination.action.Action;
+import brookpath.coordination.action.Actions;
+import brookpath.coordination.beat.BeatTable;
+import brookpath.coordination.message.Msg;
+import brookpath.coordination.message.Msg.BeatEntry;
+import java.util.List;
+import java.util.Set;
+
+/**
+ * One process as a state machine: each event comes with the time and gives back actions. The same code runs under the
+ * simulator's time and under the state thread's.
+ */
+public abstract class Node {
+    protected final int self;
+    protected final Tempo tempo;
+    protected final Actions out = new Actions();
+    protected BeatTable table = BeatTable.EMPTY;
+
+    protected Node(final int self, final Tempo tempo) {
+        this.self = self;
+        this.tempo = tempo;
+    }
+
+    /** Monotonic and wall time, in milliseconds. */
+    public record Time(long mono, long wall) {
+    }
+
+    public final List<Action> tick(final Time time, final BeatTable newTable) {
+        table = newTable;
+        onTick(time);
+        return out.drain();
+    }
+
+    public final List<Action> message(final int from, final Msg msg, final Time time) {
+        onMessage(from, msg, time);
+        return out.drain();
+    }
+
+    public final List<Action> synced(final long number, final Time time) {
+        onSynced(number, time);
+        return out.drain();
+    }
+
+    /** The message never left this process. */
+    public final List<Action> unsent(final int to, final Msg msg, final Time time) {
+        onUnsent(to, msg, time);
+        return out.drain();
+    }
+
+    /** The session with a sibling broke; what was under way on it may or may not have arrived. */
+    public final List<Action> sessionLost(final int node, final Time time) {
+        onSessionLost(node, time);
+        return out.drain();
+    }
+
+    public final List<Action> job(final Job job, final Time time) {
+        onJob(job, time);
+        return out.drain();
+    }
+
+    protected abstract void onTick(Time time);
+
+    protected abstract void onMessage(int from, Msg msg, Time time);
+
+    protected abstract void onSynced(long number, Time time);
+
+    protected abstract void onJob(Job job, Time time);
+
+    protected void onUnsent(final int to, final Msg msg, final Time time) {
+        // why: what is asked again by a wakeup needs no word of a lost message
+    }
+
+    protected void onSessionLost(final int node, final Time time) {
+        // why: as above
+    }
+
+    /** Replays one entry of the log before the first event. */
+    public abstract void replay(byte[] entry, Time time);
+
+    public abstract List<BeatEntry> entries(Time time);
+
+    public abstract Set<Integer> beatSiblings();
+
+    public abstract String statusJson(Time time);
+}
--- /dev/null
+++ b/coordination/src/main/java/brookpath/coordination/node/Ready.java
@@ -0,0 +1,15 @@
+package brookpath.coordination.node;
+
+import brookpath.coordination.message.Response;
+
+/** Readiness, by which the platform picks healthy nodes. */
+final class Ready {
+    private Ready() {
+    }
+
+    static Response response(final boolean leased, final boolean draining) {
+        final boolean ready = leased && !draining;
+        final String why = draining ? "draining" : leased ? "serving" : "no spec lease";
+        return new Response(ready ? 200 : 503, 0, "{\"ready\":" + ready + ",\"why\":\"" + why + "\"}");
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/brookpath/coordination/node/StorageNode.java
@@ -0,0 +1,370 @@
+package brookpath.coordination.node;
+
+import static brookpath.coordination.message.Msg.PublishReply.ACCEPTED;
+import static brookpath.coordination.message.Msg.PublishReply.BUSY;
+import static brookpath.coordination.message.Msg.PublishReply.NOT_MASTER;
+import static brookpath.coordination.message.Msg.PublishReply.REFUSED_FOR_GOOD;
+import static brookpath.coordination.message.Msg.PublishReply.UNSETTLED;
+
+import brookpath.coordination.Tempo;
+import brookpath.coordination.group.Copies;
+import brookpath.coordination.group.GroupMachine;
+import brookpath.coordination.message.Msg;
+import brookpath.coordination.message.Msg.BeatEntry;
+import brookpath.coordination.message.Msg.CountAsk;
+import brookpath.coordination.message.Msg.CountReply;
+import brookpath.coordination.message.Msg.Fetch;
+import brookpath.coordination.message.Msg.FetchReply;
+import brookpath.coordination.message.Msg.Listen;
+import brookpath.coordination.message.Msg.Op;
+import brookpath.coordination.message.Msg.Publish;
+import brookpath.coordination.message.Msg.PublishReply;
+import brookpath.coordination.message.Msg.SpecPoll;
+import brookpath.coordination.message.Msg.SpecReply;
+import brookpath.coordination.message.Msg.TopicAt;
+import brookpath.coordination.message.Response;
+import brookpath.coordination.spec.Roster.GroupInfo;
+import brookpath.coordination.spec.Spec;
+import brookpath.coordination.spec.SpecClient;
+import brookpath.coordination.topic.TopicState;
+import brookpath.state.record.Pack;
+import brookpath.state.record.Rec;
+import jakarta.json.Json;
+import jakarta.json.JsonArrayBuilder;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+
+/** A storage machine of the data plane: a member of topic groups. */
+public final class StorageNode extends Node {
+    private static final int FETCH_BYTES = 256 << 10;
+
+    private record Waiting(int from, long jobId, long lsn, int need, long horizon) {
+    }
+
+    private record HeldFetch(int from, Fetch fetch, long horizon) {
+    }
+
+    private record Listeners(long heardAt, Map<String, Integer> counts) {
+    }
+
+    private final int toleratedLosses;
+    private final long seed;
+    private final long rollBytes;
+    private final SpecClient client;
+    private final TreeMap<Integer, GroupMachine> groups = new TreeMap<>();
+    private final TreeMap<Integer, List<Waiting>> waitlists = new TreeMap<>();
+    private final TreeMap<Integer, TreeMap<Integer, HeldFetch>> held = new TreeMap<>();
+    private final TreeMap<Integer, TreeMap<Integer, Listeners>> listeners = new TreeMap<>();
+    private final TreeMap<Integer, Long> toldFounded = new TreeMap<>();
+
+    public StorageNode(final int self, final String zone, final String address, final List<Integer> seeds, final Tempo tempo,
+                       final int toleratedLosses, final long seed, final long rollBytes) {
+        super(self, tempo);
+        this.toleratedLosses = toleratedLosses;
+        this.seed = seed;
+        this.rollBytes = rollBytes;
+        client = new SpecClient(self, SpecPoll.STORAGE, zone, address, seeds, tempo, out);
+    }
+
+    public SpecClient client() {
+        return client;
+    }
+
+    public GroupMachine group(final int id) {
+        return groups.get(id);
+    }
+
+    private GroupMachine open(final int id) {
+        return groups.computeIfAbsent(id, k -> new GroupMachine(id, self, tempo, toleratedLosses, seed,
+                () -> new TopicState(this::keepMs), out));
+    }
+
+    private long keepMs(final String topic) {
+        if (topic.isEmpty()) {
+            return 0;
+        }
+        final Spec.Space space = client.spec().spaces().get(Spec.spaceOf(topic));
+        // why: before the first spec nobody knows how long a space keeps, so nothing goes
+        return client.spec().version() == 0 ? Long.MAX_VALUE : space == null ? tempo.keepMargin() : space.keepingMs() + tempo.keepMargin();
+    }
+
+    @Override
+    public void replay(final byte[] entry, final Time time) {
+        final Pack in = Pack.reader(entry);
+        open((int) in.num()).replay(in, time.mono());
+    }
+
+    @Override
+    protected void onTick(final Time time) {
+        final long now = time.mono();
+        client.tick(now);
+        for (final GroupMachine g : groups.values()) {
+            g.tick(now, table);
+            after(g, now);
+            tellFounded(g, now);
+        }
+        if (out.bytesSinceRoll() > rollBytes) {
+            roll();
+        }
+    }
+
+    private void roll() {
+        final Pack pack = Pack.writer();
+        groups.values().forEach(g -> g.checkpoint().forEach(pack::bytes));
+        out.roll(pack.done());
+    }
+
+    private void tellFounded(final GroupMachine g, final long now) {
+        final GroupInfo info = info(g.id());
+        if (info != null && !info.founded() && g.mayAct(now) && now - toldFounded.getOrDefault(g.id(), now - tempo.changeMs()) >= tempo.down()) {
+            toldFounded.put(g.id(), now);
+            out.send(client.controlMaster(), new Op(0, "founded", Pack.writer().num(g.id()).done()));
+        }
+    }
+
+    private GroupInfo info(final int group) {
+        for (final GroupInfo g : client.roster().groups()) {
+            if (g.id() == group) {
+                return g;
+            }
+        }
+        return null;
+    }
+
+    @Override
+    protected void onMessage(final int from, final Msg msg, final Time time) {
+        final long now = time.mono();
+        if (msg instanceof SpecReply m) {
+            if (client.onReply(m, now)) {
+                configure(now);
+            }
+        } else if (msg instanceof Msg.VoteAsk m) {
+            toGroup(m.group(), from, msg, now);
+        } else if (msg instanceof Msg.VoteReply m) {
+            toGroup(m.group(), from, msg, now);
+        } else if (msg instanceof Msg.Pull m) {
+            toGroup(m.group(), from, msg, now);
+        } else if (msg instanceof Msg.PullReply m) {
+            toGroup(m.group(), from, msg, now);
+        } else if (msg instanceof Publish m) {
+            publish(from, m, time);
+        } else if (msg instanceof Fetch m) {
+            fetch(from, m, now);
+        } else if (msg instanceof Listen m) {
+            final Map<String, Integer> counts = new HashMap<>();
+            m.counts().forEach(c -> counts.put(c.topic(), c.count()));
+            listeners.computeIfAbsent(m.group(), k -> new TreeMap<>()).put(from, new Listeners(now, counts));
+        } else if (msg instanceof CountAsk m) {
+            count(from, m, now);
+        }
+    }
+
+    private void toGroup(final int id, final int from, final Msg msg, final long now) {
+        final GroupMachine g = groups.get(id);
+        if (g != null) {
+            g.on(from, msg, now);
+            after(g, now);
+        }
+    }
+
+    private void configure(final long now) {
+        for (final GroupInfo info : client.roster().groups()) {
+            if (info.members().stream().anyMatch(m -> m.node() == self) || groups.containsKey(info.id())) {
+                open(info.id()).configure(info.members(), info.version(), info.founded(), now);
+            }
+        }
+    }
+
+    @Override
+    protected void onSynced(final long number, final Time time) {
+        for (final GroupMachine g : groups.values()) {
+            g.synced(number, time.mono());
+            after(g, time.mono());
+        }
+    }
+
+    // ---- publishing
+
+    private void publish(final int from, final Publish m, final Time time) {
+        final long now = time.mono();
+        final GroupMachine g = groups.get(m.group());
+        if (g == null || g.role() != GroupMachine.MASTER) {
+            reply(from, m.jobId(), NOT_MASTER, 0, g == null ? 0 : g.masterHeard(), "not the master");
+            return;
+        }
+        final GroupInfo info = info(m.group());
+        final Spec.Space space = client.spec().spaces().get(Spec.spaceOf(m.topic()));
+        final String busy = !client.leased(now) ? "spec lease has run out"
+                : client.spec().version() < m.specVersion() || space == null ? "spec is older than the front's"
+                : !g.mayAct(now) ? "master has no lease yet"
+                : info == null || !info.founded() ? "group is not founded yet" : null;
+        if (busy != null) {
+            reply(from, m.jobId(), BUSY, 0, 0, busy);
+            return;
+        }
+        final int need = Copies.resolve(space.replSize(), g.members().size(), g.active(now), g.floor());
+        final long seen = ((TopicState) g.live()).lookUp(m.topic(), m.sender(), m.seq());
+        if (seen == TopicState.TOO_LOW) {
+            reply(from, m.jobId(), REFUSED_FOR_GOOD, 0, 0, "sequence is below the sender's last");
+            return;
+        }
+        long lsn = seen;
+        if (seen == TopicState.NEW) {
+            if (need > g.active(now)) {
+                reply(from, m.jobId(), BUSY, 0, 0, "only " + g.active(now) + " of " + need + " copies are active");
+                return;
+            }
+            lsn = g.append(Rec.PUBLISH, Rec.publishBody(m.seq(), need, m.tenant(), m.topic(), m.sender(), m.text()), now, time.wall());
+        }
+        // why: a repeat waits for the copies just as the first did, and gets the same position
+        waitlists.computeIfAbsent(g.id(), k -> new ArrayList<>()).add(new Waiting(from, m.jobId(), lsn, need, now + tempo.settleHorizon()));
+        after(g, now);
+    }
+
+    private void reply(final int to, final long jobId, final int outcome, final long position, final int hint, final String why) {
+        out.send(to, new PublishReply(jobId, outcome, position, hint, 0, why));
+    }
+
+    /** What a change of the group's accepted position or role sets free. */
+    private void after(final GroupMachine g, final long now) {
+        final List<Waiting> waitlist = waitlists.get(g.id());
+        if (waitlist != null && !waitlist.isEmpty()) {
+            // why: asked again right before responding, so that a master which slept in between does not speak for its successor
+            final boolean acts = g.mayAct(now);
+            for (final Iterator<Waiting> it = waitlist.iterator(); it.hasNext();) {
+                final Waiting w = it.next();
+                if (acts && w.lsn <= g.accepted() && (w.lsn <= g.baseLsn() || g.copies(w.lsn) >= w.need)) {
+                    reply(w.from, w.jobId, ACCEPTED, w.lsn, 0, "");
+                } else if (g.role() != GroupMachine.MASTER) {
+                    reply(w.from, w.jobId, UNSETTLED, 0, 0, "the master stepped down");
+                } else if (now >= w.horizon) {
+                    reply(w.from, w.jobId, UNSETTLED, 0, 0, "not enough copies in time");
+                } else {
+                    continue;
+                }
+                it.remove();
+            }
+        }
+        final TreeMap<Integer, HeldFetch> fetches = held.get(g.id());
+        if (fetches != null) {
+            fetches.values().removeIf(h -> serve(h.from, h.fetch, g, now >= h.horizon, now));
+        }
+    }
+
+    // ---- reading
+
+    private void fetch(final int from, final Fetch m, final long now) {
+        final GroupMachine g = groups.get(m.group());
+        if (g == null || !g.inSync(now) || !client.leased(now)) {
+            out.send(from, new FetchReply(m.jobId(), m.group(), FetchReply.NOT_HERE, 0, List.of(), List.of()));
+            return;
+        }
+        if (!serve(from, m, g, !m.hold(), now)) {
+            held.computeIfAbsent(g.id(), k -> new TreeMap<>()).put(from, new HeldFetch(from, m, now + 4 * tempo.pullHold()));
+        }
+    }
+
+    private boolean serve(final int to, final Fetch m, final GroupMachine g, final boolean evenEmpty, final long now) {
+        if (m.tail()) {
+            out.send(to, new FetchReply(m.jobId(), g.id(), FetchReply.OK, g.accepted(), List.of(), List.of()));
+            return true;
+        }
+        final TopicState state = (TopicState) g.live();
+        final Map<String, Long> wanted = new HashMap<>();
+        final List<String> gone = new ArrayList<>();
+        long first = Long.MAX_VALUE;
+        for (final TopicAt t : m.topics()) {
+            wanted.put(t.topic(), t.from());
+            first = Math.min(first, t.from());
+            if (state.gone(t.topic()) > t.from()) {
+                gone.add(t.topic());
+            }
+        }
+        final List<Rec> found = new ArrayList<>();
+        long lsn = Math.max(first, g.baseLsn());
+        int bytes = 0;
+        while (lsn < g.accepted() && bytes < FETCH_BYTES) {
+            final Rec rec = g.rec(++lsn);
+            final Long from = rec.kind() == Rec.PUBLISH ? wanted.get(rec.topic()) : null;
+            if (from != null && lsn > from) {
+                found.add(rec);
+                bytes += rec.bytes().length;
+            }
+        }
+        if (found.isEmpty() && gone.isEmpty() && !evenEmpty) {
+            return false;
+        }
+        if (!g.inSync(now) && found.isEmpty()) {
+            out.send(to, new FetchReply(m.jobId(), g.id(), FetchReply.NOT_HERE, 0, List.of(), List.of()));
+            return true;
+        }
+        out.send(to, new FetchReply(m.jobId(), g.id(), FetchReply.OK, Math.max(lsn, first), gone, found));
+        return true;
+    }
+
+    private void count(final int from, final CountAsk m, final long now) {
+        final GroupMachine g = groups.get(m.group());
+        if (g == null || !g.mayAct(now)) {
+            out.send(from, new CountReply(m.jobId(), CountReply.NOT_HERE, 0));
+            return;
+        }
+        int n = 0;
+        for (final Listeners l : listeners.getOrDefault(m.group(), new TreeMap<>()).values()) {
+            // why: soft state lapses with the beat of the front that told it
+            n += now - l.heardAt <= 2 * tempo.down() ? l.counts.getOrDefault(m.topic(), 0) : 0;
+        }
+        out.send(from, new CountReply(m.jobId(), CountReply.OK, n));
+    }
+
+    // ---- for the listener thread and the status page
+
+    @Override
+    public List<BeatEntry> entries(final Time time) {
+        final List<BeatEntry> list = new ArrayList<>();
+        for (final GroupMachine g : groups.values()) {
+            if (!g.members().isEmpty()) {
+                list.add(g.entry(time.mono()));
+            }
+        }
+        return list;
+    }
+
+    @Override
+    public Set<Integer> beatSiblings() {
+        final Set<Integer> nodes = new HashSet<>();
+        groups.values().forEach(g -> g.members().forEach(m -> nodes.add(m.node())));
+        nodes.remove(self);
+        return nodes;
+    }
+
+    @Override
+    protected void onUnsent(final int to, final Msg msg, final Time time) {
+        if (msg instanceof SpecPoll) {
+            client.unsent(to, time.mono());
+        }
+    }
+
+    @Override
+    protected void onJob(final Job job, final Time time) {
+        if (job instanceof Job.Status j) {
+            out.respond(j.jobId(), new Response(200, 0, statusJson(time)));
+        } else if (job instanceof Job.Ready j) {
+            out.respond(j.jobId(), Ready.response(client.leased(time.mono()), client.draining()));
+        }
+    }
+
+    @Override
+    public String statusJson(final Time time) {
+        final JsonArrayBuilder arr = Json.createArrayBuilder();
+        groups.values().forEach(g -> arr.add(GroupStatus.json(g, table, time.mono())));
+        return Json.createObjectBuilder().add("node", self).add("role", "storage").add("specVersion", client.spec().version())
+                .add("rosterVersion", client.roster().version()).add("specLeaseLeftMs", Math.max(0, client.leaseUntil() - time.mono()))
+                .add("controlMaster", client.controlMaster()).add("groups", arr).build().toString();
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/brookpath/coordination/spec/SpecReader.java
@@ -0,0 +1,200 @@
+package brookpath.coordination.spec;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import brookpath.coordination.spec.Spec.Space;
+import brookpath.coordination.spec.Spec.Tenant;
+import jakarta.json.Json;
+import jakarta.json.JsonArray;
+import jakarta.json.JsonConfig;
+import jakarta.json.JsonException;
+import jakarta.json.JsonNumber;
+import jakarta.json.JsonObject;
+import jakarta.json.JsonReader;
+import jakarta.json.JsonString;
+import jakarta.json.JsonValue;
+import java.io.ByteArrayInputStream;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/** Reads a change document and collects everything that is wrong with it. */
+public final class SpecReader {
+    public static final int MAX_BYTES = 1 << 20;
+    private static final long MAX_KEEPING_S = 300;
+
+    /** What a space may ask of the groups. */
+    public record Limits(int members, int floor) {
+    }
+
+    public record Reading(boolean json, Spec spec, List<Finding> findings) {
+    }
+
+    private final Limits limits;
+    private final List<Finding> findings = new ArrayList<>();
+
+    private SpecReader(final Limits limits) {
+        this.limits = limits;
+    }
+
+    public static Reading read(final byte[] doc, final long version, final Limits limits, final Spec present) {
+        final SpecReader rd = new SpecReader(limits);
+        final JsonValue root;
+        try (JsonReader json = Json.createReaderFactory(Map.of(JsonConfig.KEY_STRATEGY, JsonConfig.KeyStrategy.NONE))
+                .createReader(new ByteArrayInputStream(doc), UTF_8)) {
+            root = json.readValue();
+        } catch (final JsonException | IllegalStateException ex) {
+            rd.find("/", "not JSON: " + ex.getMessage());
+            return new Reading(false, null, rd.findings);
+        }
+        if (!(root instanceof JsonObject)) {
+            rd.find("/", "must be an object");
+            return new Reading(true, null, rd.findings);
+        }
+        final Spec spec = rd.spec((JsonObject) root, version, present);
+        return new Reading(true, spec, rd.findings);
+    }
+
+    public static Spec stored(final byte[] doc, final long version) {
+        return read(doc, version, new Limits(7, 1), Spec.NONE).spec;
+    }
+
+    private Spec spec(final JsonObject obj, final long version, final Spec present) {
+        only(obj, "", Set.of("basedOn", "changeId", "spaces", "tenants"));
+        final long basedOn = num(obj, "", "basedOn", 0, Long.MAX_VALUE, null);
+        final String changeId = name(obj, "", "changeId", 128);
+        final Map<String, Space> spaces = new LinkedHashMap<>();
+        each(obj, "", "spaces", (item, at) -> {
+            only(item, at, Set.of("name", "keepingSeconds", "order", "replSize"));
+            final String name = name(item, at, "name", 64);
+            final long keeping = num(item, at, "keepingSeconds", 1, MAX_KEEPING_S, null);
+            final String order = str(item, at, "order", "sender");
+            if (!order.equals("sender") && !order.equals("one")) {
+                find(at + "/order", "must be \"sender\" or \"one\"");
+            }
+            final int replSize = (int) num(item, at, "replSize", -1, 7, (long) limits.floor);
+            if (replSize > limits.members) {
+                find(at + "/replSize", replSize + " copies cannot be met by groups of " + limits.members);
+            } else if (replSize > 0 && replSize < limits.floor) {
+                find(at + "/replSize", replSize + " is less than the floor of " + limits.floor + " copies");
+            }
+            final Space was = present.spaces().get(name);
+            if (was != null && was.one() != order.equals("one")) {
+                find(at + "/order", "cannot change while the space \"" + name + "\" exists");
+            }
+            if (spaces.put(name, new Space(name, keeping * 1000, order.equals("one"), replSize)) != null) {
+                find(at + "/name", "space \"" + name + "\" is there twice");
+            }
+        });
+        final Map<String, Tenant> tenants = new LinkedHashMap<>();
+        final Map<String, String> keys = new LinkedHashMap<>();
+        each(obj, "", "tenants", (item, at) -> {
+            only(item, at, Set.of("name", "spaces", "keys"));
+            final String name = name(item, at, "name", 64);
+            final Set<String> mine = new LinkedHashSet<>();
+            strings(item, at, "spaces", (space, place) -> {
+                if (!spaces.containsKey(space)) {
+                    find(place, "no space \"" + space + "\" in this document");
+                }
+                if (!mine.add(space)) {
+                    find(place, "space \"" + space + "\" is there twice");
+                }
+            });
+            strings(item, at, "keys", (key, place) -> {
+                if (!key.matches("[A-Za-z0-9._~+/=-]{8,128}")) {
+                    find(place, "a key has 8 to 128 letters, digits or ._~+/=-");
+                }
+                final String other = keys.put(key, name);
+                if (other != null) {
+                    find(place, "the key is also held by tenant \"" + other + "\"");
+                }
+            });
+            if (tenants.put(name, new Tenant(name, Set.copyOf(mine))) != null) {
+                find(at + "/name", "tenant \"" + name + "\" is there twice");
+            }
+        });
+        return new Spec(version, basedOn, changeId, Map.copyOf(spaces), Map.copyOf(tenants), Map.copyOf(keys));
+    }
+
+    private interface Item<T> {
+        void take(T item, String at);
+    }
+
+    private void each(final JsonObject obj, final String at, final String field, final Item<JsonObject> fn) {
+        list(obj, at, field, (v, place) -> {
+            if (v instanceof JsonObject o) {
+                fn.take(o, place);
+            } else {
+                find(place, "must be an object");
+            }
+        });
+    }
+
+    private void strings(final JsonObject obj, final String at, final String field, final Item<String> fn) {
+        list(obj, at, field, (v, place) -> {
+            if (v instanceof JsonString s) {
+                fn.take(s.getString(), place);
+            } else {
+                find(place, "must be a string");
+            }
+        });
+    }
+
+    private void list(final JsonObject obj, final String at, final String field, final Item<JsonValue> fn) {
+        final JsonValue v = obj.get(field);
+        if (v instanceof JsonArray arr) {
+            for (int i = 0; i < arr.size(); i++) {
+                fn.take(arr.get(i), at + "/" + field + "/" + i);
+            }
+        } else {
+            find(at + "/" + field, v == null ? "is missing" : "must be a list");
+        }
+    }
+
+    private String name(final JsonObject obj, final String at, final String field, final int max) {
+        final String v = str(obj, at, field, null);
+        if (!v.isEmpty() && (v.length() > max || !v.matches("[A-Za-z0-9._-]+"))) {
+            find(at + "/" + field, "must be 1 to " + max + " letters, digits or ._-");
+        }
+        return v;
+    }
+
+    private String str(final JsonObject obj, final String at, final String field, final String absent) {
+        final JsonValue v = obj.get(field);
+        if (v == null && absent != null) {
+            return absent;
+        }
+        if (!(v instanceof JsonString s) || s.getString().isEmpty()) {
+            find(at + "/" + field, v == null ? "is missing" : "must be a string that is not empty");
+            return "";
+        }
+        return s.getString();
+    }
+
+    private long num(final JsonObject obj, final String at, final String field, final long min, final long max, final Long absent) {
+        final JsonValue v = obj.get(field);
+        if (v == null && absent != null) {
+            return absent;
+        }
+        if (!(v instanceof JsonNumber n) || !n.isIntegral() || n.bigIntegerValue().bitLength() > 62 || n.longValue() < min || n.longValue() > max) {
+            find(at + "/" + field, v == null ? "is missing" : "must be a whole number from " + min + " to " + max);
+            return min;
+        }
+        return n.longValue();
+    }
+
+    private void only(final JsonObject obj, final String at, final Set<String> known) {
+        for (final String field : obj.keySet()) {
+            if (!known.contains(field)) {
+                find(at + "/" + field, "unknown field");
+            }
+        }
+    }
+
+    private void find(final String place, final String what) {
+        findings.add(new Finding(place, what));
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/brookpath/coordination/topic/TopicState.java
@@ -0,0 +1,116 @@
+package brookpath.coordination.topic;
+
+import brookpath.coordination.group.LogState;
+import brookpath.state.record.Pack;
+import brookpath.state.record.Rec;
+import java.util.ArrayDeque;
+import java.util.Iterator;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.ToLongFunction;
+
+/** What follows from a topic group's log: the senders' sequences, and up to where each topic's history is gone. */
+public final class TopicState implements LogState {
+    /** Looks up say so when a repeat is too old to know its position. */
+    public static final long NEW = 0;
+    public static final long TOO_LOW = -1;
+    private static final int REMEMBERED = 64;
+
+    private static final class Sender {
+        long last;
+        final ArrayDeque<long[]> recent = new ArrayDeque<>();
+    }
+
+    private static final class Line {
+        long gone;
+        final TreeMap<String, Sender> senders = new TreeMap<>();
+    }
+
+    private final ToLongFunction<String> keeping;
+    private final TreeMap<String, Line> lines = new TreeMap<>();
+
+    public TopicState(final ToLongFunction<String> keeping) {
+        this.keeping = keeping;
+    }
+
+    /** The position of a repeat, NEW, or TOO_LOW for a sequence below the last that was not seen. */
+    public long lookUp(final String topic, final String sender, final long seq) {
+        final Line line = lines.get(topic);
+        final Sender snd = line == null ? null : line.senders.get(sender);
+        if (snd == null || seq > snd.last) {
+            return NEW;
+        }
+        for (final long[] seen : snd.recent) {
+            if (seen[0] == seq) {
+                return seen[1];
+            }
+        }
+        return TOO_LOW;
+    }
+
+    /** The LSN of the newest record of the topic that is no longer kept. */
+    public long gone(final String topic) {
+        final Line line = lines.get(topic);
+        return line == null ? 0 : line.gone;
+    }
+
+    @Override
+    public void apply(final Rec rec) {
+        if (rec.kind() != Rec.PUBLISH) {
+            return;
+        }
+        final Sender snd = lines.computeIfAbsent(rec.topic(), k -> new Line()).senders.computeIfAbsent(rec.sender(), k -> new Sender());
+        snd.last = rec.seq();
+        snd.recent.addLast(new long[] {rec.seq(), rec.lsn()});
+        if (snd.recent.size() > REMEMBERED) {
+            snd.recent.removeFirst();
+        }
+    }
+
+    @Override
+    public void trimmed(final Rec rec) {
+        if (rec.kind() == Rec.PUBLISH) {
+            lines.computeIfAbsent(rec.topic(), k -> new Line()).gone = rec.lsn();
+        }
+    }
+
+    @Override
+    public long keepMs(final Rec rec) {
+        return keeping.applyAsLong(rec.kind() == Rec.PUBLISH ? rec.topic() : "");
+    }
+
+    @Override
+    public byte[] save() {
+        final Pack pack = Pack.writer().num(lines.size());
+        for (final Map.Entry<String, Line> line : lines.entrySet()) {
+            pack.str(line.getKey()).num(line.getValue().gone).num(line.getValue().senders.size());
+            for (final Map.Entry<String, Sender> snd : line.getValue().senders.entrySet()) {
+                pack.str(snd.getKey()).num(snd.getValue().last).num(snd.getValue().recent.size());
+                for (final Iterator<long[]> it = snd.getValue().recent.iterator(); it.hasNext();) {
+                    final long[] seen = it.next();
+                    pack.num(seen[0]).num(seen[1]);
+                }
+            }
+        }
+        return pack.done();
+    }
+
+    @Override
+    public void load(final byte[] saved) {
+        lines.clear();
+        final Pack in = Pack.reader(saved);
+        for (long n = in.num(); n > 0; n--) {
+            final Line line = new Line();
+            lines.put(in.str(), line);
+            line.gone = in.num();
+            for (long s = in.num(); s > 0; s--) {
+                final Sender snd = new Sender();
+                line.senders.put(in.str(), snd);
+                snd.last = in.num();
+                for (long r = in.num(); r > 0; r--) {
+                    snd.recent.add(new long[] {in.num(), in.num()});
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/programs/src/main/java/brookpath/programs/boot/Web.java
@@ -0,0 +1,114 @@
+package brookpath.programs.boot;
+
+import io.dropwizard.core.Application;
+import io.dropwizard.core.Configuration;
+import io.dropwizard.core.server.DefaultServerFactory;
+import io.dropwizard.core.setup.Bootstrap;
+import io.dropwizard.core.setup.Environment;
+import io.dropwizard.configuration.ConfigurationFactory;
+import io.dropwizard.configuration.ConfigurationFactoryFactory;
+import io.dropwizard.configuration.ConfigurationSourceProvider;
+import io.dropwizard.jetty.HttpConnectorFactory;
+import io.dropwizard.logging.common.LoggingFactory;
+import io.dropwizard.request.logging.RequestLogFactory;
+import com.codahale.metrics.MetricRegistry;
+import java.util.List;
+import java.util.Set;
+import org.eclipse.jetty.server.RequestLog;
+
+/** Dropwizard, started from settings that are already read and checked, with its logs going to tinylog alone. */
+final class Web extends Application<Configuration> {
+    private final String host;
+    private final int port;
+    private final Set<Object> resources;
+
+    Web(final String host, final int port, final Set<Object> resources) {
+        this.host = host;
+        this.port = port;
+        this.resources = resources;
+    }
+
+    @Override
+    protected void bootstrapLogging() {
+        // why: Dropwizard would set up logback here; SLF4J goes to tinylog instead
+    }
+
+    @Override
+    public void initialize(final Bootstrap<Configuration> bootstrap) {
+        bootstrap.setConfigurationFactoryFactory(new Fixed());
+    }
+
+    @Override
+    public void run(final Configuration configuration, final Environment environment) {
+        // why: with a buffer Jersey ignores flushes until it is full, and a listener would wait for its lines
+        environment.jersey().property(org.glassfish.jersey.server.ServerProperties.OUTBOUND_CONTENT_LENGTH_BUFFER, 0);
+        resources.forEach(environment.jersey()::register);
+    }
+
+    private Configuration configuration() {
+        final HttpConnectorFactory http = new HttpConnectorFactory();
+        http.setBindHost(host);
+        http.setPort(port);
+        final DefaultServerFactory server = new DefaultServerFactory();
+        server.setApplicationConnectors(List.of(http));
+        // why: an admin port is one more thing to guard; what operators need is under /v1
+        server.setAdminConnectors(List.of());
+        server.getGzipFilterFactory().setEnabled(false);
+        server.setRequestLogFactory(new NoRequestLog());
+        // why: by then the sessions have been told; callers are better off at another front
+        server.setShutdownGracePeriod(io.dropwizard.util.Duration.seconds(1));
+        server.setMaxThreads(128);
+        server.setDetailedJsonProcessingExceptionMapper(false);
+        final Configuration conf = new Configuration();
+        conf.setServerFactory(server);
+        conf.setLoggingFactory(new NoLogging());
+        return conf;
+    }
+
+    private final class Fixed implements ConfigurationFactoryFactory<Configuration> {
+        @Override
+        public ConfigurationFactory<Configuration> create(final Class<Configuration> klass, final jakarta.validation.Validator validator,
+                final com.fasterxml.jackson.databind.ObjectMapper mapper, final String prefix) {
+            return new ConfigurationFactory<>() {
+                @Override
+                public Configuration build(final ConfigurationSourceProvider provider, final String path) {
+                    return configuration();
+                }
+
+                @Override
+                public Configuration build() {
+                    return configuration();
+                }
+            };
+        }
+    }
+
+    private static final class NoLogging implements LoggingFactory {
+        @Override
+        public void configure(final MetricRegistry registry, final String name) {
+            // why: tinylog.properties says all there is to say
+        }
+
+        @Override
+        public void stop() {
+            // why: as above
+        }
+
+        @Override
+        public void reset() {
+            // why: as above
+        }
+    }
+
+    private static final class NoRequestLog implements RequestLogFactory<RequestLog> {
+        @Override
+        public boolean isEnabled() {
+            return false;
+        }
+
+        @Override
+        public RequestLog build(final String name) {
+            return null;
+        }
+    }
+}
--- /dev/null
+++ b/programs/src/main/java/brookpath/programs/settings/Settings.java
@@ -0,0 +1,27 @@
+package brookpath.programs.settings;
+
+import brookpath.coordination.Tempo;
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/** One process's place in the system, read and checked. Addresses are host:port; a seed is node@host:port. */
+public record Settings(int node, String zone, String role, String siblings, String http, Map<Integer, String> seeds, String data, Tempo tempo,
+                       int toleratedLosses, int groups, int copies, int storages, long rollBytes, boolean found) {
+    public static final String FRONT = "front";
+    public static final String STORAGE = "storage";
+    public static final String BAILIFF = "bailiff";
+
+    public static String host(final String address) {
+        return address.substring(0, address.lastIndexOf(':'));
+    }
+
+    public static int port(final String address) {
+        return Integer.parseInt(address.substring(address.lastIndexOf(':') + 1));
+    }
+
+    public Map<Integer, String> seedsOtherThanSelf() {
+        final Map<Integer, String> others = new LinkedHashMap<>(seeds);
+        others.remove(node);
+        return others;
+    }
+}
--- /dev/null
+++ b/state/src/main/java/brookpath/state/record/Rec.java
@@ -0,0 +1,147 @@
+package brookpath.state.record;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import org.agrona.concurrent.UnsafeBuffer;
+
+/**
+ * Flyweight over one log record. The same bytes lie in memory, on disk and on the wire:
+ * lsn, epoch, stamp, kind, and for a publish seq, ReplSize, tenant, topic, sender, text.
+ */
+public final class Rec {
+    public static final int OPEN = 1;
+    public static final int PUBLISH = 2;
+    public static final int CONTROL = 3;
+    private static final int LSN = 0;
+    private static final int EPOCH = 8;
+    private static final int STAMP = 16;
+    private static final int KIND = 24;
+    private static final int BODY = 28;
+    private static final int SEQ = BODY;
+    private static final int REPL = BODY + 8;
+    private static final int TENANT = BODY + 12;
+
+    private final UnsafeBuffer buf;
+    /** When this copy learned of the record, by its own monotonic clock; never on disk. */
+    private final long learnedAt;
+
+    private Rec(final byte[] bytes, final long learnedAt) {
+        buf = new UnsafeBuffer(bytes);
+        this.learnedAt = learnedAt;
+    }
+
+    public static Rec wrap(final byte[] bytes, final long learnedAt) {
+        return new Rec(bytes, learnedAt);
+    }
+
+    /** For bytes that come from outside: throws where they are no whole record. */
+    public static Rec checked(final byte[] bytes, final long learnedAt) {
+        if (bytes.length < BODY) {
+            throw new IllegalArgumentException("record of " + bytes.length + " bytes");
+        }
+        final Rec rec = new Rec(bytes, learnedAt);
+        if (rec.kind() == PUBLISH) {
+            int pos = TENANT;
+            for (int i = 0; i < 4; i++) {
+                final int len = pos + 4 <= bytes.length ? rec.buf.getInt(pos) : -1;
+                if (len < 0 || len > bytes.length - pos - 4) {
+                    throw new IllegalArgumentException("publish record with a field of " + len + " bytes at " + pos);
+                }
+                pos += 4 + len;
+            }
+        }
+        return rec;
+    }
+
+    public static Rec of(final long lsn, final long epoch, final long stamp, final int kind, final byte[] body, final long learnedAt) {
+        final Rec rec = new Rec(new byte[BODY + body.length], learnedAt);
+        rec.buf.putLong(LSN, lsn);
+        rec.buf.putLong(EPOCH, epoch);
+        rec.buf.putLong(STAMP, stamp);
+        rec.buf.putInt(KIND, kind);
+        rec.buf.putBytes(BODY, body);
+        return rec;
+    }
+
+    public static byte[] publishBody(final long seq, final int repl, final String tenant, final String topic, final String sender, final String text) {
+        final byte[][] parts = {tenant.getBytes(UTF_8), topic.getBytes(UTF_8), sender.getBytes(UTF_8), text.getBytes(UTF_8)};
+        int len = 12;
+        for (final byte[] part : parts) {
+            len += 4 + part.length;
+        }
+        final UnsafeBuffer buf = new UnsafeBuffer(new byte[len]);
+        buf.putLong(0, seq);
+        buf.putInt(8, repl);
+        int pos = 12;
+        for (final byte[] part : parts) {
+            buf.putInt(pos, part.length);
+            buf.putBytes(pos + 4, part);
+            pos += 4 + part.length;
+        }
+        return buf.byteArray();
+    }
+
+    public long lsn() {
+        return buf.getLong(LSN);
+    }
+
+    public long epoch() {
+        return buf.getLong(EPOCH);
+    }
+
+    public long stamp() {
+        return buf.getLong(STAMP);
+    }
+
+    public int kind() {
+        return buf.getInt(KIND);
+    }
+
+    public long learnedAt() {
+        return learnedAt;
+    }
+
+    public byte[] bytes() {
+        return buf.byteArray();
+    }
+
+    public byte[] body() {
+        final byte[] v = new byte[buf.capacity() - BODY];
+        buf.getBytes(BODY, v);
+        return v;
+    }
+
+    public long seq() {
+        return buf.getLong(SEQ);
+    }
+
+    public int repl() {
+        return buf.getInt(REPL);
+    }
+
+    public String tenant() {
+        return str(TENANT);
+    }
+
+    public String topic() {
+        return str(skip(TENANT));
+    }
+
+    public String sender() {
+        return str(skip(skip(TENANT)));
+    }
+
+    public String text() {
+        return str(skip(skip(skip(TENANT))));
+    }
+
+    private int skip(final int pos) {
+        return pos + 4 + buf.getInt(pos);
+    }
+
+    private String str(final int pos) {
+        final byte[] v = new byte[buf.getInt(pos)];
+        buf.getBytes(pos + 4, v);
+        return new String(v, UTF_8);
+    }
+}
--- /dev/null
+++ b/state/src/main/java/brookpath/state/spool/Spool.java
@@ -0,0 +1,187 @@
+package brookpath.state.spool;
+
+import static java.nio.ByteOrder.LITTLE_ENDIAN;
+
+import brookpath.state.disk.Disk;
+import brookpath.state.disk.DiskFile;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.TreeSet;
+import java.util.zip.CRC32C;
+
+/**
+ * The segmented log of one process, with snapshots beside it: {@code seg-N} holds the entries written since
+ * {@code snap-N}. An entry is length, checksum, bytes.
+ */
+public final class Spool {
+    public static final int MAX_ENTRY = 64 << 20;
+    private static final int HEAD = 8;
+
+    /** What recovery found. A damaged folder yields no entries: its owner comes back as a member without a disk. */
+    public record Recovery(Spool spool, byte[] snapshot, List<byte[]> entries, List<String> findings, boolean damaged) {
+    }
+
+    private final Disk disk;
+    private long seg;
+    private DiskFile file;
+
+    private Spool(final Disk disk, final long seg) {
+        this.disk = disk;
+        this.seg = seg;
+        file = disk.open(segName(seg));
+        disk.syncFolder();
+    }
+
+    public static Recovery recover(final Disk disk) {
+        final List<String> findings = new ArrayList<>();
+        final TreeSet<Long> snaps = new TreeSet<>();
+        final TreeSet<Long> segs = new TreeSet<>();
+        for (final String name : disk.list()) {
+            if (name.endsWith(".tmp")) {
+                // why: a snapshot that was not renamed never replaced anything
+                disk.delete(name);
+            } else if (name.startsWith("snap-")) {
+                snaps.add(Long.parseLong(name.substring(5)));
+            } else if (name.startsWith("seg-")) {
+                segs.add(Long.parseLong(name.substring(4)));
+            }
+        }
+        long at = segs.isEmpty() ? 0 : segs.first();
+        byte[] snapshot = null;
+        boolean damaged = false;
+        if (!snaps.isEmpty()) {
+            at = snaps.last();
+            final Scan scan = scan(disk, "snap-" + at);
+            damaged = scan.entries.size() != 1 || scan.torn >= 0 || scan.damage != null;
+            snapshot = damaged ? null : scan.entries.get(0);
+            if (damaged) {
+                findings.add("snap-" + at + ": unreadable snapshot");
+            }
+        } else if (at > 0) {
+            damaged = true;
+            findings.add("seg-" + at + ": its snapshot is missing");
+        }
+        final List<byte[]> entries = new ArrayList<>();
+        if (!damaged && segs.contains(at)) {
+            final Scan scan = scan(disk, segName(at));
+            entries.addAll(scan.entries);
+            if (scan.damage != null) {
+                damaged = true;
+                findings.add(scan.damage);
+            } else if (scan.torn >= 0) {
+                // why: bytes after the last whole entry were never confirmed as synced, so nobody counted on them
+                final DiskFile file = disk.open(segName(at));
+                file.truncate(scan.torn);
+                file.sync();
+                file.close();
+                findings.add(segName(at) + ": torn tail cut at byte " + scan.torn);
+            }
+        }
+        if (damaged) {
+            snaps.forEach(n -> disk.delete("snap-" + n));
+            segs.forEach(n -> disk.delete(segName(n)));
+            disk.syncFolder();
+            return new Recovery(new Spool(disk, 0), null, List.of(), findings, true);
+        }
+        final Spool spool = new Spool(disk, at);
+        spool.dropBefore(at);
+        return new Recovery(spool, snapshot, entries, findings, false);
+    }
+
+    public void append(final byte[] entry) {
+        final byte[] framed = frame(entry);
+        file.append(framed, 0, framed.length);
+    }
+
+    public void sync() {
+        file.sync();
+    }
+
+    public long segmentBytes() {
+        return file.size();
+    }
+
+    /** Starts a new segment whose beginning is the given snapshot; everything older can go. */
+    public void roll(final byte[] snapshot) {
+        final long next = seg + 1;
+        final DiskFile tmp = disk.open("snap-" + next + ".tmp");
+        tmp.truncate(0);
+        final byte[] framed = frame(snapshot);
+        tmp.append(framed, 0, framed.length);
+        tmp.sync();
+        tmp.close();
+        disk.rename("snap-" + next + ".tmp", "snap-" + next);
+        disk.syncFolder();
+        file.close();
+        seg = next;
+        file = disk.open(segName(next));
+        disk.syncFolder();
+        dropBefore(next);
+    }
+
+    private void dropBefore(final long keep) {
+        for (final String name : disk.list()) {
+            final int dash = name.indexOf('-');
+            if ((name.startsWith("seg-") || name.startsWith("snap-")) && Long.parseLong(name.substring(dash + 1)) < keep) {
+                disk.delete(name);
+            }
+        }
+    }
+
+    private static String segName(final long n) {
+        return "seg-" + n;
+    }
+
+    private static byte[] frame(final byte[] entry) {
+        final ByteBuffer buf = ByteBuffer.allocate(HEAD + entry.length).order(LITTLE_ENDIAN);
+        buf.putInt(entry.length).putInt(sum(entry, 0, entry.length)).put(entry);
+        return buf.array();
+    }
+
+    private static int sum(final byte[] bytes, final int off, final int len) {
+        final CRC32C crc = new CRC32C();
+        // why: the length is summed too, else a run of zeros would pass for an empty entry
+        crc.update(len);
+        crc.update(len >>> 8);
+        crc.update(bytes, off, len);
+        return (int) crc.getValue() ^ 0x5bd1e995;
+    }
+
+    private record Scan(List<byte[]> entries, long torn, String damage) {
+    }
+
+    private static Scan scan(final Disk disk, final String name) {
+        final DiskFile file = disk.open(name);
+        final byte[] bytes = file.readAll();
+        file.close();
+        final ByteBuffer buf = ByteBuffer.wrap(bytes).order(LITTLE_ENDIAN);
+        final List<byte[]> entries = new ArrayList<>();
+        int pos = 0;
+        while (pos < bytes.length) {
+            final int left = bytes.length - pos;
+            final int len = left < HEAD ? -1 : buf.getInt(pos);
+            if (left < HEAD || len >= 0 && len <= MAX_ENTRY && HEAD + len > left || zeros(bytes, pos)) {
+                return new Scan(entries, pos, null);
+            }
+            // why: a whole entry with a bad sum may have been confirmed, so it is damage and not a torn tail
+            if (len < 0 || len > MAX_ENTRY || sum(bytes, pos + HEAD, len) != buf.getInt(pos + 4)) {
+                return new Scan(entries, -1, name + ": bad checksum at byte " + pos);
+            }
+            final byte[] entry = new byte[len];
+            System.arraycopy(bytes, pos + HEAD, entry, 0, len);
+            entries.add(entry);
+            pos += HEAD + len;
+        }
+        return new Scan(entries, -1, null);
+    }
+
+    private static boolean zeros(final byte[] bytes, final int from) {
+        for (int i = from; i < bytes.length; i++) {
+            if (bytes[i] != 0) {
+                return false;
+            }
+        }
+        return true;
+    }
+}
--- /dev/null
+++ b/transport/src/main/java/brookpath/transport/http/FrontResource.java
@@ -0,0 +1,126 @@
+package brookpath.transport.http;
+
+import static brookpath.coordination.node.FrontNode.MAX_TEXT;
+import static jakarta.ws.rs.core.MediaType.APPLICATION_JSON;
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import brookpath.coordination.message.Response;
+import brookpath.coordination.node.Job;
+import brookpath.coordination.spec.Finding;
+import jakarta.inject.Inject;
+import jakarta.json.Json;
+import jakarta.json.JsonException;
+import jakarta.json.JsonNumber;
+import jakarta.json.JsonObject;
+import jakarta.json.JsonReader;
+import jakarta.json.JsonString;
+import jakarta.json.JsonValue;
+import jakarta.ws.rs.GET;
+import jakarta.ws.rs.HeaderParam;
+import jakarta.ws.rs.POST;
+import jakarta.ws.rs.Path;
+import jakarta.ws.rs.PathParam;
+import jakarta.ws.rs.Produces;
+import jakarta.ws.rs.QueryParam;
+import java.io.ByteArrayInputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletionStage;
+
+/** What callers ask of a front. docs/operators/caller-interface.md shows it with examples. */
+@Path("/v1")
+@Produces(APPLICATION_JSON)
+public final class FrontResource {
+    private static final int MAX_BODY = 4 * MAX_TEXT;
+
+    private final Desk desk;
+
+    @Inject
+    public FrontResource(final Desk desk) {
+        this.desk = desk;
+    }
+
+    @POST
+    @Path("/topics/{space}/{topic}/messages")
+    public CompletionStage<jakarta.ws.rs.core.Response> publish(@PathParam("space") final String space, @PathParam("topic") final String topic,
+            @HeaderParam("Authorization") final String auth, final InputStream in) throws IOException {
+        final byte[] body = Desk.body(in, MAX_BODY);
+        if (body == null) {
+            return Desk.now(bad(413, List.of(new Finding("/", "body is larger than " + MAX_BODY + " bytes"))));
+        }
+        final List<Finding> findings = new ArrayList<>();
+        JsonObject obj = JsonValue.EMPTY_JSON_OBJECT;
+        try (JsonReader rd = Json.createReader(new ByteArrayInputStream(body))) {
+            obj = rd.readObject();
+        } catch (final JsonException | IllegalStateException ex) {
+            return Desk.now(bad(400, List.of(new Finding("/", "not a JSON object"))));
+        }
+        for (final String field : obj.keySet()) {
+            if (!List.of("sender", "sequence", "message").contains(field)) {
+                findings.add(new Finding("/" + field, "unknown field"));
+            }
+        }
+        final String sender = obj.get("sender") instanceof JsonString s ? s.getString() : "";
+        if (!sender.matches("[A-Za-z0-9._-]{1,64}")) {
+            findings.add(new Finding("/sender", "must be 1 to 64 letters, digits or ._-"));
+        }
+        final long seq = obj.get("sequence") instanceof JsonNumber n && n.isIntegral() && n.bigIntegerValue().bitLength() < 63 ? n.longValue() : -1;
+        if (seq < 1) {
+            findings.add(new Finding("/sequence", "must be a whole number from 1"));
+        }
+        final String text = obj.get("message") instanceof JsonString s ? s.getString() : null;
+        if (text == null) {
+            findings.add(new Finding("/message", "must be a string"));
+        } else if (text.getBytes(UTF_8).length > MAX_TEXT) {
+            return Desk.now(bad(413, List.of(new Finding("/message", "is larger than " + MAX_TEXT + " bytes"))));
+        }
+        if (!findings.isEmpty()) {
+            return Desk.now(bad(400, findings));
+        }
+        return desk.ask(id -> new Job.Publish(id, key(auth), space + "/" + topic, sender, seq, text));
+    }
+
+    @GET
+    @Path("/stream")
+    public CompletionStage<jakarta.ws.rs.core.Response> stream(@QueryParam("topic") final List<String> topics, @QueryParam("cursor") final String cursor,
+            @HeaderParam("Authorization") final String auth) {
+        final long id = desk.host().nextJobId();
+        final Lines lines = new Lines(desk.host(), id);
+        return desk.host().subscribe(id, new Job.Subscribe(id, key(auth), topics, cursor), lines).thenApplyAsync(r -> {
+            if (r.status() != 200) {
+                desk.host().unsubscribe(id);
+                return Desk.http(r);
+            }
+            return jakarta.ws.rs.core.Response.ok(lines, "application/x-ndjson").header("Brookpath-Session", session(r)).build();
+        }, desk.traffic());
+    }
+
+    private static String session(final Response hello) {
+        try (JsonReader rd = Json.createReader(new ByteArrayInputStream(hello.json().getBytes(UTF_8)))) {
+            return rd.readObject().getString("session");
+        }
+    }
+
+    @GET
+    @Path("/topics/{space}/{topic}/listeners")
+    public CompletionStage<jakarta.ws.rs.core.Response> listeners(@PathParam("space") final String space, @PathParam("topic") final String topic,
+            @QueryParam("session") final String session, @HeaderParam("Authorization") final String auth) {
+        return desk.ask(id -> new Job.Count(id, key(auth), space + "/" + topic, session));
+    }
+
+    @POST
+    @Path("/drain")
+    public CompletionStage<jakarta.ws.rs.core.Response> drain(@QueryParam("on") final String on) {
+        return desk.ask(id -> new Job.Drain(id, !"false".equals(on)));
+    }
+
+    private static String key(final String auth) {
+        return auth != null && auth.startsWith("Bearer ") ? auth.substring(7).trim() : "";
+    }
+
+    private static Response bad(final int status, final List<Finding> findings) {
+        return new Response(status, 0, "{\"outcome\":\"refused\",\"findings\":" + Finding.json(findings) + "}");
+    }
+}
--- /dev/null
+++ b/transport/src/main/java/brookpath/transport/http/OperatorResource.java
@@ -0,0 +1,58 @@
+package brookpath.transport.http;
+
+import static jakarta.ws.rs.core.MediaType.APPLICATION_JSON;
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import brookpath.coordination.node.Job;
+import brookpath.coordination.spec.SpecReader;
+import jakarta.inject.Inject;
+import jakarta.ws.rs.GET;
+import jakarta.ws.rs.POST;
+import jakarta.ws.rs.Path;
+import jakarta.ws.rs.PathParam;
+import jakarta.ws.rs.Produces;
+import jakarta.ws.rs.core.Response;
+import java.io.IOException;
+import java.io.InputStream;
+import java.util.concurrent.CompletionStage;
+
+/** What operators ask of any bailiff. docs/operators/operator-interface.md shows it with examples. */
+@Path("/v1")
+@Produces(APPLICATION_JSON)
+public final class OperatorResource {
+    private final Desk desk;
+
+    @Inject
+    public OperatorResource(final Desk desk) {
+        this.desk = desk;
+    }
+
+    @POST
+    @Path("/changes")
+    public CompletionStage<Response> change(final InputStream in) throws IOException {
+        // why: one byte more than allowed is enough for the master to say that it is too large
+        return operate("change", in.readNBytes(SpecReader.MAX_BYTES + 1));
+    }
+
+    @GET
+    @Path("/changes/{id}")
+    public CompletionStage<Response> outcome(@PathParam("id") final String id) {
+        return operate("outcome", id.getBytes(UTF_8));
+    }
+
+    @GET
+    @Path("/spec")
+    public CompletionStage<Response> spec() {
+        return operate("spec", new byte[0]);
+    }
+
+    @GET
+    @Path("/nodes")
+    public CompletionStage<Response> nodes() {
+        return operate("nodes", new byte[0]);
+    }
+
+    private CompletionStage<Response> operate(final String kind, final byte[] body) {
+        return desk.ask(id -> new Job.Operate(id, kind, body));
+    }
+}
--- /dev/null
+++ b/transport/src/main/java/brookpath/transport/loop/Host.java
@@ -0,0 +1,315 @@
+package brookpath.transport.loop;
+
+import static java.util.concurrent.TimeUnit.MILLISECONDS;
+
+import brookpath.coordination.Tempo;
+import brookpath.coordination.action.Action;
+import brookpath.coordination.action.Actions;
+import brookpath.coordination.beat.BeatMachine;
+import brookpath.coordination.beat.BeatTable;
+import brookpath.coordination.message.Msg;
+import brookpath.coordination.message.Msg.BeatEntry;
+import brookpath.coordination.message.Response;
+import brookpath.coordination.node.Job;
+import brookpath.coordination.node.Node;
+import brookpath.coordination.node.Node.Time;
+import brookpath.state.spool.Spool;
+import brookpath.transport.wire.Wire;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Function;
+import java.util.function.LongSupplier;
+import org.tinylog.Logger;
+
+/**
+ * Runs one {@link Node} for real: the state thread asks it, and obeys. The replication listener thread owns the beats,
+ * the disk thread the spool, Netty's and Jetty's threads the traffic.
+ */
+public final class Host implements Wire.Inbox, AutoCloseable {
+    private record Heard(int from, Msg.Beat beat) {
+    }
+
+    private interface Event {
+        List<Action> on(Node node, Time time);
+    }
+
+    /** A listening session's end on the traffic side. */
+    public interface Sink {
+        /** False when its waitlist is full. */
+        boolean offer(byte[] line);
+
+        void close(String why);
+    }
+
+    private final Node node;
+    private final Tempo tempo;
+    private final Spool spool;
+    private final Wire wire;
+    private final Runnable fatal;
+    private final BlockingQueue<Event> events = new LinkedBlockingQueue<>();
+    private final BlockingQueue<Action> writes = new LinkedBlockingQueue<>();
+    private final BlockingQueue<Heard> beatInbox = new LinkedBlockingQueue<>();
+    private final AtomicBoolean beatWanted = new AtomicBoolean();
+    private final Map<Long, CompletableFuture<Response>> jobs = new ConcurrentHashMap<>();
+    private final Map<Long, Sink> sinks = new ConcurrentHashMap<>();
+    private final AtomicLong jobIds;
+    private final AtomicBoolean tickQueued = new AtomicBoolean();
+    private final List<Thread> threads = new ArrayList<>();
+    private final Function<Node, Map<Integer, String>> addresses;
+    private final LongSupplier leaseUntil;
+    private volatile BeatTable table = BeatTable.EMPTY;
+    private volatile List<BeatEntry> entries = List.of();
+    private volatile Set<Integer> siblings = Set.of();
+    private volatile long leaseSnapshot = Long.MAX_VALUE;
+    private volatile boolean closed;
+    private BeatTable seen = BeatTable.EMPTY;
+    private Map<Integer, String> dialled = Map.of();
+
+    /**
+     * @param spool null where the machine has no disk
+     * @param addresses whom the node wants sessions with
+     * @param leaseUntil until when lines may be delivered
+     */
+    public Host(final Node node, final int self, final Tempo tempo, final Spool spool, final Function<Node, Map<Integer, String>> addresses,
+                final LongSupplier leaseUntil, final Runnable fatal) {
+        this.node = node;
+        this.tempo = tempo;
+        this.spool = spool;
+        this.addresses = addresses;
+        this.leaseUntil = leaseUntil;
+        this.fatal = fatal;
+        // why: never the same as in a former life of this process
+        jobIds = new AtomicLong(System.currentTimeMillis() << 16);
+        wire = new Wire(self, this, tempo.beat() / 2);
+    }
+
+    public Wire wire() {
+        return wire;
+    }
+
+    public static Time time() {
+        return new Time(System.nanoTime() / 1_000_000, System.currentTimeMillis());
+    }
+
+    /** Asked right before each line goes out, so that a process that slept past its lease delivers nothing. */
+    public boolean mayDeliver() {
+        return time().mono() < leaseSnapshot;
+    }
+
+    public void start(final List<Action> first) {
+        obey(first);
+        thread("state", this::stateLoop);
+        thread("replication-listener", this::beatLoop);
+        if (spool != null) {
+            thread("disk", this::diskLoop);
+        }
+    }
+
+    private void thread(final String name, final Runnable body) {
+        final Thread th = new Thread(() -> {
+            try {
+                body.run();
+            } catch (final Throwable ex) {
+                if (!closed) {
+                    Logger.error(ex, "thread {} failed", name);
+                    fatal.run();
+                }
+            }
+        }, name);
+        th.setDaemon(true);
+        threads.add(th);
+        th.start();
+    }
+
+    // ---- from the traffic threads
+
+    public long nextJobId() {
+        return jobIds.incrementAndGet();
+    }
+
+    public CompletableFuture<Response> submit(final long jobId, final Job job) {
+        final CompletableFuture<Response> response = new CompletableFuture<>();
+        jobs.put(jobId, response);
+        events.add((n, time) -> n.job(job, time));
+        return response;
+    }
+
+    public CompletableFuture<Response> subscribe(final long sessionId, final Job job, final Sink sink) {
+        sinks.put(sessionId, sink);
+        return submit(sessionId, job);
+    }
+
+    public void unsubscribe(final long sessionId) {
+        sinks.remove(sessionId);
+        events.add((n, time) -> n.job(new Job.Unsubscribe(sessionId), time));
+    }
+
+    @Override
+    public void frame(final int from, final Msg msg) {
+        if (msg instanceof Msg.Beat beat) {
+            beatInbox.add(new Heard(from, beat));
+        } else {
+            events.add((n, time) -> n.message(from, msg, time));
+        }
+    }
+
+    @Override
+    public void sessionLost(final int lost) {
+        events.add((n, time) -> n.sessionLost(lost, time));
+    }
+
+    // ---- the threads
+
+    private void stateLoop() {
+        long nextTick = 0;
+        while (!closed) {
+            try {
+                final long wait = nextTick - time().mono();
+                final Event ev = wait <= 0 ? events.poll() : events.poll(wait, MILLISECONDS);
+                final BeatTable newest = table;
+                final Time time = time();
+                if (newest != seen || time.mono() >= nextTick) {
+                    // why: the table that a vote looks at is the newest there is
+                    seen = newest;
+                    nextTick = time.mono() + tempo.tick();
+                    obey(node.tick(time, newest));
+                }
+                if (ev != null) {
+                    obey(ev.on(node, time()));
+                }
+            } catch (final InterruptedException ex) {
+                return;
+            }
+        }
+    }
+
+    private void obey(final List<Action> actions) {
+        entries = node.entries(time());
+        leaseSnapshot = leaseUntil.getAsLong();
+        for (final Action action : actions) {
+            if (action instanceof Action.Send a) {
+                if (!wire.send(a.node(), a.msg())) {
+                    events.add((n, time) -> n.unsent(a.node(), a.msg(), time));
+                }
+            } else if (action instanceof Action.Write || action instanceof Action.Roll) {
+                writes.add(action);
+            } else if (action instanceof Action.BeatNow) {
+                beatWanted.set(true);
+            } else if (action instanceof Action.Respond a) {
+                final CompletableFuture<Response> response = jobs.remove(a.jobId());
+                if (response != null) {
+                    response.complete(a.response());
+                }
+            } else if (action instanceof Action.Deliver a) {
+                final Sink sink = sinks.get(a.sessionId());
+                if (sink != null && !sink.offer(a.line())) {
+                    sink.close("too slow: the waitlist is full");
+                    unsubscribe(a.sessionId());
+                }
+            } else if (action instanceof Action.CloseSession a) {
+                final Sink sink = sinks.remove(a.sessionId());
+                if (sink != null) {
+                    sink.close(a.why());
+                }
+            } else if (action instanceof Action.Note a) {
+                if (a.grave()) {
+                    Logger.error(a.text());
+                } else {
+                    Logger.info(a.text());
+                }
+            }
+        }
+        final Map<Integer, String> wanted = addresses.apply(node);
+        if (!wanted.equals(dialled)) {
+            dialled = wanted;
+            wanted.forEach(wire::dial);
+        }
+        final Set<Integer> newSiblings = node.beatSiblings();
+        if (!newSiblings.equals(siblings)) {
+            siblings = newSiblings;
+        }
+    }
+
+    private void beatLoop() {
+        final BeatMachine machine = new BeatMachine(tempo);
+        final Actions out = new Actions();
+        Set<Integer> known = Set.of();
+        while (!closed) {
+            try {
+                final Heard heard = beatInbox.poll(beatWanted.get() ? 0 : tempo.tick(), MILLISECONDS);
+                final long now = time().mono();
+                if (siblings != known) {
+                    known = siblings;
+                    machine.siblings(known);
+                }
+                machine.own(entries);
+                if (heard != null) {
+                    machine.onBeat(heard.from, heard.beat, now, out);
+                    // why: the state thread must see a beat before its sender is told that it was heard
+                    table = machine.table();
+                }
+                machine.tick(now, out);
+                if (beatWanted.compareAndSet(true, false)) {
+                    machine.beatNow(now, out);
+                }
+                table = machine.table();
+                out.drain().forEach(a -> {
+                    if (a instanceof Action.Send s) {
+                        wire.send(s.node(), s.msg());
+                    }
+                });
+                if (heard != null && tickQueued.compareAndSet(false, true)) {
+                    events.add((n, time) -> {
+                        tickQueued.set(false);
+                        return List.of();
+                    });
+                }
+            } catch (final InterruptedException ex) {
+                return;
+            }
+        }
+    }
+
+    private void diskLoop() {
+        final List<Action> batch = new ArrayList<>();
+        while (!closed) {
+            try {
+                batch.clear();
+                batch.add(writes.take());
+                writes.drainTo(batch);
+                long last = 0;
+                for (final Action action : batch) {
+                    if (action instanceof Action.Write w) {
+                        spool.append(w.entry());
+                        last = w.number();
+                    } else if (action instanceof Action.Roll r) {
+                        spool.sync();
+                        spool.roll(r.snapshot());
+                        last = r.number();
+                    }
+                }
+                spool.sync();
+                final long synced = last;
+                events.add((n, time) -> n.synced(synced, time));
+            } catch (final InterruptedException ex) {
+                return;
+            }
+        }
+    }
+
+    @Override
+    public void close() {
+        closed = true;
+        threads.forEach(Thread::interrupt);
+        wire.close();
+        sinks.values().forEach(s -> s.close("this node stops"));
+    }
+}
--- /dev/null
+++ b/transport/src/main/java/brookpath/transport/wire/Wire.java
@@ -0,0 +1,188 @@
+package brookpath.transport.wire;
+
+import brookpath.coordination.message.Msg;
+import brookpath.protocol.frame.FrameCodec;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import io.netty.handler.codec.LengthFieldPrepender;
+import java.net.InetSocketAddress;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.LongAdder;
+
+/** Sessions between our own processes: frames with a length field, each saying who sent it. */
+public final class Wire implements AutoCloseable {
+    /** Called on Netty's threads. */
+    public interface Inbox {
+        void frame(int from, Msg msg);
+
+        void sessionLost(int node);
+    }
+
+    private static final int HIGH_WATER = 64 << 20;
+
+    private final int self;
+    private final Inbox inbox;
+    private final long redialMs;
+    private final MultiThreadIoEventLoopGroup loops = new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
+    private final Map<Integer, String> addresses = new ConcurrentHashMap<>();
+    private final Map<Integer, Channel> dialled = new ConcurrentHashMap<>();
+    private final Map<Integer, Channel> accepted = new ConcurrentHashMap<>();
+    private final ThreadLocal<FrameCodec> codecs = ThreadLocal.withInitial(FrameCodec::new);
+    private final LongAdder malformed = new LongAdder();
+    private final LongAdder bytesOut = new LongAdder();
+    private volatile boolean closed;
+    private Channel server;
+
+    public Wire(final int self, final Inbox inbox, final long redialMs) {
+        this.self = self;
+        this.inbox = inbox;
+        this.redialMs = redialMs;
+    }
+
+    public int listen(final String host, final int port) throws InterruptedException {
+        server = new ServerBootstrap().group(loops).channel(NioServerSocketChannel.class)
+                .childOption(ChannelOption.TCP_NODELAY, true).childHandler(pipeline(0)).bind(host, port).sync().channel();
+        return ((InetSocketAddress) server.localAddress()).getPort();
+    }
+
+    public long malformed() {
+        return malformed.sum();
+    }
+
+    public long bytesOut() {
+        return bytesOut.sum();
+    }
+
+    /** Keeps a session to the node from now on. */
+    public void dial(final int node, final String address) {
+        if (node != self && !address.isEmpty() && !address.equals(addresses.put(node, address))) {
+            final Channel old = dialled.remove(node);
+            if (old != null) {
+                old.close();
+            }
+            connect(node, address);
+        }
+    }
+
+    private void connect(final int node, final String address) {
+        if (closed || !address.equals(addresses.get(node))) {
+            return;
+        }
+        final int sep = address.lastIndexOf(':');
+        new Bootstrap().group(loops).channel(NioSocketChannel.class).option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) (redialMs * 8)).handler(pipeline(node))
+                .connect(address.substring(0, sep), Integer.parseInt(address.substring(sep + 1)))
+                .addListener((io.netty.channel.ChannelFuture f) -> {
+                    if (f.isSuccess()) {
+                        dialled.put(node, f.channel());
+                        f.channel().closeFuture().addListener(c -> redial(node, address));
+                    } else {
+                        redial(node, address);
+                    }
+                });
+    }
+
+    private void redial(final int node, final String address) {
+        if (!closed && !loops.isShuttingDown()) {
+            // why: spread, so that a node that comes back is not met by all at the same instant
+            final long delay = redialMs / 2 + ThreadLocalRandom.current().nextLong(redialMs);
+            loops.schedule(() -> connect(node, address), delay, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    /** False where there is certainly no session to send it on. */
+    public boolean send(final int node, final Msg msg) {
+        Channel ch = dialled.get(node);
+        if (ch == null || !ch.isActive()) {
+            ch = accepted.get(node);
+        }
+        if (ch == null || !ch.isActive() || ch.unsafe().outboundBuffer() != null
+                && ch.unsafe().outboundBuffer().totalPendingWriteBytes() > HIGH_WATER) {
+            return false;
+        }
+        final byte[] frame = codecs.get().encode(msg);
+        final ByteBuf buf = ch.alloc().buffer(4 + frame.length).writeInt(self).writeBytes(frame);
+        bytesOut.add(8 + frame.length);
+        ch.writeAndFlush(buf, ch.voidPromise());
+        return true;
+    }
+
+    private ChannelInitializer<SocketChannel> pipeline(final int dialledNode) {
+        return new ChannelInitializer<>() {
+            @Override
+            protected void initChannel(final SocketChannel ch) {
+                ch.pipeline().addLast(new LengthFieldBasedFrameDecoder(FrameCodec.MAX_FRAME, 0, 4, 0, 4),
+                        new LengthFieldPrepender(4), new Receiver(dialledNode));
+            }
+        };
+    }
+
+    private final class Receiver extends SimpleChannelInboundHandler<ByteBuf> {
+        private final FrameCodec codec = new FrameCodec();
+        private int node;
+
+        Receiver(final int node) {
+            this.node = node;
+        }
+
+        @Override
+        protected void channelRead0(final ChannelHandlerContext ctx, final ByteBuf buf) {
+            final int from = buf.readInt();
+            final byte[] bytes = new byte[buf.readableBytes()];
+            buf.readBytes(bytes);
+            final Msg msg = codec.decode(bytes, 0, bytes.length);
+            if (node == 0) {
+                node = from;
+                accepted.put(from, ctx.channel());
+            }
+            if (from != node) {
+                throw new IllegalArgumentException("node " + from + " on the session of node " + node);
+            }
+            inbox.frame(from, msg);
+        }
+
+        @Override
+        public void channelInactive(final ChannelHandlerContext ctx) {
+            if (node != 0) {
+                dialled.remove(node, ctx.channel());
+                accepted.remove(node, ctx.channel());
+                inbox.sessionLost(node);
+            }
+        }
+
+        @Override
+        public void exceptionCaught(final ChannelHandlerContext ctx, final Throwable cause) {
+            // why: a malformed frame ends this session alone; whatever follows it on the stream cannot be trusted
+            if (!(cause instanceof java.io.IOException)) {
+                malformed.increment();
+            }
+            ctx.close();
+        }
+    }
+
+    @Override
+    public void close() {
+        closed = true;
+        if (server != null) {
+            server.close();
+        }
+        dialled.values().forEach(Channel::close);
+        accepted.values().forEach(Channel::close);
+        loops.shutdownGracefully(0, 200, TimeUnit.MILLISECONDS);
+    }
+}
--- /dev/null
+++ b/trial/src/main/java/brookpath/trial/disk/TrialDisk.java
@@ -0,0 +1,142 @@
+package brookpath.trial.disk;
+
+import brookpath.state.disk.Disk;
+import brookpath.state.disk.DiskFile;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+
+/** A disk in memory that loses, at a power loss, what was not synced: bytes, new names, renames and deletions alike. */
+public final class TrialDisk implements Disk {
+    private static final class Data {
+        byte[] bytes = new byte[256];
+        int len;
+        int synced;
+    }
+
+    private final TreeMap<String, Data> names = new TreeMap<>();
+    private TreeMap<String, Data> durable = new TreeMap<>();
+    private boolean failing;
+    private long syncs;
+
+    public void failing(final boolean on) {
+        failing = on;
+    }
+
+    public long syncs() {
+        return syncs;
+    }
+
+    /** Power goes: of each file the synced part stays, and by chance some of what followed, whole or torn. */
+    public void powerLoss(final SplittableRandom rnd) {
+        names.clear();
+        names.putAll(durable);
+        for (final Data d : names.values()) {
+            final int kept = d.synced + (d.len > d.synced ? rnd.nextInt(d.len - d.synced + 1) : 0);
+            if (kept > d.synced && rnd.nextInt(3) == 0) {
+                // why: a file system may have grown the file without having written its blocks
+                Arrays.fill(d.bytes, d.synced, kept, (byte) 0);
+            }
+            d.len = rnd.nextBoolean() ? d.synced : kept;
+            d.synced = d.len;
+        }
+    }
+
+    public void wipe() {
+        names.clear();
+        durable.clear();
+    }
+
+    /** Flips one bit amid the newest segment; false where there is none. */
+    public boolean corrupt(final SplittableRandom rnd) {
+        for (final String name : names.descendingKeySet()) {
+            final Data d = names.get(name);
+            if (name.startsWith("seg-") && d.synced > 64) {
+                d.bytes[rnd.nextInt(d.synced / 2)] ^= 1 << rnd.nextInt(8);
+                return true;
+            }
+        }
+        return false;
+    }
+
+    @Override
+    public DiskFile open(final String name) {
+        return new Handle(names.computeIfAbsent(name, k -> new Data()));
+    }
+
+    @Override
+    public List<String> list() {
+        return new ArrayList<>(names.keySet());
+    }
+
+    @Override
+    public void delete(final String name) {
+        names.remove(name);
+    }
+
+    @Override
+    public void rename(final String from, final String to) {
+        names.put(to, names.remove(from));
+    }
+
+    @Override
+    public void syncFolder() {
+        check();
+        durable = new TreeMap<>(names);
+    }
+
+    private void check() {
+        if (failing) {
+            throw new UncheckedIOException(new IOException("sync failed"));
+        }
+        syncs++;
+    }
+
+    private final class Handle implements DiskFile {
+        private final Data d;
+
+        Handle(final Data d) {
+            this.d = d;
+        }
+
+        @Override
+        public long size() {
+            return d.len;
+        }
+
+        @Override
+        public void append(final byte[] bytes, final int off, final int len) {
+            if (d.len + len > d.bytes.length) {
+                d.bytes = Arrays.copyOf(d.bytes, Math.max(d.bytes.length * 2, d.len + len));
+            }
+            System.arraycopy(bytes, off, d.bytes, d.len, len);
+            d.len += len;
+        }
+
+        @Override
+        public byte[] readAll() {
+            return Arrays.copyOf(d.bytes, d.len);
+        }
+
+        @Override
+        public void sync() {
+            check();
+            d.synced = d.len;
+        }
+
+        @Override
+        public void truncate(final long size) {
+            d.len = (int) size;
+            d.synced = Math.min(d.synced, d.len);
+        }
+
+        @Override
+        public void close() {
+            // why: nothing is held
+        }
+    }
+}
--- /dev/null
+++ b/trial/src/main/java/brookpath/trial/oracle/History.java
@@ -0,0 +1,220 @@
+package brookpath.trial.oracle;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+
+/** What callers saw, and whether it may be so. Knows nothing of the system's insides. */
+public final class History {
+    /** One message as its sender knows it. */
+    public static final class Sent {
+        public final String topic;
+        public final String sender;
+        public final long seq;
+        public final String text;
+        public long position;
+        public long acceptedAt = -1;
+        public boolean maybeAppended;
+        public boolean abandoned;
+
+        Sent(final String topic, final String sender, final long seq, final String text) {
+            this.topic = topic;
+            this.sender = sender;
+            this.seq = seq;
+            this.text = text;
+        }
+    }
+
+    /** One listener across all its sessions. */
+    public static final class Listener {
+        final String name;
+        final Set<String> topics;
+        final Map<String, Long> lastPosition = new HashMap<>();
+        final Map<String, Long> lastSeq = new HashMap<>();
+        final Map<String, Long> from = new HashMap<>();
+        final Set<String> got = new HashSet<>();
+        final Map<String, List<String>> spaceOrder = new HashMap<>();
+        public int delivered;
+        boolean begun;
+        /** False once its key was taken away or it came back too late: it may then have missed something. */
+        public boolean entitled = true;
+
+        public Set<String> topics() {
+            return topics;
+        }
+
+        Listener(final String name, final Set<String> topics) {
+            this.name = name;
+            this.topics = topics;
+        }
+    }
+
+    private final Map<String, Sent> sent = new HashMap<>();
+    private final Map<String, String> byPosition = new HashMap<>();
+    private final List<Listener> listeners = new ArrayList<>();
+    private final List<String> violations = new ArrayList<>();
+    private final TreeMap<Long, String> confirmedSpecs = new TreeMap<>();
+    private final List<Long> latencies = new ArrayList<>();
+    private int accepted;
+
+    public void violation(final long now, final String what) {
+        if (violations.size() < 40) {
+            violations.add(now + ": " + what);
+        }
+    }
+
+    public List<String> violations() {
+        return violations;
+    }
+
+    public int accepted() {
+        return accepted;
+    }
+
+    public int delivered() {
+        return listeners.stream().mapToInt(l -> l.delivered).sum();
+    }
+
+    public List<Long> latencies() {
+        return latencies;
+    }
+
+    private static String id(final String topic, final String sender, final long seq) {
+        return topic + "|" + sender + "|" + seq;
+    }
+
+    public Sent sending(final String topic, final String sender, final long seq, final String text) {
+        return sent.computeIfAbsent(id(topic, sender, seq), k -> new Sent(topic, sender, seq, text));
+    }
+
+    public void accepted(final long now, final Sent s, final long position) {
+        if (s.acceptedAt < 0) {
+            s.acceptedAt = now;
+            s.position = position;
+            accepted++;
+            final String other = byPosition.put(s.topic + "@" + position, id(s.topic, s.sender, s.seq));
+            if (other != null && !other.equals(id(s.topic, s.sender, s.seq))) {
+                violation(now, "position " + position + " of " + s.topic + " was given to " + other + " and to " + id(s.topic, s.sender, s.seq));
+            }
+        } else if (s.position != position) {
+            violation(now, id(s.topic, s.sender, s.seq) + " was accepted at " + s.position + " and then at " + position);
+        }
+    }
+
+    public Listener listener(final String name, final Set<String> topics) {
+        final Listener l = new Listener(name, topics);
+        listeners.add(l);
+        return l;
+    }
+
+    /** The first cursor: what is accepted from here on must arrive. */
+    public void begun(final long now, final Listener l, final Map<String, Long> at) {
+        if (!l.begun) {
+            l.begun = true;
+            l.from.putAll(at);
+        }
+    }
+
+    /** A line that came before any cursor line: that position, at the latest, is where it began. */
+    public void begunIfNot(final long now, final Listener l, final String topic, final long position) {
+        if (!l.begun) {
+            l.from.merge(topic, position - 1, Math::min);
+        }
+    }
+
+    public void delivered(final long now, final Listener l, final String topic, final long position, final String sender, final long seq,
+                          final String text, final boolean one) {
+        final String id = id(topic, sender, seq);
+        final Sent s = sent.get(id);
+        l.delivered++;
+        if (!l.topics.contains(topic)) {
+            violation(now, l.name + " got " + id + " on a topic that it never asked for");
+        }
+        if (s == null || !s.text.equals(text)) {
+            violation(now, l.name + " got " + id + " that nobody sent so");
+            return;
+        }
+        if (!l.got.add(id)) {
+            violation(now, l.name + " got " + id + " twice");
+        }
+        final Long lastSeq = l.lastSeq.put(topic + "|" + sender, seq);
+        if (lastSeq != null && lastSeq >= seq) {
+            violation(now, l.name + " got sequence " + seq + " of " + topic + "|" + sender + " after " + lastSeq);
+        }
+        final Long lastPos = l.lastPosition.put(topic, position);
+        if (lastPos != null && lastPos >= position) {
+            violation(now, l.name + " got position " + position + " of " + topic + " after " + lastPos);
+        }
+        final String other = byPosition.putIfAbsent(topic + "@" + position, id);
+        if (other != null && !other.equals(id)) {
+            violation(now, "position " + position + " of " + topic + " is " + other + " for one and " + id + " for another");
+        }
+        if (one) {
+            l.spaceOrder.computeIfAbsent(topic.substring(0, topic.indexOf('/')), k -> new ArrayList<>()).add(id);
+        }
+        if (s.acceptedAt >= 0) {
+            latencies.add(now - s.acceptedAt);
+        }
+    }
+
+    /** After all is quiet: every accepted message has reached everyone who listened, and one-order spaces agree. */
+    public void settle(final long now) {
+        for (final Listener l : listeners) {
+            if (!l.begun) {
+                continue;
+            }
+            for (final String id : l.got) {
+                // why: only now are all responses in; a message may reach a listener before its sender hears of it
+                final Sent s = sent.get(id);
+                if (!s.maybeAppended && s.acceptedAt < 0) {
+                    violation(now, l.name + " got " + id + " that was refused every time");
+                }
+            }
+            for (final Sent s : sent.values()) {
+                if (l.entitled && s.acceptedAt >= 0 && l.topics.contains(s.topic) && s.position > l.from.getOrDefault(s.topic, Long.MAX_VALUE)
+                        && !l.got.contains(id(s.topic, s.sender, s.seq))) {
+                    violation(now, l.name + " never got accepted " + id(s.topic, s.sender, s.seq) + " at " + s.position + ", accepted at time "
+                            + s.acceptedAt + "; it began at " + l.from.get(s.topic));
+                }
+            }
+        }
+        for (int i = 0; i < listeners.size(); i++) {
+            for (int j = i + 1; j < listeners.size(); j++) {
+                sameOrder(now, listeners.get(i), listeners.get(j));
+            }
+        }
+    }
+
+    private void sameOrder(final long now, final Listener a, final Listener b) {
+        for (final String space : a.spaceOrder.keySet()) {
+            final List<String> x = new ArrayList<>(a.spaceOrder.get(space));
+            final List<String> y = new ArrayList<>(b.spaceOrder.getOrDefault(space, List.of()));
+            x.retainAll(new HashSet<>(y));
+            y.retainAll(new HashSet<>(x));
+            if (!x.equals(y)) {
+                violation(now, a.name + " and " + b.name + " saw two orders in space " + space);
+            }
+        }
+    }
+
+    // ---- specs
+
+    public void confirmed(final long now, final long version, final String changeId) {
+        final String other = confirmedSpecs.put(version, changeId);
+        if (other != null && !other.equals(changeId)) {
+            violation(now, "changes " + other + " and " + changeId + " were both confirmed as version " + version);
+        }
+    }
+
+    public long newestConfirmed() {
+        return confirmedSpecs.isEmpty() ? 0 : confirmedSpecs.lastKey();
+    }
+
+    public String confirmedAs(final long version) {
+        return confirmedSpecs.get(version);
+    }
+}
--- /dev/null
+++ b/trial/src/main/java/brookpath/trial/sim/Mutation.java
@@ -0,0 +1,7 @@
+package brookpath.trial.sim;
+
+/** Ways to break the system on purpose, outside the production code, to see that a check goes red. */
+public enum Mutation {
+    /** The disk says synced and has not. */
+    NO_FSYNC
+}
--- /dev/null
+++ b/trial/src/main/java/brookpath/trial/sim/Net.java
@@ -0,0 +1,80 @@
+package brookpath.trial.sim;
+
+import brookpath.coordination.message.Msg;
+import brookpath.protocol.frame.FrameCodec;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+
+/** The simulated network: ordered sessions with delay, cuts in one or both directions, and loss felt as late repeats. */
+final class Net {
+    private final World world;
+    private final FrameCodec codec = new FrameCodec();
+    private final Map<Long, Long> lastAt = new HashMap<>();
+    private final Set<Long> cuts = new HashSet<>();
+    int lossPerMille;
+    long extraDelay;
+    long crossZoneBytes;
+
+    Net(final World world) {
+        this.world = world;
+    }
+
+    private static long link(final int from, final int to) {
+        return (long) from << 32 | to;
+    }
+
+    void cut(final int from, final int to) {
+        cuts.add(link(from, to));
+    }
+
+    void heal() {
+        cuts.clear();
+    }
+
+    /** False where the sender knows at once that nothing left: the other process is not running. */
+    boolean send(final Proc from, final int to, final Msg msg) {
+        final Proc target = world.procs.get(to);
+        if (target == null || !target.alive) {
+            return false;
+        }
+        final byte[] frame = codec.encode(msg);
+        if (!from.zone.equals(target.zone)) {
+            crossZoneBytes += frame.length;
+        }
+        final long link = link(from.id, to);
+        long delay = (from.zone.equals(target.zone) ? 0 : 1) + extraDelay + (world.rnd.nextInt(4) == 0 ? 1 : 0);
+        if (world.rnd.nextInt(1000) < lossPerMille) {
+            // why: to those above, a lost packet is one that comes late, and everything behind it waits
+            delay += 200L << world.rnd.nextInt(2);
+        }
+        final long at = Math.max(lastAt.getOrDefault(link, 0L), world.now() + delay);
+        lastAt.put(link, at);
+        arrive(from, from.life, target, target.life, link, frame, at, 0);
+        return true;
+    }
+
+    private void arrive(final Proc from, final long fromLife, final Proc to, final long toLife, final long link, final byte[] frame, final long at,
+                        final int goes) {
+        world.at(at, () -> {
+            if (!to.alive || to.life != toLife) {
+                return;
+            }
+            if (cuts.contains(link)) {
+                // why: a short cut delays, and what was sent arrives late and in order; a long one breaks the session
+                if (goes > 8 || !from.alive || from.life != fromLife) {
+                    if (from.alive && from.life == fromLife) {
+                        from.run(p -> p.node.sessionLost(to.id, p.time()));
+                    }
+                    return;
+                }
+                final long again = world.now() + 250;
+                lastAt.merge(link, again, Math::max);
+                arrive(from, fromLife, to, toLife, link, frame, again, goes + 1);
+                return;
+            }
+            to.message(from.id, codec.decode(frame, 0, frame.length));
+        });
+    }
+}
--- /dev/null
+++ b/trial/src/main/java/brookpath/trial/sim/Proc.java
@@ -0,0 +1,260 @@
+package brookpath.trial.sim;
+
+import brookpath.coordination.action.Action;
+import brookpath.coordination.action.Actions;
+import brookpath.coordination.beat.BeatMachine;
+import brookpath.coordination.beat.BeatTable;
+import brookpath.coordination.message.Msg;
+import brookpath.coordination.node.Job;
+import brookpath.coordination.node.Node;
+import brookpath.coordination.node.Node.Time;
+import brookpath.state.record.Pack;
+import brookpath.state.spool.Spool;
+import brookpath.trial.disk.TrialDisk;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.function.BiFunction;
+import java.util.function.Function;
+
+/** One process of the simulated fleet: the production node, its beats, and its spool on a disk that can fail. */
+public final class Proc {
+    final World world;
+    final int id;
+    final TrialDisk disk;
+    final String zone;
+    private final BiFunction<Proc, List<byte[]>, Node> maker;
+
+    Node node;
+    private BeatMachine beats;
+    private final Actions beatOut = new Actions();
+    private BeatTable seen = BeatTable.EMPTY;
+    private Set<Integer> siblings = Set.of();
+    private Spool spool;
+    private List<Action> pending = new ArrayList<>();
+    private boolean diskBusy;
+    long life;
+    boolean alive;
+    long frozenUntil;
+    long syncMs = 2;
+    long skew;
+    private long monoBase;
+    boolean foundOnStart;
+    private final ArrayDeque<Function<Proc, List<Action>>> backlog = new ArrayDeque<>();
+
+    Proc(final World world, final int id, final String zone, final boolean hasDisk, final BiFunction<Proc, List<byte[]>, Node> maker) {
+        this.world = world;
+        this.id = id;
+        this.zone = zone;
+        this.maker = maker;
+        disk = hasDisk ? new TrialDisk() : null;
+    }
+
+    Time time() {
+        return new Time(world.now() + monoBase, world.now() + skew + World.WALL);
+    }
+
+    long mono() {
+        return world.now() + monoBase;
+    }
+
+    public Node node() {
+        return node;
+    }
+
+    boolean frozen() {
+        return world.now() < frozenUntil;
+    }
+
+    /** Starts, or starts again, on whatever its disk still holds. */
+    void start() {
+        life++;
+        alive = true;
+        frozenUntil = 0;
+        monoBase = world.rnd.nextInt(1_000_000);
+        pending = new ArrayList<>();
+        diskBusy = false;
+        backlog.clear();
+        seen = BeatTable.EMPTY;
+        siblings = Set.of();
+        beats = new BeatMachine(world.tempo);
+        beatOut.drain();
+        final List<byte[]> entries = new ArrayList<>();
+        if (disk != null) {
+            disk.failing(false);
+            final Spool.Recovery rec = Spool.recover(disk);
+            spool = rec.spool();
+            if (rec.snapshot() != null) {
+                for (final Pack in = Pack.reader(rec.snapshot()); in.more();) {
+                    entries.add(in.bytes());
+                }
+            }
+            entries.addAll(rec.entries());
+            world.count(rec.damaged() ? "damaged folders" : "recoveries");
+        }
+        node = maker.apply(this, entries);
+        wakeup(life);
+    }
+
+    private void wakeup(final long ofLife) {
+        world.at(world.now() + world.tempo.tick(), () -> {
+            if (alive && life == ofLife) {
+                if (frozen()) {
+                    world.at(frozenUntil, () -> wakeup(ofLife));
+                    return;
+                }
+                run(p -> p.node.tick(p.time(), p.seen));
+                wakeup(ofLife);
+            }
+        });
+    }
+
+    /** One event, as the state thread would take it; a frozen process takes it when it wakes. */
+    void run(final Function<Proc, List<Action>> event) {
+        if (!alive) {
+            return;
+        }
+        if (frozen()) {
+            backlog.add(event);
+            if (backlog.size() == 1) {
+                final long ofLife = life;
+                world.at(frozenUntil, () -> thaw(ofLife));
+            }
+            return;
+        }
+        beats.own(node.entries(time()));
+        beats.tick(mono(), beatOut);
+        look();
+        obey(event.apply(this));
+        look();
+    }
+
+    private void thaw(final long ofLife) {
+        if (alive && life == ofLife && !frozen()) {
+            for (int n = backlog.size(); n > 0; n--) {
+                run(backlog.poll());
+            }
+        }
+    }
+
+    private void look() {
+        if (beats.table() != seen) {
+            seen = beats.table();
+            obey(node.tick(time(), seen));
+        }
+        flushBeats();
+    }
+
+    private void flushBeats() {
+        beatOut.drain().forEach(a -> {
+            if (a instanceof Action.Send s) {
+                world.net.send(this, s.node(), s.msg());
+            }
+        });
+    }
+
+    void message(final int from, final Msg msg) {
+        if (msg instanceof Msg.Beat beat) {
+            run(p -> {
+                p.beats.onBeat(from, beat, p.mono(), p.beatOut);
+                return List.of();
+            });
+        } else {
+            run(p -> p.node.message(from, msg, p.time()));
+        }
+    }
+
+    void job(final Job job) {
+        run(p -> p.node.job(job, p.time()));
+    }
+
+    void obey(final List<Action> actions) {
+        boolean beatNow = false;
+        for (final Action action : actions) {
+            if (!alive) {
+                return;
+            }
+            if (action instanceof Action.Send a) {
+                if (!world.net.send(this, a.node(), a.msg())) {
+                    final long ofLife = life;
+                    world.at(world.now(), () -> {
+                        if (life == ofLife) {
+                            run(p -> p.node.unsent(a.node(), a.msg(), p.time()));
+                        }
+                    });
+                }
+            } else if (action instanceof Action.Write || action instanceof Action.Roll) {
+                pending.add(action);
+            } else if (action instanceof Action.BeatNow) {
+                beatNow = true;
+            } else if (action instanceof Action.Respond a) {
+                world.callers.respond(this, a.jobId(), a.response());
+            } else if (action instanceof Action.Deliver a) {
+                world.callers.deliver(this, a.sessionId(), a.line());
+            } else if (action instanceof Action.CloseSession a) {
+                world.callers.closed(this, a.sessionId(), a.why());
+            } else if (action instanceof Action.Note a) {
+                world.note(id, a.text(), a.grave());
+            }
+        }
+        final Set<Integer> now = node.beatSiblings();
+        if (!now.equals(siblings)) {
+            siblings = now;
+            beats.siblings(now);
+        }
+        if (beatNow) {
+            beats.own(node.entries(time()));
+            beats.beatNow(mono(), beatOut);
+            flushBeats();
+        }
+        writeOut();
+    }
+
+    private void writeOut() {
+        if (diskBusy || pending.isEmpty()) {
+            return;
+        }
+        diskBusy = true;
+        final List<Action> batch = pending;
+        pending = new ArrayList<>();
+        final long ofLife = life;
+        try {
+            for (final Action action : batch) {
+                if (action instanceof Action.Write w) {
+                    spool.append(w.entry());
+                } else if (action instanceof Action.Roll r) {
+                    spool.sync();
+                    spool.roll(r.snapshot());
+                }
+            }
+        } catch (final RuntimeException ex) {
+            world.kill(this, false);
+            return;
+        }
+        final Action last = batch.get(batch.size() - 1);
+        final long number = last instanceof Action.Write w ? w.number() : ((Action.Roll) last).number();
+        world.at(world.now() + syncMs + world.rnd.nextInt(3), () -> {
+            if (!alive || life != ofLife) {
+                return;
+            }
+            try {
+                if (world.mutations.contains(Mutation.NO_FSYNC)) {
+                    disk.syncs();
+                } else {
+                    spool.sync();
+                }
+            } catch (final RuntimeException ex) {
+                // why: a failed sync takes the process out, as the real host does
+                world.count("failed syncs");
+                world.kill(this, false);
+                return;
+            }
+            diskBusy = false;
+            run(p -> p.node.synced(number, p.time()));
+            if (alive && !frozen()) {
+                writeOut();
+            }
+        });
+    }
+}
--- /dev/null
+++ b/trial/src/main/java/brookpath/trial/sim/World.java
@@ -0,0 +1,195 @@
+package brookpath.trial.sim;
+
+import brookpath.coordination.Tempo;
+import brookpath.coordination.group.GroupMachine;
+import brookpath.coordination.group.Member;
+import brookpath.coordination.node.BailiffNode;
+import brookpath.coordination.node.FrontNode;
+import brookpath.coordination.node.StorageNode;
+import brookpath.trial.oracle.History;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.EnumSet;
+import java.util.List;
+import java.util.PriorityQueue;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+
+/** A whole fleet under virtual time: one seed gives one history, always the same. */
+public final class World {
+    static final long WALL = 1_700_000_000_000L;
+    private static final long ROLL_BYTES = 64 << 10;
+    private static final int NOTES = 4000;
+
+    private record Due(long at, long order, Runnable what) {
+    }
+
+    public final SplittableRandom rnd;
+    public final Tempo tempo = Tempo.DEFAULT;
+    public final History history = new History();
+    public final TreeMap<Integer, Proc> procs = new TreeMap<>();
+    public final TreeMap<String, Integer> counts = new TreeMap<>();
+    public final EnumSet<Mutation> mutations;
+    final Net net = new Net(this);
+    final Callers callers;
+    final List<Integer> bailiffs = new ArrayList<>();
+    final List<Integer> storages = new ArrayList<>();
+    final List<Integer> fronts = new ArrayList<>();
+    private final PriorityQueue<Due> queue = new PriorityQueue<>((a, b) -> a.at != b.at ? Long.compare(a.at, b.at) : Long.compare(a.order, b.order));
+    private final ArrayDeque<String> notes = new ArrayDeque<>();
+    private long now;
+    private long order;
+
+    public World(final long seed, final int groups, final int frontCount, final EnumSet<Mutation> mutations) {
+        rnd = new SplittableRandom(seed);
+        this.mutations = mutations;
+        callers = new Callers(this);
+        final String[] zones = {"a", "b", "c", "d"};
+        final List<Member> members = List.of(new Member(1, 50, ""), new Member(2, 50, ""), new Member(3, 50, ""));
+        final List<Integer> seeds = List.of(1, 2, 3);
+        for (int i = 1; i <= 3; i++) {
+            bailiffs.add(i);
+            final Proc p = new Proc(this, i, zones[i - 1], true, (proc, entries) -> {
+                final BailiffNode node = new BailiffNode(proc.id, members, new BailiffNode.Founding(groups, 3, 4, 1), tempo, rnd.nextLong(),
+                        proc.life << 32, ROLL_BYTES);
+                entries.forEach(e -> node.replay(e, proc.time()));
+                proc.node = node;
+                proc.obey(node.start(proc.foundOnStart, proc.time()));
+                proc.foundOnStart = false;
+                return node;
+            });
+            p.foundOnStart = true;
+            procs.put(i, p);
+        }
+        for (int i = 0; i < 4; i++) {
+            storages.add(11 + i);
+            final String zone = zones[i];
+            procs.put(11 + i, new Proc(this, 11 + i, zone, true, (proc, entries) -> {
+                final StorageNode node = new StorageNode(proc.id, zone, "sim:" + proc.id, seeds, tempo, 1, rnd.nextLong(), ROLL_BYTES);
+                entries.forEach(e -> node.replay(e, proc.time()));
+                return node;
+            }));
+        }
+        for (int i = 0; i < frontCount; i++) {
+            fronts.add(31 + i);
+            final String zone = zones[i % zones.length];
+            procs.put(31 + i, new Proc(this, 31 + i, zone, false, (proc, entries) ->
+                    new FrontNode(proc.id, zone, seeds, tempo, proc.life << 32)));
+        }
+        procs.values().forEach(p -> at(rnd.nextInt(500), p::start));
+        at(0, this::watch);
+    }
+
+    public long now() {
+        return now;
+    }
+
+    public void at(final long time, final Runnable what) {
+        queue.add(new Due(Math.max(now, time), order++, what));
+    }
+
+    public void run(final long until) {
+        while (!queue.isEmpty() && queue.peek().at <= until) {
+            final Due due = queue.poll();
+            now = due.at;
+            due.what.run();
+        }
+        now = until;
+    }
+
+    public void count(final String what) {
+        counts.merge(what, 1, Integer::sum);
+    }
+
+    public int counted(final String what) {
+        return counts.getOrDefault(what, 0);
+    }
+
+    void note(final int node, final String text, final boolean grave) {
+        notes.add(now + " node " + node + ": " + text);
+        if (notes.size() > NOTES) {
+            notes.poll();
+        }
+        if (text.contains("won epoch")) {
+            count(node <= 3 ? "control elections" : "topic elections");
+        }
+        if (text.contains("diverged tail")) {
+            count("diverged tails cut");
+        }
+        if (text.contains("full sync")) {
+            count("full syncs");
+        }
+        if (grave) {
+            history.violation(now, "node " + node + ": " + text);
+        }
+    }
+
+    public List<String> notes() {
+        return List.copyOf(notes);
+    }
+
+    /** Every few milliseconds: at most one member of a group may act as its master. */
+    private void watch() {
+        final TreeMap<Integer, Integer> acting = new TreeMap<>();
+        for (final Proc p : procs.values()) {
+            // why: a frozen process does nothing until it wakes, and is looked at again then
+            if (!p.alive || p.frozen()) {
+                continue;
+            }
+            if (p.node instanceof BailiffNode b) {
+                acts(acting, b.group(), p);
+            } else if (p.node instanceof StorageNode s) {
+                for (int g = 0; s.group(g) != null || g < 64; g++) {
+                    if (s.group(g) != null) {
+                        acts(acting, s.group(g), p);
+                    }
+                }
+            }
+        }
+        callers.watch();
+        at(now + 5, this::watch);
+    }
+
+    private void acts(final TreeMap<Integer, Integer> acting, final GroupMachine g, final Proc p) {
+        if (g.mayAct(p.mono())) {
+            final Integer other = acting.put(g.id(), p.id);
+            if (other != null) {
+                history.violation(now, "nodes " + other + " and " + p.id + " both act as master of group " + g.id());
+            }
+        }
+    }
+
+    // ---- faults
+
+    void kill(final Proc p, final boolean powerLoss) {
+        if (!p.alive) {
+            return;
+        }
+        p.alive = false;
+        p.life++;
+        if (powerLoss && p.disk != null) {
+            p.disk.powerLoss(rnd);
+        }
+        note(p.id, powerLoss ? "loses power" : "is killed", false);
+        callers.frontGone(p);
+        for (final Proc other : procs.values()) {
+            if (other.alive) {
+                at(now + 1, () -> other.run(o -> o.node.sessionLost(p.id, o.time())));
+            }
+        }
+    }
+
+    void restart(final Proc p) {
+        if (!p.alive) {
+            note(p.id, "starts", false);
+            p.start();
+        }
+    }
+
+    void freeze(final Proc p, final long forMs) {
+        if (p.alive && !p.frozen()) {
+            note(p.id, "freezes for " + forMs, false);
+            p.frozenUntil = now + forMs;
+        }
+    }
+}
--- /dev/null
+++ b/trial/src/test/java/brookpath/trial/DayTest.java
@@ -0,0 +1,59 @@
+package brookpath.trial;
+
+import static brookpath.trial.sim.Day.Fault.BLACKOUT;
+import static brookpath.trial.sim.Day.Fault.KILL;
+import static brookpath.trial.sim.Day.Fault.OWNER_DIES;
+import static brookpath.trial.sim.Day.Fault.POWER;
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import brookpath.trial.sim.Day;
+import brookpath.trial.sim.Day.Fault;
+import brookpath.trial.sim.Day.Outcome;
+import brookpath.trial.sim.Day.Plan;
+import brookpath.trial.sim.Mutation;
+import java.util.EnumSet;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Simulated days: nothing that must never happen happens, and something did happen. */
+public final class DayTest {
+    @DataProvider
+    public Object[][] faults() {
+        final Fault[] all = Fault.values();
+        final Object[][] rows = new Object[all.length + 1][];
+        for (int i = 0; i < all.length; i++) {
+            rows[i] = new Object[] {EnumSet.of(all[i])};
+        }
+        rows[all.length] = new Object[] {EnumSet.allOf(Fault.class)};
+        return rows;
+    }
+
+    @Test(dataProvider = "faults")
+    public void nothingForbiddenHappens(final EnumSet<Fault> faults) {
+        for (long seed = 1; seed <= 2; seed++) {
+            final Outcome day = Day.live(Plan.of(seed, faults));
+            assertTrue(day.good(), day.toString());
+            // why: a day on which nothing was done would be good as well
+            assertTrue(day.accepted() > 800 && day.delivered() > 3 * day.accepted(), day.toString());
+            assertTrue(day.counts().get("changes confirmed") >= 3 && day.counts().get("faults") >= 8, day.toString());
+        }
+    }
+
+    @Test
+    public void sameSeedSameDay() {
+        final Plan plan = Plan.of(7, EnumSet.of(KILL, POWER, OWNER_DIES));
+        assertEquals(Day.live(plan).trace(), Day.live(plan).trace());
+    }
+
+    @Test
+    public void leftOutSyncIsSeen() {
+        boolean seen = false;
+        for (long seed = 1; seed <= 6 && !seen; seed++) {
+            seen = !Day.live(Plan.of(seed, EnumSet.of(BLACKOUT)).broken(Mutation.NO_FSYNC)).good();
+        }
+        assertTrue(seen, "a disk that never syncs went unnoticed");
+        assertFalse(Day.live(Plan.of(1, EnumSet.of(BLACKOUT))).counts().isEmpty());
+    }
+}
