--- /dev/null
+++ b/trial/src/main/java/brookpath/trial/fleet/FleetMain.java
@@ -0,0 +1,190 @@
+package brookpath.trial.fleet;
+
+import brookpath.coordination.spec.Placement;
+import brookpath.coordination.spec.Spec;
+import brookpath.trial.fleet.Load.Profile;
+import brookpath.trial.oracle.History;
+import jakarta.json.Json;
+import jakarta.json.JsonObject;
+import jakarta.json.JsonValue;
+import java.io.StringReader;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.TreeSet;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.DefaultParser;
+import org.apache.commons.cli.HelpFormatter;
+import org.apache.commons.cli.Options;
+import org.apache.commons.cli.ParseException;
+
+/** {@code bin/fleet}: starts a fleet and leaves it running, or runs a scenario against it and reports. */
+public final class FleetMain {
+    private FleetMain() {
+    }
+
+    public static void main(final String[] args) throws Exception {
+        final Options opts = new Options().addOption(null, "fronts", true, "how many fronts (3; the brief's shape has 11)")
+                .addOption(null, "folder", true, "where settings and data go (run/fleet)").addOption(null, "port", true, "first HTTP port (8000)")
+                .addOption(null, "profile", true, "jadran, sajha or small (small)")
+                .addOption(null, "scenario", true, "none, steady, kill-master, freeze-master, rolling, all-restart (none)")
+                .addOption(null, "seconds", true, "how long a scenario publishes (20)").addOption(null, "seed", true, "for the callers (1)")
+                .addOption(null, "keep", false, "keep what the folder holds; else a fresh start").addOption("h", "help", false, "this text");
+        final CommandLine cl;
+        try {
+            cl = new DefaultParser().parse(opts, args);
+        } catch (final ParseException ex) {
+            System.err.println("fleet: " + ex.getMessage());
+            System.exit(2);
+            return;
+        }
+        if (cl.hasOption("help")) {
+            new HelpFormatter().printHelp("fleet", opts);
+            return;
+        }
+        final Path folder = Path.of(cl.getOptionValue("folder", "run/fleet"));
+        if (!cl.hasOption("keep") && Files.exists(folder)) {
+            try (var paths = Files.walk(folder)) {
+                for (final Path p : paths.sorted(java.util.Comparator.reverseOrder()).toList()) {
+                    Files.delete(p);
+                }
+            }
+        }
+        final Fleet fleet = new Fleet(folder, Integer.parseInt(cl.getOptionValue("port", "8000")), Integer.parseInt(cl.getOptionValue("fronts", "3")));
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+            try {
+                fleet.close();
+            } catch (final InterruptedException ex) {
+                Thread.currentThread().interrupt();
+            }
+        }));
+        final long t0 = System.nanoTime();
+        fleet.start();
+        if (!fleet.awaitReady(60_000)) {
+            System.err.println("fleet: not ready after a minute; see " + folder + "/out-*.txt");
+            System.exit(1);
+        }
+        System.out.println("fleet: ready after " + (System.nanoTime() - t0) / 1_000_000 + " ms; bailiffs on " + fleet.units().get(1).url("")
+                + " and the next two, fronts from " + fleet.fronts().get(0).url(""));
+        final String scenario = cl.getOptionValue("scenario", "none");
+        if (scenario.equals("none")) {
+            Thread.currentThread().join();
+        }
+        final Profile profile = switch (cl.getOptionValue("profile", "small")) {
+            case "jadran" -> Profile.JADRAN;
+            case "sajha" -> Profile.SAJHA;
+            default -> Profile.SMALL;
+        };
+        final boolean good = scenario(fleet, profile, scenario, Integer.parseInt(cl.getOptionValue("seconds", "20")) * 1000L,
+                Long.parseLong(cl.getOptionValue("seed", "1")));
+        System.exit(good ? 0 : 1);
+    }
+
+    private static boolean scenario(final Fleet fleet, final Profile profile, final String scenario, final long ms, final long seed) throws Exception {
+        final var change = fleet.post(fleet.units().get(2), "/v1/changes", profile.document(0, "fleet-first"));
+        System.out.println("change: " + change.statusCode() + " " + change.body().strip());
+        try (Load load = new Load(fleet, profile, seed)) {
+            Thread.sleep(500);
+            load.subscribe();
+            for (int i = 0; i < 300 && load.listening() < profile.sessions(); i++) {
+                Thread.sleep(100);
+            }
+            System.out.println("listening: " + load.listening() + " of " + profile.sessions());
+            load.publish();
+            Thread.sleep(4_000);
+            load.measureFromHere();
+            Thread.sleep(ms / 2);
+            strike(fleet, load, scenario);
+            Thread.sleep(ms / 2);
+            final History history = load.settle();
+            System.out.println(load.report());
+            history.violations().forEach(v -> System.out.println("VIOLATION " + v));
+            // why: a run in which nothing was done proves nothing
+            final boolean worked = history.accepted() > ms / 1000 * profile.perSecond() / 2 && history.delivered() > history.accepted();
+            System.out.println("fleet: " + scenario + (history.violations().isEmpty() && worked ? " good" : worked ? " BAD" : " DID TOO LITTLE"));
+            return history.violations().isEmpty() && worked;
+        }
+    }
+
+    private static void strike(final Fleet fleet, final Load load, final String scenario) throws Exception {
+        switch (scenario) {
+            case "kill-master" -> {
+                final Fleet.Unit victim = busiest(fleet);
+                final TreeSet<Integer> groups = mastered(fleet, victim);
+                final long at = load.clock();
+                victim.kill();
+                Thread.sleep(5_000);
+                gaps(load, at, groups, "killed");
+                victim.start(false);
+            }
+            case "freeze-master" -> {
+                final Fleet.Unit victim = busiest(fleet);
+                final TreeSet<Integer> groups = mastered(fleet, victim);
+                final long at = load.clock();
+                victim.signal("STOP");
+                Thread.sleep(4_000);
+                victim.signal("CONT");
+                gaps(load, at, groups, "frozen");
+            }
+            case "rolling" -> {
+                for (final Fleet.Unit u : fleet.units().values()) {
+                    u.stop();
+                    u.start(false);
+                    Thread.sleep(4_000);
+                }
+            }
+            case "all-restart" -> {
+                for (final Fleet.Unit u : fleet.units().values()) {
+                    u.kill();
+                }
+                final long at = load.clock();
+                for (final Fleet.Unit u : fleet.units().values()) {
+                    u.start(false);
+                }
+                Thread.sleep(15_000);
+                gaps(load, at, new TreeSet<>(List.of(0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15)), "all restarted");
+            }
+            default -> {
+                // why: steady means that nothing happens
+            }
+        }
+    }
+
+    private static void gaps(final Load load, final long at, final TreeSet<Integer> groups, final String what) {
+        final List<Long> gaps = new ArrayList<>();
+        for (final int g : groups) {
+            gaps.add(load.gapAfter(at, topic -> {
+                final Spec.Space space = new Spec.Space(Spec.spaceOf(topic), 0, topic.startsWith("clues/"), 2);
+                return Placement.groupOf(topic, space, 16) == g;
+            }));
+        }
+        System.out.println(what + ": groups " + groups + ", ms until each accepted again " + gaps);
+    }
+
+    private static Fleet.Unit busiest(final Fleet fleet) throws InterruptedException {
+        Fleet.Unit best = null;
+        int most = -1;
+        for (final Fleet.Unit u : fleet.storages()) {
+            final int n = mastered(fleet, u).size();
+            if (n > most) {
+                most = n;
+                best = u;
+            }
+        }
+        return best;
+    }
+
+    private static TreeSet<Integer> mastered(final Fleet fleet, final Fleet.Unit unit) throws InterruptedException {
+        final TreeSet<Integer> groups = new TreeSet<>();
+        try (var rd = Json.createReader(new StringReader(fleet.get(unit, "/v1/status")))) {
+            for (final JsonValue v : rd.readObject().getJsonArray("groups")) {
+                final JsonObject g = v.asJsonObject();
+                if (g.getString("role").equals("master")) {
+                    groups.add(g.getInt("group"));
+                }
+            }
+        }
+        return groups;
+    }
+}
