--- a/trial/src/main/java/brookpath/trial/fleet/Load.java
+++ b/trial/src/main/java/brookpath/trial/fleet/Load.java
@@ -263,7 +263,7 @@
                     final String sender = obj.getString("sender");
                     final long seq = obj.getJsonNumber("sequence").longValue();
                     history.begunIfNot(now(), listener, topic, position);
-                    history.delivered(now(), listener, topic, position, sender, seq, obj.getString("message"), topic.startsWith("clues/"));
+                    history.delivered(now(), listener, topic, position, sender, seq, obj.getString("message"), topic.startsWith("clues/"), -1);
                     final Long sent = sentAt.get(topic + "|" + sender + "|" + seq);
                     if (sent != null) {
                         delivery.recordValue(Math.min(60_000_000, (at - sent) / 1000));
--- a/trial/src/main/java/brookpath/trial/sim/Callers.java
+++ b/trial/src/main/java/brookpath/trial/sim/Callers.java
@@ -198,6 +198,7 @@
         long cursorAt;
         int front;
         long sessionId;
+        long listeningSince = -1;
 
         Subscriber(final String name, final String key, final List<String> topics) {
             this.name = name;
@@ -209,6 +210,7 @@
         void connect() {
             final Proc p = anyFront();
             front = p.id;
+            listeningSince = -1;
             final long[] mine = new long[1];
             mine[0] = ask(p, i -> new Job.Subscribe(i, key, topics, cursor), r -> {
                 if (r.status() == 200) {
@@ -252,8 +254,11 @@
                 world.history.begunIfNot(world.now(), listener, obj.getString("topic"), obj.getJsonNumber("position").longValue());
                 world.history.delivered(world.now(), listener, obj.getString("topic"), obj.getJsonNumber("position").longValue(),
                         obj.getString("sender"), obj.getJsonNumber("sequence").longValue(), obj.getString("message"),
-                        obj.getString("topic").startsWith("clues/"));
+                        obj.getString("topic").startsWith("clues/"), listeningSince);
             } else {
+                if (listeningSince < 0) {
+                    listeningSince = world.now();
+                }
                 final Map<String, Long> at = new HashMap<>();
                 for (final String part : new String(Base64.getUrlDecoder().decode(cursor), UTF_8).split(",")) {
                     at.put(part.substring(0, part.indexOf('@')), Long.parseLong(part.substring(part.indexOf('@') + 1)));
--- a/trial/src/main/java/brookpath/trial/sim/Day.java
+++ b/trial/src/main/java/brookpath/trial/sim/Day.java
@@ -34,7 +34,7 @@
 
     /** What a day came to. */
     public record Outcome(long seed, List<String> violations, int accepted, int delivered, TreeMap<String, Integer> counts, List<Long> latencies,
-                          List<String> notes, long recoveredMs, long trace) {
+                          List<Long> masterless, List<String> notes, long recoveredMs, long trace) {
         public boolean good() {
             return violations.isEmpty();
         }
@@ -146,7 +146,7 @@
             trace = trace * 31 + note.hashCode();
         }
         return new Outcome(plan.seed, world.history.violations(), world.history.accepted(), world.history.delivered(), world.counts,
-                world.history.latencies(), world.notes(), recovered, trace);
+                world.history.latencies(), world.masterless, world.notes(), recovered, trace);
     }
 
     /** All members of a group hold the same record at the same accepted position. */
--- a/trial/src/main/java/brookpath/trial/sim/Sweep.java
+++ b/trial/src/main/java/brookpath/trial/sim/Sweep.java
@@ -1,6 +1,9 @@
 package brookpath.trial.sim;
 
+import java.util.ArrayList;
+import java.util.Collections;
 import java.util.EnumSet;
+import java.util.List;
 import java.util.stream.LongStream;
 
 /** Runs many seeds outside CI: {@code bin/sweep FIRST COUNT [FAULT,...]}. Exits 1 where a day had a violation. */
@@ -19,9 +22,13 @@
         } else {
             faults.addAll(EnumSet.allOf(Day.Fault.class));
         }
+        final List<Long> gaps = Collections.synchronizedList(new ArrayList<>());
+        final List<Long> latencies = Collections.synchronizedList(new ArrayList<>());
         final long bad = LongStream.range(first, first + count).parallel().filter(seed -> {
             try {
                 final Day.Outcome day = Day.live(Day.Plan.of(seed, faults));
+                gaps.addAll(day.masterless());
+                latencies.addAll(day.latencies());
                 synchronized (Sweep.class) {
                     if (!day.good() || count == 1) {
                         System.out.println(day);
@@ -39,7 +46,18 @@
                 return true;
             }
         }).count();
+        spread("masterless ms", gaps);
+        spread("acceptance-to-delivery ms", latencies);
         System.out.println(count + " seeds, " + bad + " with violations");
         System.exit(bad == 0 ? 0 : 1);
     }
+
+    private static void spread(final String what, final List<Long> values) {
+        Collections.sort(values);
+        if (!values.isEmpty()) {
+            final int n = values.size();
+            System.out.println(what + ": n " + n + " median " + values.get(n / 2) + " p90 " + values.get(n * 9 / 10) + " p99 " + values.get(n * 99 / 100)
+                    + " max " + values.get(n - 1));
+        }
+    }
 }
--- a/trial/src/main/java/brookpath/trial/sim/World.java
+++ b/trial/src/main/java/brookpath/trial/sim/World.java
@@ -37,6 +37,9 @@
     final List<Integer> fronts = new ArrayList<>();
     private final PriorityQueue<Due> queue = new PriorityQueue<>((a, b) -> a.at != b.at ? Long.compare(a.at, b.at) : Long.compare(a.order, b.order));
     private final ArrayDeque<String> notes = new ArrayDeque<>();
+    private final TreeMap<Integer, Long> actedAt = new TreeMap<>();
+    /** How long groups were without an acting master, each time. */
+    public final List<Long> masterless = new ArrayList<>();
     private long now;
     private long order;
 
@@ -146,6 +149,15 @@
                 }
             }
         }
+        acting.keySet().forEach(g -> {
+            final Long since = actedAt.put(g, now);
+            if (since != null && now - since > 5) {
+                masterless.add(now - since);
+                if (now - since > tempo.lease() + 2 * tempo.down()) {
+                    note(0, "group " + g + " had no acting master for " + (now - since) + " ms", false);
+                }
+            }
+        });
         callers.watch();
         at(now + 5, this::watch);
     }
