Fleet smoke, settings and bad-input checks in the test command

Real processes on free ports: kills with -9, resume by cursor on either front, every refusal with its status and place, a malformed frame that ends its session alone. Only safety and status codes are looked at.

--- a/transport/src/main/java/brookpath/transport/http/CommonResource.java
+++ b/transport/src/main/java/brookpath/transport/http/CommonResource.java
@@ -32,4 +32,11 @@
     public CompletionStage<Response> status() {
         return desk.ask(Job.Status::new);
     }
+
+    /** Counters of the wire; they belong to the process rather than to its state. */
+    @GET
+    @Path("/wire")
+    public Response wire() {
+        return Response.ok("{\"malformedFrames\":" + desk.host().wire().malformed() + ",\"bytesOut\":" + desk.host().wire().bytesOut() + "}\n").build();
+    }
 }
--- a/trial/src/main/java/brookpath/trial/fleet/Fleet.java
+++ b/trial/src/main/java/brookpath/trial/fleet/Fleet.java
@@ -4,6 +4,9 @@
 
 import java.io.File;
 import java.io.IOException;
+import java.net.BindException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -12,9 +15,12 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
 
 /** A whole fleet as processes on loopback, each with its settings file and data folder. Stops only what it started. */
 public final class Fleet implements AutoCloseable {
@@ -27,6 +33,7 @@
         public final String zone;
         public final boolean bailiff;
         public final int httpPort;
+        private final int siblingPort;
         private final Path settings;
         private Process process;
 
@@ -34,6 +41,7 @@
             this.node = node;
             this.zone = zone;
             this.httpPort = httpPort;
+            this.siblingPort = siblingPort;
             bailiff = role.equals("bailiff");
             settings = folder.resolve(role + "-" + node + ".json");
             final StringBuilder sb = new StringBuilder("{\"node\":" + node + ",\"zone\":\"" + zone + "\"");
@@ -46,7 +54,7 @@
             }
             sb.append(",\"http\":\"").append(HOST).append(':').append(httpPort).append("\",\"seeds\":[");
             for (int i = 1; i <= 3; i++) {
-                sb.append(i == 1 ? "" : ",").append('"').append(i).append('@').append(HOST).append(':').append(base - 1000 + i).append('"');
+                sb.append(i == 1 ? "" : ",").append('"').append(i).append('@').append(HOST).append(':').append(seedPorts[i]).append('"');
             }
             sb.append(']');
             if (bailiff) {
@@ -58,7 +66,7 @@
         public void start(final boolean found) throws IOException {
             final List<String> cmd = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                     "-Xmx160m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Dslf4j.internal.verbosity=WARN",
-                    "--add-opens", "java.base/jdk.internal.misc=ALL-UNNAMED", "-cp", System.getProperty("java.class.path"),
+                    "--add-opens", "java.base/jdk.internal.misc=ALL-UNNAMED", "-cp", System.getProperty("surefire.test.class.path", System.getProperty("java.class.path")),
                     bailiff ? "brookpath.programs.Bailiff" : "brookpath.programs.Creel", "--settings", settings.toString()));
             if (found) {
                 cmd.add("--found");
@@ -88,6 +96,10 @@
             new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).inheritIO().start().waitFor();
         }
 
+        public int siblingPort() {
+            return siblingPort;
+        }
+
         public String url(final String path) {
             return "http://" + HOST + ":" + httpPort + path;
         }
@@ -95,21 +107,43 @@
 
     private final Path folder;
     private final int base;
+    private final int[] seedPorts = new int[4];
+    private final Set<Integer> taken = new HashSet<>();
     private final Map<Integer, Unit> units = new LinkedHashMap<>();
     private final HttpClient http = HttpClient.newBuilder().connectTimeout(Duration.ofSeconds(1)).build();
 
-    /** @param base HTTP ports begin here, siblings' a thousand below */
+    /** @param base HTTP ports begin here, siblings' a thousand below; 0 takes any that are free */
     public Fleet(final Path folder, final int base, final int fronts) throws IOException {
         this.folder = Files.createDirectories(folder).toAbsolutePath();
         this.base = base;
         for (int i = 1; i <= 3; i++) {
-            units.put(i, new Unit(i, ZONES[i - 1], "bailiff", base - 1000 + i, base + i));
+            seedPorts[i] = port(base - 1000 + i);
+        }
+        for (int i = 1; i <= 3; i++) {
+            units.put(i, new Unit(i, ZONES[i - 1], "bailiff", seedPorts[i], port(base + i)));
         }
         for (int i = 0; i < 4; i++) {
-            units.put(11 + i, new Unit(11 + i, ZONES[i], "storage", base - 1000 + 11 + i, base + 11 + i));
+            units.put(11 + i, new Unit(11 + i, ZONES[i], "storage", port(base - 1000 + 11 + i), port(base + 11 + i)));
         }
         for (int i = 0; i < fronts; i++) {
-            units.put(31 + i, new Unit(31 + i, ZONES[i % 4], "front", 0, base + 31 + i));
+            units.put(31 + i, new Unit(31 + i, ZONES[i % 4], "front", 0, port(base + 31 + i)));
+        }
+    }
+
+    private int port(final int wanted) throws IOException {
+        if (base > 0) {
+            return wanted;
+        }
+        // why: from below the range that the kernel takes for outgoing sessions, so that none of those can sit on it meanwhile
+        while (true) {
+            final int port = ThreadLocalRandom.current().nextInt(12_000, 32_000);
+            try (ServerSocket probe = new ServerSocket(port, 1, InetAddress.getByName(HOST))) {
+                if (taken.add(probe.getLocalPort())) {
+                    return port;
+                }
+            } catch (final BindException ex) {
+                continue;
+            }
         }
     }
 
--- /dev/null
+++ b/trial/src/test/java/brookpath/trial/FleetSmokeTest.java
@@ -0,0 +1,172 @@
+package brookpath.trial;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import brookpath.trial.fleet.Fleet;
+import brookpath.trial.fleet.Fleet.Unit;
+import java.io.OutputStream;
+import java.net.Socket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.net.http.HttpResponse.BodyHandlers;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Iterator;
+import java.util.stream.Stream;
+import org.testng.annotations.AfterClass;
+import org.testng.annotations.BeforeClass;
+import org.testng.annotations.Test;
+
+/** Real processes, real HTTP: safety and status codes only; how long anything takes is not looked at. */
+public final class FleetSmokeTest {
+    private static final int PATIENCE_MS = 120_000;
+    private static final String KEY = "Bearer key-jadran-1";
+    private static final String DOC = "{\"basedOn\":0,\"changeId\":\"first\",\"spaces\":[{\"name\":\"permits\",\"keepingSeconds\":60}],"
+            + "\"tenants\":[{\"name\":\"jadran\",\"spaces\":[\"permits\"],\"keys\":[\"key-jadran-1\"]},"
+            + "{\"name\":\"other\",\"spaces\":[],\"keys\":[\"key-other-1\"]}]}";
+
+    private final HttpClient http = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+    private Fleet fleet;
+
+    @BeforeClass
+    public void start() throws Exception {
+        final Path folder = Files.createTempDirectory("brookpath-smoke");
+        fleet = new Fleet(folder, 0, 2);
+        fleet.start();
+        assertTrue(fleet.awaitReady(PATIENCE_MS), "fleet did not become ready");
+        assertEquals(change(DOC).statusCode(), 200);
+    }
+
+    @AfterClass(alwaysRun = true)
+    public void stop() throws Exception {
+        fleet.close();
+    }
+
+    private HttpResponse<String> change(final String doc) throws Exception {
+        return fleet.post(fleet.units().get(2), "/v1/changes", doc);
+    }
+
+    private HttpResponse<String> publish(final int front, final String topic, final String auth, final String body) throws Exception {
+        return http.send(HttpRequest.newBuilder(URI.create(fleet.fronts().get(front).url("/v1/topics/" + topic + "/messages")))
+                .header("Authorization", auth).POST(HttpRequest.BodyPublishers.ofString(body)).build(), BodyHandlers.ofString());
+    }
+
+    private static String message(final long seq) {
+        return "{\"sender\":\"ana\",\"sequence\":" + seq + ",\"message\":\"no " + seq + "\"}";
+    }
+
+    private Iterator<String> listen(final int front, final String cursor) throws Exception {
+        final HttpResponse<Stream<String>> r = http.send(HttpRequest.newBuilder(URI.create(fleet.fronts().get(front)
+                .url("/v1/stream?topic=permits/north&cursor=" + cursor))).header("Authorization", KEY).build(), BodyHandlers.ofLines());
+        assertEquals(r.statusCode(), 200);
+        return r.body().iterator();
+    }
+
+    private static String nextMessage(final Iterator<String> lines) {
+        String line = lines.next();
+        while (!line.contains("\"type\":\"message\"")) {
+            line = lines.next();
+        }
+        return line;
+    }
+
+    private static String cursor(final String line) {
+        return line.replaceAll(".*\"cursor\":\"([^\"]*)\".*", "$1");
+    }
+
+    @Test
+    public void acceptedMessagesOutliveTheirMaster() throws Exception {
+        final Iterator<String> lines = listen(1, "");
+        final String begin = cursor(lines.next());
+        for (int seq = 1; seq <= 5; seq++) {
+            assertEquals(publish(0, "permits/north", KEY, message(seq)).statusCode(), 200);
+        }
+        String last = "";
+        for (int seq = 1; seq <= 5; seq++) {
+            last = nextMessage(lines);
+            assertTrue(last.contains("\"sequence\":" + seq + ","), last);
+        }
+        final String middle = cursor(last);
+        // why: whoever masters the topic is among them; each in turn is killed with -9 and comes back
+        long seq = 5;
+        for (final Unit u : fleet.storages().subList(0, 2)) {
+            u.kill();
+            seq++;
+            int status = 0;
+            for (int go = 0; go < 600 && status != 200; go++) {
+                status = publish(go % 2, "permits/north", KEY, message(seq)).statusCode();
+                assertTrue(status == 200 || status == 503 || status == 504, "status " + status);
+            }
+            assertEquals(status, 200, "nothing was accepted after a master was killed");
+            u.start(false);
+            assertTrue(fleet.awaitReady(PATIENCE_MS));
+            awaitWhole(u);
+        }
+        final Iterator<String> again = listen(0, begin);
+        for (int n = 1; n <= seq; n++) {
+            final String line = nextMessage(again);
+            assertTrue(line.contains("\"sequence\":" + n + ",") && line.contains("no " + n), line);
+        }
+        final String sixth = nextMessage(listen(1, middle));
+        assertTrue(sixth.contains("\"sequence\":6,"), sixth);
+    }
+
+    /** A machine that came back counts again once it hears a master in each of its groups. */
+    private void awaitWhole(final Unit u) throws Exception {
+        final long end = System.nanoTime() + PATIENCE_MS * 1_000_000L;
+        String status = "";
+        while (System.nanoTime() < end) {
+            status = fleet.get(u, "/v1/status");
+            if (status.contains("\"group\":") && !status.contains("\"master\":0") && !status.contains("\"lost\":true")) {
+                return;
+            }
+        }
+        throw new AssertionError("node " + u.node + " did not come back whole: " + status);
+    }
+
+    @Test
+    public void badInputIsRefusedWithItsPlace() throws Exception {
+        assertEquals(publish(0, "permits/north", "Bearer nobody-knows", message(1)).statusCode(), 401);
+        assertEquals(publish(0, "permits/north", "Bearer key-other-1", message(1)).statusCode(), 403);
+        assertEquals(publish(0, "closures/x", KEY, message(1)).statusCode(), 403);
+        assertEquals(publish(0, "permits/a%20b", KEY, message(1)).statusCode(), 400);
+        assertEquals(publish(0, "permits/x", KEY, "not json").statusCode(), 400);
+        final HttpResponse<String> three = publish(0, "permits/x", KEY, "{\"sender\":\"a b\",\"sequence\":-1,\"massage\":\"\"}");
+        assertEquals(three.statusCode(), 400);
+        for (final String place : new String[] {"/sender", "/sequence", "/massage", "/message"}) {
+            assertTrue(three.body().contains("\"" + place + "\""), three.body());
+        }
+        assertEquals(publish(0, "permits/x", KEY, "{\"sender\":\"a\",\"sequence\":1,\"message\":\"" + "x".repeat(5000) + "\"}").statusCode(), 413);
+        assertEquals(publish(0, "permits/x", KEY, "x".repeat(100_000)).statusCode(), 413);
+        assertEquals(publish(0, "permits/x", KEY, message(9)).statusCode(), 200);
+        assertEquals(publish(1, "permits/x", KEY, message(8)).statusCode(), 409);
+        assertEquals(change("nonsense").statusCode(), 400);
+        assertEquals(change(DOC.replace("first", "stale")).statusCode(), 409);
+        assertEquals(change(DOC).statusCode(), 200, "the same change again");
+        final HttpResponse<String> wrong = change("{\"basedOn\":1,\"changeId\":\"wrong\",\"colour\":1,\"spaces\":[{\"name\":\"a\",\"keepingSeconds\":0,"
+                + "\"replSize\":5},{\"name\":\"a\",\"keepingSeconds\":\"x\"}],\"tenants\":[{\"name\":\"t\",\"spaces\":[\"none\"],\"keys\":[\"key-12345\",\"key-12345\"]}]}");
+        assertEquals(wrong.statusCode(), 422);
+        for (final String place : new String[] {"/colour", "/spaces/0/keepingSeconds", "/spaces/0/replSize", "/spaces/1/name",
+                "/spaces/1/keepingSeconds", "/tenants/0/spaces/0", "/tenants/0/keys/1"}) {
+            assertTrue(wrong.body().contains("\"" + place + "\""), place + " is not in " + wrong.body());
+        }
+        assertTrue(fleet.get(fleet.units().get(3), "/v1/spec").contains("\"version\":1,"));
+    }
+
+    @Test
+    public void aMalformedFrameEndsItsSessionAlone() throws Exception {
+        final Unit u = fleet.storages().get(3);
+        try (Socket s = new Socket(Fleet.HOST, u.siblingPort())) {
+            final OutputStream os = s.getOutputStream();
+            os.write(new byte[] {0, 0, 0, 12, 0, 0, 0, 99, 1, 2, 3, 4, 5, 6, 7, 8});
+            os.flush();
+            assertEquals(s.getInputStream().read(), -1, "the session was not closed");
+        }
+        assertTrue(fleet.get(u, "/v1/wire").contains("\"malformedFrames\":1,"), fleet.get(u, "/v1/wire"));
+        assertFalse(fleet.get(u, "/v1/status").isEmpty());
+    }
+}
