A late reply no longer cuts or extends a log that is not the one it was asked for

The last one was records appended behind a diverged tail by a late reply from an earlier source; records are now matched by (epoch, LSN) from the asked position, and accepted moves only as far as that.

--- a/coordination/src/main/java/brookpath/coordination/group/GroupMachine.java
+++ b/coordination/src/main/java/brookpath/coordination/group/GroupMachine.java
@@ -687,7 +687,7 @@
         // why: only a master that has opened its epoch knows everything that was accepted before it
         final int lead = mayAct(now) ? PullReply.ACTING_MASTER : role == MASTER ? PullReply.MASTER : PullReply.SLAVE;
         if (m.nextLsn() < 0 || prev < baseLsn) {
-            out.send(to, new PullReply(id, groupVersion, epoch, FULL, lead, accepted, 0, image(), List.of()));
+            out.send(to, new PullReply(id, groupVersion, epoch, FULL, lead, accepted, prev, m.prevEpoch(), 0, image(), List.of()));
             return true;
         }
         if (prev > endLsn() || epochAt(prev) != m.prevEpoch()) {
@@ -695,7 +695,7 @@
             while (tryLsn > baseLsn && epochAt(tryLsn) > m.prevEpoch()) {
                 tryLsn--;
             }
-            out.send(to, new PullReply(id, groupVersion, epoch, MISMATCH, lead, accepted, tryLsn, new byte[0], List.of()));
+            out.send(to, new PullReply(id, groupVersion, epoch, MISMATCH, lead, accepted, prev, m.prevEpoch(), tryLsn, new byte[0], List.of()));
             return true;
         }
         final List<Rec> part = new ArrayList<>();
@@ -707,7 +707,7 @@
         if (part.isEmpty() && m.accepted() >= accepted && m.epoch() == epoch) {
             return false;
         }
-        out.send(to, new PullReply(id, groupVersion, epoch, RECORDS, lead, accepted, 0, new byte[0], part));
+        out.send(to, new PullReply(id, groupVersion, epoch, RECORDS, lead, accepted, prev, m.prevEpoch(), 0, new byte[0], part));
         return true;
     }
 
@@ -730,6 +730,13 @@
             out.write(entryOf(W_VOTE).num(epoch).num(0).done());
         }
         pulling = false;
+        // why: a late reply speaks of a log that may have grown since; cutting by it would take back acknowledged records
+        final boolean ofThisLog = wantFull ? m.askedLsn() < 0 : m.askedLsn() == endLsn() && m.askedEpoch() == epochAt(endLsn());
+        if (m.kind() != RECORDS && !ofThisLog) {
+            pull(now);
+            return;
+        }
+        long matched = -1;
         switch (m.kind()) {
             case FULL -> {
                 if (m.image().length == 0 || m.standing() == PullReply.SLAVE && !lost && !wantFull && endLsn() > 0 && accepted > 0) {
@@ -739,6 +746,7 @@
                 syncedLsn = baseLsn;
                 unsynced.clear();
                 wantFull = false;
+                matched = endLsn();
                 unsynced.add(new Unsynced(out.write(entryOf(W_IMAGE).bytes(m.image()).done()), endLsn()));
                 why = "full sync from " + from + " up to " + endLsn();
                 out.note("group " + id + ": " + why);
@@ -759,17 +767,11 @@
                     out.note("group " + id + ": " + why);
                 }
             }
-            default -> {
-                for (final Rec rec : m.recs()) {
-                    if (rec.lsn() == endLsn() + 1) {
-                        store(Rec.wrap(rec.bytes(), now));
-                    }
-                }
-            }
+            default -> matched = take(m, now);
         }
-        if (m.kind() != MISMATCH) {
-            accepted = Math.max(accepted, Math.min(m.accepted(), endLsn()));
-            inSync = endLsn() >= m.accepted();
+        if (m.kind() != MISMATCH && matched >= 0) {
+            accepted = Math.max(accepted, Math.min(m.accepted(), matched));
+            inSync = matched >= m.accepted();
             if (lost && m.standing() == PullReply.ACTING_MASTER && joinTarget < 0) {
                 joinTarget = m.accepted();
             }
@@ -781,6 +783,25 @@
         }
     }
 
+    /** Appends what follows; returns up to where this log is the source's, or -1 where the reply fits another log. */
+    private long take(final PullReply m, final long now) {
+        // why: a late reply may belong to a log that was cut since; what came after the cut must not be called accepted by it
+        if (m.askedLsn() < baseLsn || m.askedLsn() > endLsn() || epochAt(m.askedLsn()) != m.askedEpoch()) {
+            return -1;
+        }
+        long matched = m.askedLsn();
+        for (final Rec rec : m.recs()) {
+            if (rec.lsn() != matched + 1 || rec.lsn() <= endLsn() && epochAt(rec.lsn()) != rec.epoch()) {
+                break;
+            }
+            if (rec.lsn() > endLsn()) {
+                store(Rec.wrap(rec.bytes(), now));
+            }
+            matched = rec.lsn();
+        }
+        return matched;
+    }
+
     private void store(final Rec rec) {
         push(rec);
         unsynced.add(new Unsynced(out.write(entryOf(W_REC).bytes(rec.bytes()).done()), rec.lsn()));
--- a/coordination/src/main/java/brookpath/coordination/message/Msg.java
+++ b/coordination/src/main/java/brookpath/coordination/message/Msg.java
@@ -24,7 +24,8 @@
                 long accepted, boolean lost) implements Msg {
     }
 
-    record PullReply(int group, int groupVersion, long epoch, int kind, int standing, long accepted, long tryLsn,
+    /** The asked LSN and epoch are the end of the log that the pull told of; only to that log do a cut and a full sync apply. */
+    record PullReply(int group, int groupVersion, long epoch, int kind, int standing, long accepted, long askedLsn, long askedEpoch, long tryLsn,
                      byte[] image, List<Rec> recs) implements Msg {
         public static final int RECORDS = 0;
         public static final int MISMATCH = 1;
--- a/protocol/src/main/java/brookpath/protocol/frame/FrameCodec.java
+++ b/protocol/src/main/java/brookpath/protocol/frame/FrameCodec.java
@@ -88,7 +88,7 @@
         } else if (msg instanceof Msg.PullReply m) {
             final PullReplyFrameEncoder e = new PullReplyFrameEncoder().wrapAndApplyHeader(out, 0, headEnc).group(m.group())
                     .groupVersion(m.groupVersion()).epoch(m.epoch()).kind((short) m.kind()).standing((short) m.standing())
-                    .accepted(m.accepted()).tryLsn(m.tryLsn());
+                    .accepted(m.accepted()).askedLsn(m.askedLsn()).askedEpoch(m.askedEpoch()).tryLsn(m.tryLsn());
             final PullReplyFrameEncoder.RecsEncoder g = e.recsCount(m.recs().size());
             m.recs().forEach(r -> g.next().putRec(r.bytes(), 0, r.bytes().length));
             return e.putImage(m.image(), 0, m.image().length).encodedLength();
@@ -188,7 +188,7 @@
                 for (final PullReplyFrameDecoder.RecsDecoder g : d.recs()) {
                     recs.add(rec(data(g.recLength(), g::getRec)));
                 }
-                return new Msg.PullReply(d.group(), d.groupVersion(), d.epoch(), d.kind(), d.standing(), d.accepted(), d.tryLsn(),
+                return new Msg.PullReply(d.group(), d.groupVersion(), d.epoch(), d.kind(), d.standing(), d.accepted(), d.askedLsn(), d.askedEpoch(), d.tryLsn(),
                         data(d.imageLength(), d::getImage), recs);
             }
             case PublishFrameDecoder.TEMPLATE_ID -> {
