Usage: windows closed in the groups' logs, totals in the control log before the platform

Group masters close each window with a record and tell the counts until they are in the control log; the control master totals a window when all groups have closed it or after a third of the recovery bound, logs it, and only then posts it, under an idempotency key.

--- a/coordination/src/main/java/brookpath/coordination/Tempo.java
+++ b/coordination/src/main/java/brookpath/coordination/Tempo.java
@@ -6,9 +6,10 @@
  * @param deliverMs never deliver later than this
  * @param recoverMs never mostly down for longer than this
  * @param changeMs a confirmed change is everywhere within this
+ * @param windowMs the length of a usage window
  */
-public record Tempo(long deliverMs, long recoverMs, long changeMs) {
-    public static final Tempo DEFAULT = new Tempo(2_000, 12_000, 3_000);
+public record Tempo(long deliverMs, long recoverMs, long changeMs, long windowMs) {
+    public static final Tempo DEFAULT = new Tempo(2_000, 12_000, 3_000, 10_000);
 
     /** The sharing-beat's period. */
     public long beat() {
@@ -79,6 +80,11 @@
         return changeMs * 5 / 2;
     }
 
+    /** A window's total waits this long after its end for groups that could not close it. */
+    public long straggle() {
+        return recoverMs / 3;
+    }
+
     public int retryAfterMs() {
         return (int) (2 * beat());
     }
--- a/coordination/src/main/java/brookpath/coordination/action/Action.java
+++ b/coordination/src/main/java/brookpath/coordination/action/Action.java
@@ -31,6 +31,10 @@
     record CloseSession(long sessionId, String why) implements Action {
     }
 
+    /** A post to the platform under an idempotency key; what became of it comes back as a job. */
+    record Post(long jobId, String key, String json) implements Action {
+    }
+
     /** A note for the log ring; a grave one has the ring written out. */
     record Note(boolean grave, String text) implements Action {
     }
--- a/coordination/src/main/java/brookpath/coordination/action/Actions.java
+++ b/coordination/src/main/java/brookpath/coordination/action/Actions.java
@@ -50,6 +50,10 @@
         list.add(new Action.CloseSession(sessionId, why));
     }
 
+    public void post(final long jobId, final String key, final String json) {
+        list.add(new Action.Post(jobId, key, json));
+    }
+
     public void note(final String text) {
         list.add(new Action.Note(false, text));
     }
--- a/coordination/src/main/java/brookpath/coordination/node/BailiffNode.java
+++ b/coordination/src/main/java/brookpath/coordination/node/BailiffNode.java
@@ -22,6 +22,7 @@
 import brookpath.coordination.spec.Roster.GroupInfo;
 import brookpath.coordination.spec.Roster.NodeInfo;
 import brookpath.coordination.spec.SpecReader;
+import brookpath.coordination.topic.TopicState;
 import brookpath.state.record.Pack;
 import brookpath.state.record.Rec;
 import jakarta.json.Json;
@@ -123,6 +124,8 @@
         after(time);
         if (group.mayAct(now)) {
             place(time);
+            total(time);
+            report(time);
         }
         relayed.values().removeIf(r -> {
             if (now >= r.horizon) {
@@ -184,7 +187,9 @@
     @Override
     protected void onJob(final Job job, final Time time) {
         final long now = time.mono();
-        if (job instanceof Job.Status j) {
+        if (job instanceof Job.Posted j) {
+            posted(j, time);
+        } else if (job instanceof Job.Status j) {
             out.respond(j.jobId(), new Response(200, 0, statusJson(time)));
         } else if (job instanceof Job.Ready j) {
             out.respond(j.jobId(), Ready.response(group.masterHeard() != 0, false));
@@ -241,6 +246,8 @@
                 pollers.clear();
                 waitlist.forEach(w -> respond(w.from, w.jobId, lostResponse("change", "the control master stepped down")));
                 waitlist.clear();
+                told.clear();
+                posts.clear();
             }
             return;
         }
@@ -308,6 +315,7 @@
         }
         switch (op.kind()) {
             case "founded" -> founded((int) Pack.reader(op.body()).num(), time);
+            case "usage" -> usage(from, op);
             case "change" -> change(from, op, time);
             case "spec" -> {
                 final SpecAt at = spec();
@@ -319,11 +327,147 @@
                 respond(from, op.jobId(), o == null || o.lsn() > group.accepted() ? new Response(404, 0, "{\"outcome\":\"unknown\"}")
                         : outcome(o, o.status() != 200 || everywhere(o.version(), time.mono())));
             }
+            case "windows" -> respond(from, op.jobId(), new Response(200, 0, windowsJson()));
             case "nodes" -> respond(from, op.jobId(), new Response(200, 0, nodesJson(time.mono())));
             default -> respond(from, op.jobId(), new Response(404, 0, "{}"));
         }
     }
 
+    // ---- usage: the totals of a window go into the log before they go to the platform
+
+    private record Told(long closed, List<TopicState.Count> counts) {
+    }
+
+    private static final class Post {
+        final long window;
+        final ControlState.Used used;
+        int goes;
+        long nextAt;
+        boolean underWay;
+        boolean done;
+        boolean ok;
+
+        Post(final long window, final ControlState.Used used) {
+            this.window = window;
+            this.used = used;
+        }
+    }
+
+    private static final int MAX_GOES = 20;
+    private static final int POSTS_AT_ONCE = 8;
+    private final TreeMap<Integer, Told> told = new TreeMap<>();
+    private final TreeMap<Long, Post> posts = new TreeMap<>();
+
+    private void usage(final int from, final Op op) {
+        final Pack in = Pack.reader(op.body());
+        final int id = (int) in.num();
+        in.num();
+        final long after = in.num();
+        final long closed = in.num();
+        final long included = state().included(id);
+        if (after <= included) {
+            final List<TopicState.Count> counts = new ArrayList<>();
+            for (long n = in.num(); n > 0; n--) {
+                counts.add(new TopicState.Count(in.num(), in.str(), in.num(), in.num()));
+            }
+            told.put(id, new Told(closed, counts));
+        }
+        // why: what is only appended may still be lost, and the group would forget to tell it again
+        respond(from, op.jobId(), new Response(200, 0, ""), Pack.writer().num(group.accepted() >= group.endLsn() ? included : -1).done());
+    }
+
+    private void total(final Time time) {
+        final Roster roster = roster();
+        if (told.isEmpty() || roster.groups().isEmpty()) {
+            return;
+        }
+        final long last = state().lastWindow();
+        final long window = last >= 0 ? last + 1 : told.values().stream().mapToLong(Told::closed).min().orElse(0);
+        boolean all = true;
+        for (final GroupInfo g : roster.groups()) {
+            all &= told.containsKey(g.id()) && told.get(g.id()).closed >= window;
+        }
+        if (!all && time.wall() < (window + 1) * tempo.windowMs() + tempo.straggle()) {
+            return;
+        }
+        final TreeMap<String, long[]> sums = new TreeMap<>();
+        spec().spec().tenants().keySet().forEach(t -> sums.put(t, new long[3]));
+        final TreeMap<Integer, Long> upTo = new TreeMap<>();
+        told.forEach((id, t) -> {
+            final long included = state().included(id);
+            final long through = Math.min(window, t.closed);
+            for (final TopicState.Count c : t.counts) {
+                if (c.window() > included && c.window() <= through) {
+                    final long[] sum = sums.computeIfAbsent(c.tenant(), k -> new long[3]);
+                    sum[0] += c.publishes();
+                    sum[1] += c.bytes();
+                    sum[2] |= c.window() < window && last >= 0 ? 1 : 0;
+                }
+            }
+            if (through > included) {
+                upTo.put(id, through);
+            }
+        });
+        final List<ControlState.Used> used = new ArrayList<>();
+        sums.forEach((tenant, n) -> used.add(new ControlState.Used(tenant, n[0], n[1], n[2] == 1)));
+        group.append(Rec.CONTROL, ControlState.usageBody(window, used, upTo), time.mono(), time.wall());
+    }
+
+    private void report(final Time time) {
+        final long now = time.mono();
+        for (final ControlState.Window w : state().untold(group.accepted())) {
+            if (posts.values().stream().noneMatch(p -> p.window == w.window())) {
+                w.used().forEach(u -> posts.put(++ids, new Post(w.window(), u)));
+                if (w.used().isEmpty()) {
+                    group.append(Rec.CONTROL, ControlState.deliveredBody(w.window(), true), now, time.wall());
+                }
+            }
+        }
+        int underWay = (int) posts.values().stream().filter(p -> p.underWay).count();
+        for (final java.util.Map.Entry<Long, Post> e : posts.entrySet()) {
+            final Post p = e.getValue();
+            if (underWay < POSTS_AT_ONCE && !p.underWay && !p.done && now >= p.nextAt) {
+                underWay++;
+                p.underWay = true;
+                p.goes++;
+                out.post(e.getKey(), p.used.tenant() + "/" + p.window, Json.createObjectBuilder().add("tenant", p.used.tenant())
+                        .add("windowStartMs", p.window * tempo.windowMs()).add("windowEndMs", (p.window + 1) * tempo.windowMs())
+                        .add("publishes", p.used.publishes()).add("bytes", p.used.bytes()).add("late", p.used.late()).build().toString());
+            }
+        }
+    }
+
+    private void posted(final Job.Posted j, final Time time) {
+        final Post p = posts.get(j.jobId());
+        if (p == null || !group.mayAct(time.mono())) {
+            return;
+        }
+        p.underWay = false;
+        p.ok = j.status() / 100 == 2 || j.status() == 409;
+        p.done = p.ok || p.goes >= MAX_GOES;
+        p.nextAt = time.mono() + Math.min(tempo.recoverMs(), tempo.down() << Math.min(p.goes, 6));
+        final List<Post> same = posts.values().stream().filter(q -> q.window == p.window).toList();
+        if (same.stream().allMatch(q -> q.done)) {
+            posts.values().removeAll(same);
+            group.append(Rec.CONTROL, ControlState.deliveredBody(p.window, same.stream().allMatch(q -> q.ok)), time.mono(), time.wall());
+        }
+    }
+
+    private String windowsJson() {
+        final JsonArrayBuilder arr = Json.createArrayBuilder();
+        for (final ControlState.Window w : state().windows()) {
+            if (w.lsn() <= group.accepted()) {
+                final JsonArrayBuilder used = Json.createArrayBuilder();
+                w.used().forEach(u -> used.add(Json.createObjectBuilder().add("tenant", u.tenant()).add("publishes", u.publishes())
+                        .add("bytes", u.bytes()).add("late", u.late())));
+                final Boolean was = state().told(w.window());
+                arr.add(Json.createObjectBuilder().add("windowStartMs", w.window() * tempo.windowMs())
+                        .add("platform", was == null ? "on its way" : was ? "told" : "given up").add("tenants", used));
+            }
+        }
+        return Json.createObjectBuilder().add("windowMs", tempo.windowMs()).add("windows", arr).build().toString();
+    }
+
     private void change(final int from, final Op op, final Time time) {
         final long now = time.mono();
         if (op.body().length > SpecReader.MAX_BYTES) {
@@ -393,6 +537,10 @@
 
     // ---- responses
 
+    private void respond(final int from, final long jobId, final Response r, final byte[] body) {
+        out.send(from, new OpReply(jobId, r.status(), r.retryAfterMs(), body));
+    }
+
     private void respond(final int from, final long jobId, final Response r) {
         if (from == self) {
             out.respond(jobId, r);
--- a/coordination/src/main/java/brookpath/coordination/node/Job.java
+++ b/coordination/src/main/java/brookpath/coordination/node/Job.java
@@ -26,6 +26,10 @@
     record Drain(long jobId, boolean on) implements Job {
     }
 
+    /** What became of a post to the platform; status 0 where there was no response. */
+    record Posted(long jobId, int status) implements Job {
+    }
+
     /** An operator's job for the control master: change, spec, outcome, nodes. */
     record Operate(long jobId, String kind, byte[] body) implements Job {
     }
--- a/coordination/src/main/java/brookpath/coordination/node/StorageNode.java
+++ b/coordination/src/main/java/brookpath/coordination/node/StorageNode.java
@@ -62,6 +62,8 @@
     private final TreeMap<Integer, TreeMap<Integer, HeldFetch>> held = new TreeMap<>();
     private final TreeMap<Integer, TreeMap<Integer, Listeners>> listeners = new TreeMap<>();
     private final TreeMap<Integer, Long> toldFounded = new TreeMap<>();
+    private final TreeMap<Integer, Long> toldUsage = new TreeMap<>();
+    private final TreeMap<Integer, Long> counted = new TreeMap<>();
 
     public StorageNode(final int self, final String zone, final String address, final List<Integer> seeds, final Tempo tempo,
                        final int toleratedLosses, final long seed, final long rollBytes) {
@@ -82,7 +84,7 @@
 
     private GroupMachine open(final int id) {
         return groups.computeIfAbsent(id, k -> new GroupMachine(id, self, tempo, toleratedLosses, seed,
-                () -> new TopicState(this::keepMs), out));
+                () -> new TopicState(this::keepMs, tempo.windowMs()), out));
     }
 
     private long keepMs(final String topic) {
@@ -108,6 +110,8 @@
             g.tick(now, table);
             after(g, now);
             tellFounded(g, now);
+            closeWindow(g, time);
+            tellUsage(g, now);
         }
         if (out.bytesSinceRoll() > rollBytes) {
             roll();
@@ -128,6 +132,32 @@
         }
     }
 
+    /** Once the clock has passed a window's end, a record says that nothing more goes into it. */
+    private void closeWindow(final GroupMachine g, final Time time) {
+        final long ended = (time.wall() - tempo.beat()) / tempo.windowMs() - 1;
+        if (((TopicState) g.live()).closed(Long.MAX_VALUE) < ended && g.mayAct(time.mono())) {
+            g.append(Rec.CLOSE, Pack.writer().num(ended).done(), time.mono(), time.wall());
+        }
+    }
+
+    /** The master tells its closed windows' counts until the control master has them in its log. */
+    private void tellUsage(final GroupMachine g, final long now) {
+        if (!g.mayAct(now) || now - toldUsage.getOrDefault(g.id(), now - tempo.changeMs()) < tempo.down()) {
+            return;
+        }
+        final TopicState state = (TopicState) g.live();
+        final long closed = state.closed(g.accepted());
+        final long included = counted.getOrDefault(g.id(), -1L);
+        if (closed <= included) {
+            return;
+        }
+        toldUsage.put(g.id(), now);
+        final List<TopicState.Count> counts = state.counts(included, closed);
+        final Pack pack = Pack.writer().num(g.id()).num(g.epoch()).num(included).num(closed).num(counts.size());
+        counts.forEach(c -> pack.num(c.window()).str(c.tenant()).num(c.publishes()).num(c.bytes()));
+        out.send(client.controlMaster(), new Op(g.id() + 1L, "usage", pack.done()));
+    }
+
     private GroupInfo info(final int group) {
         for (final GroupInfo g : client.roster().groups()) {
             if (g.id() == group) {
@@ -152,6 +182,10 @@
             toGroup(m.group(), from, msg, now);
         } else if (msg instanceof Msg.PullReply m) {
             toGroup(m.group(), from, msg, now);
+        } else if (msg instanceof Msg.OpReply m) {
+            if (m.status() == 200) {
+                counted.put((int) m.jobId() - 1, Pack.reader(m.body()).num());
+            }
         } else if (msg instanceof Publish m) {
             publish(from, m, time);
         } else if (msg instanceof Fetch m) {
--- a/coordination/src/main/java/brookpath/coordination/spec/ControlState.java
+++ b/coordination/src/main/java/brookpath/coordination/spec/ControlState.java
@@ -7,12 +7,16 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
 
 /** What follows from the control log: the specs, the rosters, and the outcome of each change. */
 public final class ControlState implements LogState {
     public static final int SPEC = 1;
     public static final int REFUSAL = 2;
     public static final int ROSTER = 3;
+    public static final int USAGE = 4;
+    public static final int DELIVERED = 5;
+    private static final int KEPT_WINDOWS = 360;
     private static final int KEPT_VERSIONS = 16;
     private static final int KEPT_OUTCOMES = 4096;
     private static final long KEEP_MS = 60_000;
@@ -27,6 +31,16 @@
     public record Outcome(long lsn, String changeId, long sum, int status, long version, String body) {
     }
 
+    /** A tenant's part of a window's total. @param late counts from earlier windows among it */
+    public record Used(String tenant, long publishes, long bytes, boolean late) {
+    }
+
+    public record Window(long lsn, long window, List<Used> used) {
+    }
+
+    private final TreeMap<Long, Window> windows = new TreeMap<>();
+    private final TreeMap<Long, Boolean> settled = new TreeMap<>();
+    private final TreeMap<Integer, Long> included = new TreeMap<>();
     private final List<SpecAt> specs = new ArrayList<>();
     private final List<RosterAt> rosters = new ArrayList<>();
     private final Map<String, Outcome> outcomes = new LinkedHashMap<>();
@@ -43,6 +57,63 @@
         return Pack.writer().num(ROSTER).bytes(roster.save()).done();
     }
 
+    /** @param upTo per group, through which of its windows it is counted from now on */
+    public static byte[] usageBody(final long window, final List<Used> used, final Map<Integer, Long> upTo) {
+        final Pack pack = Pack.writer().num(USAGE);
+        packWindow(pack, new Window(0, window, used));
+        pack.num(upTo.size());
+        upTo.forEach((g, w) -> pack.num(g).num(w));
+        return pack.done();
+    }
+
+    public static byte[] deliveredBody(final long window, final boolean delivered) {
+        return Pack.writer().num(DELIVERED).num(window).num(delivered ? 1 : 0).done();
+    }
+
+    private static void packWindow(final Pack pack, final Window w) {
+        pack.num(w.window).num(w.used.size());
+        w.used.forEach(u -> pack.str(u.tenant).num(u.publishes).num(u.bytes).num(u.late ? 1 : 0));
+    }
+
+    private static Window unpackWindow(final long lsn, final Pack in) {
+        final long window = in.num();
+        final List<Used> used = new ArrayList<>();
+        for (long n = in.num(); n > 0; n--) {
+            used.add(new Used(in.str(), in.num(), in.num(), in.num() == 1));
+        }
+        return new Window(lsn, window, List.copyOf(used));
+    }
+
+    private void addWindow(final Window w) {
+        windows.put(w.window, w);
+        if (windows.size() > KEPT_WINDOWS) {
+            settled.remove(windows.pollFirstEntry().getKey());
+        }
+    }
+
+    /** The newest window that has a total, -1 for none. */
+    public long lastWindow() {
+        return windows.isEmpty() ? -1 : windows.lastKey();
+    }
+
+    public long included(final int group) {
+        return included.getOrDefault(group, -1L);
+    }
+
+    /** Windows of which the platform has not been told yet. */
+    public List<Window> untold(final long position) {
+        return windows.values().stream().filter(w -> w.lsn <= position && !settled.containsKey(w.window)).toList();
+    }
+
+    public Iterable<Window> windows() {
+        return windows.values();
+    }
+
+    /** Null while it is on its way, false where it was given up. */
+    public Boolean told(final long window) {
+        return settled.get(window);
+    }
+
     @Override
     public void apply(final Rec rec) {
         if (rec.kind() != Rec.CONTROL) {
@@ -60,6 +131,13 @@
             }
             case REFUSAL -> addOutcome(new Outcome(rec.lsn(), in.str(), in.num(), (int) in.num(), in.num(), in.str()));
             case ROSTER -> addRoster(rec.lsn(), Roster.load(in.bytes()));
+            case USAGE -> {
+                addWindow(unpackWindow(rec.lsn(), in));
+                for (long n = in.num(); n > 0; n--) {
+                    included.put((int) in.num(), in.num());
+                }
+            }
+            case DELIVERED -> settled.put(in.num(), in.num() == 1);
             default -> throw new IllegalStateException("unknown control record at " + rec.lsn());
         }
     }
@@ -123,6 +201,12 @@
         specs.forEach(s -> pack.num(s.lsn).num(s.version).bytes(s.doc));
         pack.num(rosters.size());
         rosters.forEach(r -> pack.num(r.lsn).bytes(r.roster.save()));
+        pack.num(windows.size());
+        windows.values().forEach(w -> packWindow(pack.num(w.lsn), w));
+        pack.num(settled.size());
+        settled.forEach((w, told) -> pack.num(w).num(told ? 1 : 0));
+        pack.num(included.size());
+        included.forEach((g, w) -> pack.num(g).num(w));
         pack.num(outcomes.size());
         outcomes.values().forEach(o -> pack.num(o.lsn).str(o.changeId).num(o.sum).num(o.status).num(o.version).str(o.body));
         return pack.done();
@@ -137,6 +221,15 @@
         for (long n = in.num(); n > 0; n--) {
             addRoster(in.num(), Roster.load(in.bytes()));
         }
+        for (long n = in.num(); n > 0; n--) {
+            addWindow(unpackWindow(in.num(), in));
+        }
+        for (long n = in.num(); n > 0; n--) {
+            settled.put(in.num(), in.num() == 1);
+        }
+        for (long n = in.num(); n > 0; n--) {
+            included.put((int) in.num(), in.num());
+        }
         for (long n = in.num(); n > 0; n--) {
             addOutcome(new Outcome(in.num(), in.str(), in.num(), (int) in.num(), in.num(), in.str()));
         }
--- a/coordination/src/main/java/brookpath/coordination/topic/TopicState.java
+++ b/coordination/src/main/java/brookpath/coordination/topic/TopicState.java
@@ -1,10 +1,14 @@
 package brookpath.coordination.topic;
 
+import static java.nio.charset.StandardCharsets.UTF_8;
+
 import brookpath.coordination.group.LogState;
 import brookpath.state.record.Pack;
 import brookpath.state.record.Rec;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Iterator;
+import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.function.ToLongFunction;
@@ -26,11 +30,49 @@
         final TreeMap<String, Sender> senders = new TreeMap<>();
     }
 
+    private static final int KEPT_WINDOWS = 360;
+
+    /** What a tenant had accepted in a window. */
+    public record Count(long window, String tenant, long publishes, long bytes) {
+    }
+
     private final ToLongFunction<String> keeping;
+    private final long windowMs;
     private final TreeMap<String, Line> lines = new TreeMap<>();
+    private final TreeMap<Long, TreeMap<String, long[]>> usage = new TreeMap<>();
+    private final TreeMap<Long, Long> closedAt = new TreeMap<>();
 
-    public TopicState(final ToLongFunction<String> keeping) {
+    public TopicState(final ToLongFunction<String> keeping, final long windowMs) {
         this.keeping = keeping;
+        this.windowMs = windowMs;
+    }
+
+    /** The newest window whose closing record lies at or before the position; -1 for none. */
+    public long closed(final long position) {
+        long window = -1;
+        for (final Map.Entry<Long, Long> e : closedAt.entrySet()) {
+            window = e.getValue() <= position ? e.getKey() : window;
+        }
+        return window;
+    }
+
+    /** The counts of the windows after one, up to another. */
+    public List<Count> counts(final long after, final long upTo) {
+        final List<Count> list = new ArrayList<>();
+        usage.subMap(after, false, upTo, true).forEach((w, byTenant) ->
+                byTenant.forEach((t, n) -> list.add(new Count(w, t, n[0], n[1]))));
+        return list;
+    }
+
+    private void use(final long window, final String tenant, final long publishes, final long bytes) {
+        final long[] n = usage.computeIfAbsent(window, k -> new TreeMap<>()).computeIfAbsent(tenant, k -> new long[2]);
+        n[0] += publishes;
+        n[1] += bytes;
+        if (usage.size() > KEPT_WINDOWS) {
+            // why: nothing may go uncounted however long the control plane is away; the oldest are counted with the next
+            final Map.Entry<Long, TreeMap<String, long[]>> oldest = usage.pollFirstEntry();
+            oldest.getValue().forEach((t, v) -> use(usage.firstKey(), t, v[0], v[1]));
+        }
     }
 
     /** The position of a repeat, NEW, or TOO_LOW for a sequence below the last that was not seen. */
@@ -56,9 +98,17 @@
 
     @Override
     public void apply(final Rec rec) {
+        if (rec.kind() == Rec.CLOSE) {
+            closedAt.put(Pack.reader(rec.body()).num(), rec.lsn());
+            if (closedAt.size() > KEPT_WINDOWS) {
+                closedAt.pollFirstEntry();
+            }
+        }
         if (rec.kind() != Rec.PUBLISH) {
             return;
         }
+        // why: what a master with a slow clock stamps after a window was closed belongs to the next
+        use(Math.max(rec.stamp() / windowMs, closedAt.isEmpty() ? 0 : closedAt.lastKey() + 1), rec.tenant(), 1, rec.text().getBytes(UTF_8).length);
         final Sender snd = lines.computeIfAbsent(rec.topic(), k -> new Line()).senders.computeIfAbsent(rec.sender(), k -> new Sender());
         snd.last = rec.seq();
         snd.recent.addLast(new long[] {rec.seq(), rec.lsn()});
@@ -92,12 +142,21 @@
                 }
             }
         }
+        pack.num(usage.size());
+        usage.forEach((w, byTenant) -> {
+            pack.num(w).num(byTenant.size());
+            byTenant.forEach((t, n) -> pack.str(t).num(n[0]).num(n[1]));
+        });
+        pack.num(closedAt.size());
+        closedAt.forEach((w, lsn) -> pack.num(w).num(lsn));
         return pack.done();
     }
 
     @Override
     public void load(final byte[] saved) {
         lines.clear();
+        usage.clear();
+        closedAt.clear();
         final Pack in = Pack.reader(saved);
         for (long n = in.num(); n > 0; n--) {
             final Line line = new Line();
@@ -112,5 +171,14 @@
                 }
             }
         }
+        for (long n = in.num(); n > 0; n--) {
+            final long window = in.num();
+            for (long t = in.num(); t > 0; t--) {
+                use(window, in.str(), in.num(), in.num());
+            }
+        }
+        for (long n = in.num(); n > 0; n--) {
+            closedAt.put(in.num(), in.num());
+        }
     }
 }
--- a/programs/src/main/java/brookpath/programs/boot/Boot.java
+++ b/programs/src/main/java/brookpath/programs/boot/Boot.java
@@ -20,6 +20,7 @@
 import brookpath.transport.http.Desk;
 import brookpath.transport.http.FrontResource;
 import brookpath.transport.http.OperatorResource;
+import brookpath.transport.http.PlatformPoster;
 import brookpath.transport.log.RingWriter;
 import brookpath.transport.loop.Host;
 import com.google.inject.AbstractModule;
@@ -160,7 +161,8 @@
         Host host(final Node node, final Recovered recovered) {
             final SpecClient client = node instanceof FrontNode f ? f.client() : node instanceof StorageNode n ? n.client() : null;
             return new Host(node, s.node(), s.tempo(), recovered.spool, n -> addresses(client),
-                    () -> client == null ? Long.MAX_VALUE : client.leaseUntil(), () -> Runtime.getRuntime().halt(1));
+                    () -> client == null ? Long.MAX_VALUE : client.leaseUntil(), new PlatformPoster(s.platform(), s.tempo().deliverMs()),
+                    () -> Runtime.getRuntime().halt(1));
         }
 
         private Map<Integer, String> addresses(final SpecClient client) {
--- a/programs/src/main/java/brookpath/programs/settings/SettingsReader.java
+++ b/programs/src/main/java/brookpath/programs/settings/SettingsReader.java
@@ -86,7 +86,7 @@
             }
         }
         for (final String field : file.keySet()) {
-            if (!BOTH.contains(field) && !(bailiff && field.equals("founding"))) {
+            if (!BOTH.contains(field) && !(bailiff && Set.of("founding", "platform").contains(field))) {
                 findings.add(new Finding("/" + field, "unknown field"));
             }
         }
@@ -107,10 +107,11 @@
         if (!bailiff && seeds.containsKey(node)) {
             findings.add(new Finding(place("node"), "node " + node + " is one of the seeds"));
         }
-        final JsonObject bounds = object("bounds", Set.of("deliverMs", "recoverMs", "changeMs"));
+        final JsonObject bounds = object("bounds", Set.of("deliverMs", "recoverMs", "changeMs", "windowMs"));
         final Tempo tempo = new Tempo(num(bounds, "/bounds", "deliverMs", 400, 60_000, Tempo.DEFAULT.deliverMs()),
                 num(bounds, "/bounds", "recoverMs", 1_000, 600_000, Tempo.DEFAULT.recoverMs()),
-                num(bounds, "/bounds", "changeMs", 600, 60_000, Tempo.DEFAULT.changeMs()));
+                num(bounds, "/bounds", "changeMs", 600, 60_000, Tempo.DEFAULT.changeMs()),
+                num(bounds, "/bounds", "windowMs", 1_000, 3_600_000, Tempo.DEFAULT.windowMs()));
         // why: the control plane's own failover must fit well inside the lease that it grants
         if (tempo.down() + 2 * tempo.goHorizon() + tempo.specHold() > tempo.specLease()) {
             findings.add(new Finding("/bounds/changeMs", "too short beside deliverMs: a change of control master would outlast the spec lease"));
@@ -123,7 +124,15 @@
         }
         return new Settings(node, zone, role, siblings, http, seeds, data, tempo,
                 (int) num(file, "", "toleratedLosses", 0, 3, 1L), (int) num(founding, "/founding", "groups", 1, 256, 16L), copies, storages,
-                num(file, "", "segmentBytes", 1 << 16, 1 << 30, 8L << 20), cl.hasOption("found"));
+                num(file, "", "segmentBytes", 1 << 16, 1 << 30, 8L << 20), cl.hasOption("found"), platform());
+    }
+
+    private String platform() {
+        final String v = text("platform", "");
+        if (!v.isEmpty() && !v.matches("http://[^/]+:[0-9]{1,5}(/.*)?")) {
+            findings.add(new Finding(place("platform"), "must be http://host:port/path"));
+        }
+        return v;
     }
 
     private Map<Integer, String> seeds() {
--- a/state/src/main/java/brookpath/state/record/Rec.java
+++ b/state/src/main/java/brookpath/state/record/Rec.java
@@ -12,6 +12,8 @@
     public static final int OPEN = 1;
     public static final int PUBLISH = 2;
     public static final int CONTROL = 3;
+    /** Closes a usage window of its group. */
+    public static final int CLOSE = 4;
     private static final int LSN = 0;
     private static final int EPOCH = 8;
     private static final int STAMP = 16;
--- a/transport/src/main/java/brookpath/transport/http/OperatorResource.java
+++ b/transport/src/main/java/brookpath/transport/http/OperatorResource.java
@@ -46,6 +46,12 @@
         return operate("spec", new byte[0]);
     }
 
+    @GET
+    @Path("/usage")
+    public CompletionStage<Response> usage() {
+        return operate("windows", new byte[0]);
+    }
+
     @GET
     @Path("/nodes")
     public CompletionStage<Response> nodes() {
--- a/transport/src/main/java/brookpath/transport/loop/Host.java
+++ b/transport/src/main/java/brookpath/transport/loop/Host.java
@@ -41,6 +41,11 @@
         List<Action> on(Node node, Time time);
     }
 
+    /** Sends a usage report to the platform; nothing waits for it. */
+    public interface Poster {
+        CompletableFuture<Integer> accept(Action.Post post);
+    }
+
     /** A listening session's end on the traffic side. */
     public interface Sink {
         /** False when its waitlist is full. */
@@ -54,6 +59,7 @@
     private final Spool spool;
     private final Wire wire;
     private final Runnable fatal;
+    private final Poster poster;
     private final BlockingQueue<Event> events = new LinkedBlockingQueue<>();
     private final BlockingQueue<Action> writes = new LinkedBlockingQueue<>();
     private final BlockingQueue<Heard> beatInbox = new LinkedBlockingQueue<>();
@@ -79,13 +85,14 @@
      * @param leaseUntil until when lines may be delivered
      */
     public Host(final Node node, final int self, final Tempo tempo, final Spool spool, final Function<Node, Map<Integer, String>> addresses,
-                final LongSupplier leaseUntil, final Runnable fatal) {
+                final LongSupplier leaseUntil, final Poster poster, final Runnable fatal) {
         this.node = node;
         this.tempo = tempo;
         this.spool = spool;
         this.addresses = addresses;
         this.leaseUntil = leaseUntil;
         this.fatal = fatal;
+        this.poster = poster;
         // why: never the same as in a former life of this process
         jobIds = new AtomicLong(System.currentTimeMillis() << 16);
         wire = new Wire(self, this, tempo.beat() / 2);
@@ -214,6 +221,9 @@
                     sink.close("too slow: the waitlist is full");
                     unsubscribe(a.sessionId());
                 }
+            } else if (action instanceof Action.Post a) {
+                poster.accept(a).whenComplete((status, ex) ->
+                        events.add((n, time) -> n.job(new Job.Posted(a.jobId(), ex == null ? status : 0), time)));
             } else if (action instanceof Action.CloseSession a) {
                 final Sink sink = sinks.remove(a.sessionId());
                 if (sink != null) {
--- a/trial/src/main/java/brookpath/trial/mutate/Mutants.java
+++ b/trial/src/main/java/brookpath/trial/mutate/Mutants.java
@@ -39,7 +39,7 @@
             }
         }
         // why: a check that is red without a mutant says nothing of mutants
-        final String whole = run(Files.createTempDirectory("whole"), System.getProperty("java.class.path"), "java.lang.AssertionError",
+        final String whole = run(Files.createTempDirectory("whole"), System.getProperty("java.class.path"), "AssertionError",
                 "org.testng.TestNG", "-usedefaultlisteners", "false", "-verbose", "2", "-testclass", "brookpath.trial.sim.ScenesTest");
         if (whole != null) {
             System.err.println("mutants: the scenes are red without any mutant: " + whole);
@@ -82,11 +82,15 @@
             throw new IllegalStateException(m.name + ": does not compile");
         }
         final String mutatedCp = out + File.pathSeparator + cp;
-        String seen = run(work, mutatedCp, "java.lang.AssertionError", "org.testng.TestNG", "-usedefaultlisteners", "false", "-verbose", "2",
+        String seen = run(work, mutatedCp, "AssertionError", "org.testng.TestNG", "-usedefaultlisteners", "false", "-verbose", "2",
                 "-d", work.resolve("testng").toString(), "-testclass", "brookpath.trial.sim.ScenesTest");
         if (seen != null) {
             return "| " + m.name + " | scene | " + seen + " |";
         }
+        seen = run(work, mutatedCp, "^  [0-9]+:.*", "brookpath.trial.sim.GroupFuzz", "1", "120");
+        if (seen != null) {
+            return "| " + m.name + " | group fuzz | " + seen + " |";
+        }
         seen = run(work, mutatedCp, "^(  [0-9]+:|seed [0-9]+: java).*", "brookpath.trial.sim.Sweep", "1", seeds, m.faults);
         return seen != null ? "| " + m.name + " | sweep " + m.faults + " | " + seen + " |" : "| " + m.name + " | NOT SEEN | |";
     }
@@ -111,6 +115,6 @@
                 return text.substring(0, Math.min(110, text.length()));
             }
         }
-        return "exit " + p.exitValue();
+        return "a scene failed";
     }
 }
--- a/trial/src/main/java/brookpath/trial/oracle/History.java
+++ b/trial/src/main/java/brookpath/trial/oracle/History.java
@@ -202,6 +202,36 @@
         }
     }
 
+    // ---- usage
+
+    private final Map<String, String> reports = new HashMap<>();
+    private final TreeMap<String, Long> reported = new TreeMap<>();
+
+    /** A report as the platform got it. Again under the same key it must say the same. */
+    public void reported(final long now, final String tenant, final long window, final long publishes, final long bytes) {
+        final String numbers = publishes + "/" + bytes;
+        final String other = reports.putIfAbsent(tenant + "/" + window, numbers);
+        if (other == null) {
+            reported.merge(tenant, publishes, Long::sum);
+        } else if (!other.equals(numbers)) {
+            violation(now, "tenant " + tenant + " window " + window + " was reported as " + other + " and as " + numbers);
+        }
+    }
+
+    public int reports() {
+        return reports.size();
+    }
+
+    /** In the end each accepted message is counted once, and at most those that may be in a log besides. */
+    public void settleUsage(final long now, final String tenant, final java.util.function.Predicate<Sent> of) {
+        final long sure = sent.values().stream().filter(s -> of.test(s) && s.acceptedAt >= 0).count();
+        final long perhaps = sent.values().stream().filter(s -> of.test(s) && (s.acceptedAt >= 0 || s.maybeAppended)).count();
+        final long counted = reported.getOrDefault(tenant, 0L);
+        if (counted < sure || counted > perhaps) {
+            violation(now, "tenant " + tenant + " was reported " + counted + " publishes, had " + sure + " accepted and at most " + perhaps + " in the logs");
+        }
+    }
+
     // ---- specs
 
     public void confirmed(final long now, final long version, final String changeId) {
--- a/trial/src/main/java/brookpath/trial/sim/Day.java
+++ b/trial/src/main/java/brookpath/trial/sim/Day.java
@@ -18,7 +18,7 @@
 
     /** What may go wrong in a day. */
     public enum Fault {
-        KILL, POWER, FREEZE, CUT, ONE_WAY, LOSS, SLOW_DISK, SYNC_FAILS, DISK_LOST, CORRUPT, CLOCK, RESETS, ROLLING, OWNER_DIES, SLOW_NET, BLACKOUT
+        KILL, POWER, FREEZE, CUT, ONE_WAY, LOSS, SLOW_DISK, SYNC_FAILS, DISK_LOST, CORRUPT, CLOCK, RESETS, ROLLING, OWNER_DIES, SLOW_NET, BLACKOUT, PLATFORM
     }
 
     /** @param lastFault whether the day ends on a failure */
@@ -141,6 +141,9 @@
             world.history.violation(world.now(), "newest spec could not be read");
         }
         sameLogs();
+        // why: a machine whose clock was a minute ahead has closed windows that others reach a minute later
+        world.run(world.now() + (plan.faults.contains(Fault.CLOCK) ? 90_000 : 5_000));
+        world.platform.settle();
         long trace = 17;
         for (final String note : world.notes()) {
             trace = trace * 31 + note.hashCode();
@@ -274,6 +277,10 @@
                     back(each, 200 + world.rnd.nextInt(1_500));
                 }
             }
+            case PLATFORM -> {
+                world.count("platform troubles");
+                world.platform.trouble(span * 2);
+            }
             case RESETS -> world.callers.resetAll();
             case ROLLING -> {
                 world.count("rolling restarts");
--- a/trial/src/main/java/brookpath/trial/sim/Proc.java
+++ b/trial/src/main/java/brookpath/trial/sim/Proc.java
@@ -192,6 +192,8 @@
                 world.callers.respond(this, a.jobId(), a.response());
             } else if (action instanceof Action.Deliver a) {
                 world.callers.deliver(this, a.sessionId(), a.line());
+            } else if (action instanceof Action.Post a) {
+                world.platform.post(this, a);
             } else if (action instanceof Action.CloseSession a) {
                 world.callers.closed(this, a.sessionId(), a.why());
             } else if (action instanceof Action.Note a) {
--- a/trial/src/main/java/brookpath/trial/sim/World.java
+++ b/trial/src/main/java/brookpath/trial/sim/World.java
@@ -32,6 +32,7 @@
     public final EnumSet<Mutation> mutations;
     final Net net = new Net(this);
     final Callers callers;
+    public final Platform platform = new Platform(this);
     final List<Integer> bailiffs = new ArrayList<>();
     final List<Integer> storages = new ArrayList<>();
     final List<Integer> fronts = new ArrayList<>();
