clue: explains why a publish, a subscription or a change goes where it goes

Publishes that were not accepted leave a line in the ring. Tried on a fleet: a reachable set, one process missing (exit 1, the rest told), wrong arguments (exit 2).

--- a/coordination/src/main/java/brookpath/coordination/node/FrontNode.java
+++ b/coordination/src/main/java/brookpath/coordination/node/FrontNode.java
@@ -263,6 +263,8 @@
             }
             counts.put(++ids, new CountJob(j.jobId(), path.node(), now + tempo.ferryHorizon(), leaveOut(j)));
             out.send(path.node(), new CountAsk(ids, path.group(), j.topic()));
+        } else if (job instanceof Job.Explain j) {
+            out.respond(j.jobId(), new Response(200, 0, explain(j, now)));
         } else if (job instanceof Job.Ready j) {
             out.respond(j.jobId(), Ready.response(client.leased(now), client.draining()));
         } else if (job instanceof Job.Drain j) {
@@ -273,6 +275,22 @@
         }
     }
 
+    private String explain(final Job.Explain j, final long now) {
+        final PathFinder paths = paths(now);
+        final Path path = paths.publish(j.key(), j.topic(), now);
+        final Path admitted = paths.admit(j.key(), j.topic());
+        final var obj = Json.createObjectBuilder().add("node", self).add("topic", j.topic()).add("specVersion", client.spec().version())
+                .add("specLeaseLeftMs", Math.max(0, client.leaseUntil() - now)).add("because", path.because())
+                .add("status", path.refusal() == null ? 200 : path.refusal().status()).add("group", admitted.group()).add("master", path.node());
+        if (admitted.group() >= 0) {
+            obj.add("readsFrom", paths.nearest(admitted.group(), 0, now));
+            final JsonArrayBuilder seen = Json.createArrayBuilder();
+            client.roster().groups().get(admitted.group()).members().forEach(m -> seen.add(GroupStatus.row(m, table, admitted.group(), now)));
+            obj.add("table", seen);
+        }
+        return obj.build().toString();
+    }
+
     private boolean leaveOut(final Job.Count j) {
         if (j.session() == null || !j.session().startsWith(self + "-")) {
             return j.session() != null && !j.session().isEmpty();
@@ -284,6 +302,7 @@
     private void publish(final Job.Publish j, final long now) {
         final Path path = paths(now).publish(j.key(), j.topic(), now);
         if (path.refusal() != null) {
+            ended(j, "refused with " + path.refusal().status() + ", " + path.because());
             out.respond(j.jobId(), path.refusal());
             return;
         }
@@ -300,6 +319,9 @@
         if (f == null) {
             return;
         }
+        if (m.outcome() != PublishReply.ACCEPTED) {
+            ended(f.job, "node " + f.path.node() + " said " + m.why() + "; it went there because " + f.path.because());
+        }
         switch (m.outcome()) {
             case PublishReply.ACCEPTED -> out.respond(f.job.jobId(), new Response(200, 0,
                     "{\"outcome\":\"accepted\",\"position\":" + m.position() + "}"));
@@ -358,6 +380,11 @@
         }));
     }
 
+    private void ended(final Job.Publish j, final String how) {
+        // why: the ring is what is left to explain a job from afterwards; accepted ones explain themselves
+        out.note("publish " + j.topic() + " " + j.sender() + "/" + j.seq() + ": " + how);
+    }
+
     private void busy(final long jobId, final String code, final String why) {
         out.respond(jobId, new Response(503, tempo.retryAfterMs(), outcome("refused", code, why)));
     }
--- a/coordination/src/main/java/brookpath/coordination/node/Job.java
+++ b/coordination/src/main/java/brookpath/coordination/node/Job.java
@@ -17,6 +17,10 @@
     record Count(long jobId, String key, String topic, String session) implements Job {
     }
 
+    /** Why a publish or a subscription on this topic would go where it goes, just now. */
+    record Explain(long jobId, String key, String topic) implements Job {
+    }
+
     record Ready(long jobId) implements Job {
     }
 
--- a/transport/src/main/java/brookpath/transport/http/FrontResource.java
+++ b/transport/src/main/java/brookpath/transport/http/FrontResource.java
@@ -110,6 +110,12 @@
         return desk.ask(id -> new Job.Count(id, key(auth), space + "/" + topic, session));
     }
 
+    @GET
+    @Path("/explain")
+    public CompletionStage<jakarta.ws.rs.core.Response> explain(@QueryParam("topic") final String topic, @HeaderParam("Authorization") final String auth) {
+        return desk.ask(id -> new Job.Explain(id, key(auth), topic == null ? "" : topic));
+    }
+
     @POST
     @Path("/drain")
     public CompletionStage<jakarta.ws.rs.core.Response> drain(@QueryParam("on") final String on) {
--- a/trial/src/test/java/brookpath/trial/FleetSmokeTest.java
+++ b/trial/src/test/java/brookpath/trial/FleetSmokeTest.java
@@ -4,9 +4,12 @@
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
+import brookpath.tools.clue.Clue;
 import brookpath.trial.fleet.Fleet;
 import brookpath.trial.fleet.Fleet.Unit;
+import java.io.ByteArrayOutputStream;
 import java.io.OutputStream;
+import java.io.PrintStream;
 import java.net.Socket;
 import java.net.URI;
 import java.net.http.HttpClient;
@@ -157,6 +160,23 @@
         assertTrue(fleet.get(fleet.units().get(3), "/v1/spec").contains("\"version\":1,"));
     }
 
+    @Test
+    public void clueTellsWhereAPublishGoesAndWhoIsMissing() throws Exception {
+        final StringBuilder at = new StringBuilder();
+        for (final Unit u : new Unit[] {fleet.fronts().get(0), fleet.storages().get(3), fleet.units().get(1)}) {
+            at.append(at.length() == 0 ? "" : ",").append(Fleet.HOST).append(':').append(u.httpPort);
+        }
+        final ByteArrayOutputStream out = new ByteArrayOutputStream();
+        final ByteArrayOutputStream err = new ByteArrayOutputStream();
+        assertEquals(Clue.run(new String[] {"--topic", "permits/north", "--key", "key-jadran-1", "--at", at.toString()}, new PrintStream(out),
+                new PrintStream(err)), 0, err.toString());
+        assertTrue(out.toString().contains("spec 1 puts permits/north into group") && out.toString().contains("placement:"), out.toString());
+        assertEquals(Clue.run(new String[] {"--change", "first", "--at", at + "," + Fleet.HOST + ":1"}, new PrintStream(out), new PrintStream(err)), 1);
+        assertTrue(out.toString().contains("confirmed") && err.toString().contains(":1: could not be reached"), out + " " + err);
+        assertEquals(Clue.run(new String[] {"--topic", "odd", "--at", "nowhere", "stray"}, new PrintStream(out), new PrintStream(err)), 2);
+        assertTrue(err.toString().contains("--topic") && err.toString().contains("\"nowhere\"") && err.toString().contains("stray"), err.toString());
+    }
+
     @Test
     public void aMalformedFrameEndsItsSessionAlone() throws Exception {
         final Unit u = fleet.storages().get(3);
