--- a/state/src/main/java/brookpath/state/spool/Spool.java
+++ b/state/src/main/java/brookpath/state/spool/Spool.java
@@ -89,6 +89,43 @@
         return new Recovery(spool, snapshot, entries, findings, false);
     }
 
+    /** What a folder holds, without changing anything in it. */
+    public record Inspection(String snapshotName, byte[] snapshot, String segmentName, List<byte[]> entries, List<String> findings) {
+    }
+
+    public static Inspection inspect(final Disk disk) {
+        final List<String> findings = new ArrayList<>();
+        long at = -1;
+        byte[] snapshot = null;
+        for (final String name : disk.list()) {
+            if (name.matches("snap-[0-9]+")) {
+                at = Math.max(at, Long.parseLong(name.substring(5)));
+            }
+        }
+        if (at >= 0) {
+            final Scan scan = scan(disk, "snap-" + at);
+            if (scan.entries.size() == 1 && scan.torn < 0 && scan.damage == null) {
+                snapshot = scan.entries.get(0);
+            } else {
+                findings.add("snap-" + at + ": unreadable snapshot");
+            }
+        }
+        final String segment = segName(Math.max(at, 0));
+        List<byte[]> entries = List.of();
+        if (disk.list().contains(segment)) {
+            final Scan scan = scan(disk, segment);
+            entries = scan.entries;
+            if (scan.damage != null) {
+                findings.add(scan.damage);
+            } else if (scan.torn >= 0) {
+                findings.add(segment + ": torn tail from byte " + scan.torn + "; the next start cuts it");
+            }
+        } else {
+            findings.add(segment + ": missing");
+        }
+        return new Inspection(at < 0 ? "" : "snap-" + at, snapshot, segment, entries, findings);
+    }
+
     public void append(final byte[] entry) {
         final byte[] framed = frame(entry);
         file.append(framed, 0, framed.length);
