A draining front ends its sessions one by one, each with its cursor good

Before, draining only took the front out of readiness and its sessions stayed. Now they end spread over half the recovery bound and new ones get 503 at once.

--- a/coordination/src/main/java/brookpath/coordination/node/FrontNode.java
+++ b/coordination/src/main/java/brookpath/coordination/node/FrontNode.java
@@ -96,6 +96,7 @@
         final long horizon;
         boolean begun;
         long lastLineAt;
+        long leaveAt = Long.MAX_VALUE;
 
         Session(final long id, final String key, final long horizon) {
             this.id = id;
@@ -175,6 +176,11 @@
             busy(s.id, "history", "no member in sync could be read in time");
             return;
         }
+        if (s.begun && now >= s.leaveAt) {
+            drop(s);
+            out.close(s.id, "this node drains; go on elsewhere with the cursor");
+            return;
+        }
         for (final Part p : s.parts.values()) {
             if (!p.live && (p.fetchId == 0 || now - p.sentAt > tempo.down())) {
                 catchUp(s, p, now);
@@ -269,6 +275,11 @@
             out.respond(j.jobId(), Ready.response(client.leased(now), client.draining()));
         } else if (job instanceof Job.Drain j) {
             client.drain(j.on());
+            int i = 0;
+            for (final Session s : sessions.values()) {
+                // why: spread, so that the other fronts are not met by all at once
+                s.leaveAt = j.on() ? now + tempo.recoverMs() / 2 * i++ / sessions.size() : Long.MAX_VALUE;
+            }
             out.respond(j.jobId(), new Response(200, 0, "{\"draining\":" + j.on() + "}"));
         } else if (job instanceof Job.Status j) {
             out.respond(j.jobId(), new Response(200, 0, statusJson(time)));
@@ -406,6 +417,10 @@
                     cursor == null ? "not a cursor of this service" : "1 to " + MAX_TOPICS + " topics are needed")));
             return;
         }
+        if (client.draining()) {
+            busy(j.jobId(), "draining", "this node drains; another takes new sessions");
+            return;
+        }
         final Session s = new Session(j.jobId(), j.key(), now + tempo.deliverMs());
         final PathFinder paths = paths(now);
         for (final String topic : new LinkedHashSet<>(j.topics())) {
--- a/trial/src/test/java/brookpath/trial/sim/ScenesTest.java
+++ b/trial/src/test/java/brookpath/trial/sim/ScenesTest.java
@@ -336,6 +336,28 @@
         }
     }
 
+    @Test
+    public void aDrainedFrontLosesItsSessionsOneByOneAndTheyMissNothing() {
+        begin(40);
+        for (int i = 0; i < 30; i++) {
+            world.callers.subscriber("more-" + i, "key-members", List.of("permits/t" + i % 9));
+        }
+        callers();
+        final Proc front = world.procs.get(31);
+        world.callers.asked(front, id -> new Job.Drain(id, true), r -> assertEquals(r.status(), 200));
+        final int before = world.counted("sessions closed");
+        world.run(world.now() + 500);
+        final int soon = world.counted("sessions closed") - before;
+        world.run(world.now() + 8_000);
+        final int all = world.counted("sessions closed") - before;
+        assertTrue(soon < all && all >= 2, soon + " of " + all + " left at once");
+        final Response[] got = new Response[1];
+        world.callers.asked(front, Job.Ready::new, r -> got[0] = r);
+        world.run(world.now() + 100);
+        assertEquals(got[0].status(), 503);
+        quietly();
+    }
+
     @Test
     public void manualSwitchoverMovesTheMasterAtOnce() {
         begin(30);
