--- a/coordination/src/main/java/brookpath/coordination/group/GroupMachine.java
+++ b/coordination/src/main/java/brookpath/coordination/group/GroupMachine.java
@@ -102,6 +102,8 @@
     private int lostGoes;
     private int masterHeard;
     private String why = "started";
+    private String obstacle = "";
+    private long deferUntil = Long.MIN_VALUE / 2;
 
     private int pullSource;
     private long pullSentAt;
@@ -506,9 +508,6 @@
         return obstacle;
     }
 
-    private String obstacle = "";
-    private long deferUntil = Long.MIN_VALUE / 2;
-
     private boolean deferred(final long now, final int better) {
         if (now - deferUntil > tempo.down()) {
             deferUntil = now + better * tempo.goHorizon();
--- a/coordination/src/main/java/brookpath/coordination/node/BailiffNode.java
+++ b/coordination/src/main/java/brookpath/coordination/node/BailiffNode.java
@@ -59,13 +59,20 @@
     private record Relayed(long jobId, int node, String kind, long horizon) {
     }
 
+    private static final int MAX_GOES = 20;
+    private static final int POSTS_AT_ONCE = 8;
+
     private final Founding founding;
+    private final List<Member> members;
     private final long rollBytes;
     private final GroupMachine group;
     private final TreeMap<Integer, Poller> pollers = new TreeMap<>();
     private final List<Waiting> waitlist = new ArrayList<>();
     private final TreeMap<Long, Relayed> relayed = new TreeMap<>();
     private long ids;
+    private final TreeMap<Integer, Told> told = new TreeMap<>();
+    private final TreeMap<Long, Post> posts = new TreeMap<>();
+    private long nextMove = Long.MIN_VALUE / 2;
     private long dutySince = -1;
 
     public BailiffNode(final int self, final List<Member> members, final Founding founding, final Tempo tempo, final long seed,
@@ -78,8 +85,6 @@
         group = new GroupMachine(CONTROL, self, tempo, founding.toleratedLosses, seed, ControlState::new, out);
     }
 
-    private final List<Member> members;
-
     public GroupMachine group() {
         return group;
     }
@@ -348,8 +353,6 @@
 
     // ---- moves
 
-    private long nextMove = Long.MIN_VALUE / 2;
-
     private Set<Integer> aliveStorages(final long now) {
         final Set<Integer> alive = new HashSet<>();
         pollers.forEach((node, p) -> {
@@ -449,10 +452,6 @@
         }
     }
 
-    private static final int MAX_GOES = 20;
-    private static final int POSTS_AT_ONCE = 8;
-    private final TreeMap<Integer, Told> told = new TreeMap<>();
-    private final TreeMap<Long, Post> posts = new TreeMap<>();
 
     private void usage(final int from, final Op op) {
         final Pack in = Pack.reader(op.body());
--- a/coordination/src/main/java/brookpath/coordination/node/StorageNode.java
+++ b/coordination/src/main/java/brookpath/coordination/node/StorageNode.java
@@ -45,7 +45,8 @@
 /** A storage machine of the data plane: a member of topic groups. */
 public final class StorageNode extends Node {
     private static final int FETCH_BYTES = 256 << 10;
-    private static final int DROP = 100;
+    /** Entry kind: the group has left this machine. The other kinds are the group's own. */
+    public static final int DROP = 100;
 
     private record Waiting(int from, long jobId, long lsn, int need, long horizon) {
     }
--- a/tools/src/main/java/brookpath/tools/creelcheck/CreelCheck.java
+++ b/tools/src/main/java/brookpath/tools/creelcheck/CreelCheck.java
@@ -1,5 +1,7 @@
 package brookpath.tools.creelcheck;
 
+import static brookpath.coordination.node.StorageNode.DROP;
+
 import brookpath.coordination.Tempo;
 import brookpath.coordination.action.Actions;
 import brookpath.coordination.group.GroupMachine;
@@ -23,8 +25,6 @@
 
 /** Looks a data folder over while no process uses it, and changes nothing in it. */
 public final class CreelCheck {
-    private static final int DROP = 100;
-
     private CreelCheck() {
     }
 
--- a/trial/src/main/java/brookpath/trial/fleet/FleetMain.java
+++ b/trial/src/main/java/brookpath/trial/fleet/FleetMain.java
@@ -44,6 +44,22 @@
             new HelpFormatter().printHelp("fleet", opts);
             return;
         }
+        final List<String> wrong = new ArrayList<>();
+        for (final String number : List.of("fronts", "port", "seconds", "seed")) {
+            if (!cl.getOptionValue(number, "1").matches("[0-9]{1,6}")) {
+                wrong.add("--" + number + ": must be a number");
+            }
+        }
+        if (!List.of("jadran", "sajha", "small").contains(cl.getOptionValue("profile", "small"))) {
+            wrong.add("--profile: must be jadran, sajha or small");
+        }
+        if (!List.of("none", "steady", "kill-master", "freeze-master", "rolling", "all-restart", "retire").contains(cl.getOptionValue("scenario", "none"))) {
+            wrong.add("--scenario: not one of those that --help lists");
+        }
+        if (!wrong.isEmpty()) {
+            wrong.forEach(w -> System.err.println("fleet: " + w));
+            System.exit(2);
+        }
         final Path folder = Path.of(cl.getOptionValue("folder", "run/fleet"));
         if (!cl.hasOption("keep") && Files.exists(folder)) {
             try (var paths = Files.walk(folder)) {
