One place each for unpacking a folder, replacing a group, and picking a slave

The usage message no longer carries an epoch that nobody read. The newest closed window, asked for each group on each tick, is looked for from the newest.

--- a/coordination/src/main/java/brookpath/coordination/node/BailiffNode.java
+++ b/coordination/src/main/java/brookpath/coordination/node/BailiffNode.java
@@ -304,14 +304,10 @@
 
     private void founded(final int id, final Time time) {
         final Roster roster = newestRoster();
-        final List<GroupInfo> groups = new ArrayList<>();
-        boolean changed = false;
         for (final GroupInfo g : roster.groups()) {
-            changed |= g.id() == id && !g.founded();
-            groups.add(g.id() == id ? new GroupInfo(g.id(), true, g.membership()) : g);
-        }
-        if (changed) {
-            appendRoster(new Roster(roster.version() + 1, roster.nodes(), List.copyOf(groups), roster.retiring()), time);
+            if (g.id() == id && !g.founded()) {
+                appendRoster(roster.with(new GroupInfo(id, true, g.membership())), time);
+            }
         }
     }
 
@@ -427,9 +423,7 @@
         if (id < 0 || id >= roster.groups().size() || roster.groups().get(id).version() >= membership.version()) {
             return;
         }
-        final List<GroupInfo> groups = new ArrayList<>(roster.groups());
-        groups.set(id, new GroupInfo(id, groups.get(id).founded(), membership));
-        appendRoster(new Roster(roster.version() + 1, roster.nodes(), List.copyOf(groups), roster.retiring()), time);
+        appendRoster(roster.with(new GroupInfo(id, roster.groups().get(id).founded(), membership)), time);
     }
 
     // ---- usage: the totals of a window go into the log before they go to the platform
@@ -456,7 +450,6 @@
     private void usage(final int from, final Op op) {
         final Pack in = Pack.reader(op.body());
         final int id = (int) in.num();
-        in.num();
         final long after = in.num();
         final long closed = in.num();
         final long included = state().included(id);
--- a/coordination/src/main/java/brookpath/coordination/node/StorageNode.java
+++ b/coordination/src/main/java/brookpath/coordination/node/StorageNode.java
@@ -164,7 +164,7 @@
         }
         toldUsage.put(g.id(), now);
         final List<TopicState.Count> counts = state.counts(included, closed);
-        final Pack pack = Pack.writer().num(g.id()).num(g.epoch()).num(included).num(closed).num(counts.size());
+        final Pack pack = Pack.writer().num(g.id()).num(included).num(closed).num(counts.size());
         counts.forEach(c -> pack.num(c.window()).str(c.tenant()).num(c.publishes()).num(c.bytes()));
         out.send(client.controlMaster(), new Op(g.id() + 1L, "usage", pack.done()));
     }
--- a/coordination/src/main/java/brookpath/coordination/spec/Roster.java
+++ b/coordination/src/main/java/brookpath/coordination/spec/Roster.java
@@ -24,6 +24,11 @@
         }
     }
 
+    /** The next version, with this group in place of the one of its number. */
+    public Roster with(final GroupInfo changed) {
+        return new Roster(version + 1, nodes, groups.stream().map(g -> g.id == changed.id ? changed : g).toList(), retiring);
+    }
+
     public NodeInfo node(final int id) {
         for (final NodeInfo n : nodes) {
             if (n.node() == id) {
--- a/coordination/src/main/java/brookpath/coordination/topic/TopicState.java
+++ b/coordination/src/main/java/brookpath/coordination/topic/TopicState.java
@@ -49,11 +49,12 @@
 
     /** The newest window whose closing record lies at or before the position; -1 for none. */
     public long closed(final long position) {
-        long window = -1;
-        for (final Map.Entry<Long, Long> e : closedAt.entrySet()) {
-            window = e.getValue() <= position ? e.getKey() : window;
+        for (final Map.Entry<Long, Long> e : closedAt.descendingMap().entrySet()) {
+            if (e.getValue() <= position) {
+                return e.getKey();
+            }
         }
-        return window;
+        return -1;
     }
 
     /** The counts of the windows after one, up to another. */
--- a/programs/src/main/java/brookpath/programs/boot/Boot.java
+++ b/programs/src/main/java/brookpath/programs/boot/Boot.java
@@ -14,7 +14,6 @@
 import brookpath.programs.settings.Settings;
 import brookpath.programs.settings.SettingsReader;
 import brookpath.state.disk.FolderDisk;
-import brookpath.state.record.Pack;
 import brookpath.state.spool.Spool;
 import brookpath.transport.http.CommonResource;
 import brookpath.transport.http.Desk;
@@ -146,14 +145,7 @@
             RingWriter.to(Path.of(s.data(), "ring.log"));
             final Spool.Recovery rec = Spool.recover(new FolderDisk(Path.of(s.data())));
             rec.findings().forEach(f -> Logger.error("data folder: {}", f));
-            final List<byte[]> entries = new ArrayList<>();
-            if (rec.snapshot() != null) {
-                for (final Pack in = Pack.reader(rec.snapshot()); in.more();) {
-                    entries.add(in.bytes());
-                }
-            }
-            entries.addAll(rec.entries());
-            return new Recovered(rec.spool(), entries);
+            return new Recovered(rec.spool(), rec.replayed());
         }
 
         @Provides
--- a/state/src/main/java/brookpath/state/spool/Spool.java
+++ b/state/src/main/java/brookpath/state/spool/Spool.java
@@ -4,6 +4,7 @@
 
 import brookpath.state.disk.Disk;
 import brookpath.state.disk.DiskFile;
+import brookpath.state.record.Pack;
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.List;
@@ -20,6 +21,21 @@
 
     /** What recovery found. A damaged folder yields no entries: its owner comes back as a member without a disk. */
     public record Recovery(Spool spool, byte[] snapshot, List<byte[]> entries, List<String> findings, boolean damaged) {
+        public List<byte[]> replayed() {
+            return Spool.replayed(snapshot, entries);
+        }
+    }
+
+    /** The entries that the snapshot packs, then those of the segment: what an owner replays. */
+    private static List<byte[]> replayed(final byte[] snapshot, final List<byte[]> entries) {
+        final List<byte[]> all = new ArrayList<>();
+        if (snapshot != null) {
+            for (final Pack in = Pack.reader(snapshot); in.more();) {
+                all.add(in.bytes());
+            }
+        }
+        all.addAll(entries);
+        return all;
     }
 
     private final Disk disk;
@@ -53,7 +69,7 @@
         if (!snaps.isEmpty()) {
             at = snaps.last();
             final Scan scan = scan(disk, "snap-" + at);
-            damaged = scan.entries.size() != 1 || scan.torn >= 0 || scan.damage != null;
+            damaged = !scan.isSnapshot();
             snapshot = damaged ? null : scan.entries.get(0);
             if (damaged) {
                 findings.add("snap-" + at + ": unreadable snapshot");
@@ -91,6 +107,9 @@
 
     /** What a folder holds, without changing anything in it. */
     public record Inspection(String snapshotName, byte[] snapshot, String segmentName, List<byte[]> entries, List<String> findings) {
+        public List<byte[]> replayed() {
+            return Spool.replayed(snapshot, entries);
+        }
     }
 
     public static Inspection inspect(final Disk disk) {
@@ -104,7 +123,7 @@
         }
         if (at >= 0) {
             final Scan scan = scan(disk, "snap-" + at);
-            if (scan.entries.size() == 1 && scan.torn < 0 && scan.damage == null) {
+            if (scan.isSnapshot()) {
                 snapshot = scan.entries.get(0);
             } else {
                 findings.add("snap-" + at + ": unreadable snapshot");
@@ -186,6 +205,9 @@
     }
 
     private record Scan(List<byte[]> entries, long torn, String damage) {
+        boolean isSnapshot() {
+            return entries.size() == 1 && torn < 0 && damage == null;
+        }
     }
 
     private static Scan scan(final Disk disk, final String name) {
--- a/tools/src/main/java/brookpath/tools/creelcheck/CreelCheck.java
+++ b/tools/src/main/java/brookpath/tools/creelcheck/CreelCheck.java
@@ -49,14 +49,7 @@
             findings.addAll(found.findings());
             out.println("snapshot " + (found.snapshot() == null ? "none" : found.snapshotName() + " of " + found.snapshot().length + " bytes")
                     + ", segment " + found.segmentName() + " with " + found.entries().size() + " entries");
-            final List<byte[]> entries = new ArrayList<>();
-            if (found.snapshot() != null) {
-                for (final Pack in = Pack.reader(found.snapshot()); in.more();) {
-                    entries.add(in.bytes());
-                }
-            }
-            entries.addAll(found.entries());
-            groups(entries, findings).forEach((id, g) -> tell(out, id, g));
+            groups(found.replayed(), findings).forEach((id, g) -> tell(out, id, g));
         } catch (final UncheckedIOException ex) {
             findings.add(folder + ": " + ex.getMessage());
         }
--- a/trial/src/main/java/brookpath/trial/sim/Proc.java
+++ b/trial/src/main/java/brookpath/trial/sim/Proc.java
@@ -8,7 +8,6 @@
 import brookpath.coordination.node.Job;
 import brookpath.coordination.node.Node;
 import brookpath.coordination.node.Node.Time;
-import brookpath.state.record.Pack;
 import brookpath.state.spool.Spool;
 import brookpath.trial.disk.TrialDisk;
 import java.util.ArrayDeque;
@@ -85,12 +84,7 @@
             disk.failing(false);
             final Spool.Recovery rec = Spool.recover(disk);
             spool = rec.spool();
-            if (rec.snapshot() != null) {
-                for (final Pack in = Pack.reader(rec.snapshot()); in.more();) {
-                    entries.add(in.bytes());
-                }
-            }
-            entries.addAll(rec.entries());
+            entries.addAll(rec.replayed());
             world.count(rec.damaged() ? "damaged folders" : "recoveries");
         }
         node = maker.apply(this, entries);
--- a/trial/src/test/java/brookpath/trial/sim/ScenesTest.java
+++ b/trial/src/test/java/brookpath/trial/sim/ScenesTest.java
@@ -57,6 +57,11 @@
         return ((StorageNode) p.node).group(group);
     }
 
+    /** The first other member. */
+    private Proc slaveOf(final Proc master, final int group) {
+        return world.procs.get(group(master, group).members().stream().map(m -> m.node()).filter(n -> n != master.id).findFirst().orElseThrow());
+    }
+
     private long untilActing(final int group, final Proc not, final long limit) {
         final long from = world.now();
         while (world.now() < from + limit) {
@@ -242,7 +247,7 @@
         callers();
         final int g = groupOf("permits/t2");
         final Proc master = acting(g);
-        final Proc slave = world.procs.get(group(master, g).members().stream().map(m -> m.node()).filter(n -> n != master.id).findFirst().orElseThrow());
+        final Proc slave = slaveOf(master, g);
         world.kill(slave, true);
         slave.disk.wipe();
         world.run(world.now() + 2_000);
@@ -364,7 +369,7 @@
         callers();
         final int g = groupOf("permits/t0");
         final Proc master = acting(g);
-        final int to = group(master, g).members().stream().map(m -> m.node()).filter(n -> n != master.id).findFirst().orElseThrow();
+        final int to = slaveOf(master, g).id;
         for (int i = 0; i < 20 && acting(g) != world.procs.get(to); i++) {
             operate("handover", Pack.writer().num(g).num(to).done(), r -> assertEquals(r.status(), 202, r.toString()));
         }
@@ -383,7 +388,7 @@
         world.run(world.now() + 2_000);
         final int g = groupOf("permits/t0");
         final Proc master = acting(g);
-        final Proc slave = world.procs.get(group(master, g).members().stream().map(m -> m.node()).filter(n -> n != master.id).findFirst().orElseThrow());
+        final Proc slave = slaveOf(master, g);
         world.kill(slave, true);
         world.run(world.now() + 70_000);
         assertTrue(group(acting(g), g).baseLsn() > 0, "nothing was trimmed");
