Half cut-off masters, wrong clocks, broken polls: no pause, no late report

Now a process that cannot reach it marks its poll, and the bailiff it reaches carries the poll, the reply, and its jobs. - A slave that hears its master but is not heard called itself in sync, and fronts went on reading from it. Now it is in sync only while the master answers its beats and has not told of more accepted for longer than the detection time; held fetches are refused at once. - Windows were closed and totalled by each machine's own clock. Now by the middle one of the clocks that the control master hears. - A broken session to the control master was waited out for a third of the lease, and a new master held the first poll: leases ran out in a rolling restart of the bailiffs. Now the break ends the poll and a first poll is answered at once. Ruled out: longer leases (a removed key would work longer), a poll to two bailiffs at a time (twice the bytes). Publish.repl is gone from the wire.

--- a/coordination/src/main/java/brookpath/coordination/group/GroupMachine.java
+++ b/coordination/src/main/java/brookpath/coordination/group/GroupMachine.java
@@ -111,6 +111,7 @@
     private boolean wantFull;
     private long joinTarget = -1;
     private boolean inSync;
+    private long behindSince = Long.MAX_VALUE;
 
     public GroupMachine(final int id, final int self, final Tempo tempo, final int toleratedLosses, final long seed,
                         final Supplier<LogState> states, final Actions out) {
@@ -230,7 +231,19 @@
 
     /** Has a slave the accepted position of a master that it hears? */
     public boolean inSync(final long now) {
-        return role == MASTER ? mayAct(now) : inSync && !lost && masterHeard != 0;
+        // why: a slave that hears its master but is not heard gets no more of the log, and would not know
+        return role == MASTER ? mayAct(now)
+                : inSync && !lost && masterHeard != 0 && table.up(masterHeard) && now - behindSince <= tempo.down();
+    }
+
+    /** Since when the master has told of more accepted than is here. */
+    private void lookBehind(final long now) {
+        final BeatEntry e = masterHeard == 0 || masterHeard == self ? null : table.fresh(masterHeard, id, now);
+        if (e == null || e.accepted() <= accepted) {
+            behindSince = Long.MAX_VALUE;
+        } else if (behindSince == Long.MAX_VALUE) {
+            behindSince = now;
+        }
     }
 
     public BeatEntry entry(final long now) {
@@ -391,6 +404,7 @@
                 stand(now, false);
             }
         }
+        lookBehind(now);
         pull(now);
         trim(now);
     }
--- a/coordination/src/main/java/brookpath/coordination/message/Msg.java
+++ b/coordination/src/main/java/brookpath/coordination/message/Msg.java
@@ -39,7 +39,7 @@
         public static final int ACTING_MASTER = 2;
     }
 
-    record Publish(long jobId, int group, long specVersion, int repl, long seq, String tenant, String topic, String sender, String text)
+    record Publish(long jobId, int group, long specVersion, long seq, String tenant, String topic, String sender, String text)
             implements Msg {
     }
 
@@ -63,14 +63,16 @@
         public static final int NOT_HERE = 1;
     }
 
+    /** A data-plane process asks with the versions that it has. The relay mark: the control master that was named cannot be reached from here. */
     record SpecPoll(long pollId, int node, int role, String zone, String address, long specVersion, long rosterVersion,
-                    boolean drain) implements Msg {
+                    boolean drain, boolean relay, long wall) implements Msg {
         public static final int FRONT = 1;
         public static final int STORAGE = 2;
     }
 
+    /** For the node that polled, whoever carries it; wall is the fleet's clock, 0 while the control master does not know it yet. */
     record SpecReply(long pollId, boolean master, int masterHint, long epoch, long specVersion, byte[] spec, long rosterVersion,
-                     byte[] roster) implements Msg {
+                     byte[] roster, int node, long wall) implements Msg {
     }
 
     /** An operator's or another process's job for the control master. */
--- a/coordination/src/main/java/brookpath/coordination/node/BailiffNode.java
+++ b/coordination/src/main/java/brookpath/coordination/node/BailiffNode.java
@@ -18,6 +18,7 @@
 import brookpath.coordination.spec.ControlState.Outcome;
 import brookpath.coordination.spec.ControlState.SpecAt;
 import brookpath.coordination.spec.Finding;
+import brookpath.coordination.spec.FleetClock;
 import brookpath.coordination.spec.Placement;
 import brookpath.coordination.spec.Roster;
 import brookpath.coordination.spec.Roster.GroupInfo;
@@ -47,6 +48,8 @@
 
     private static final class Poller {
         SpecPoll last;
+        /** Whom its replies go to: itself, or the bailiff that carries its polls. */
+        int via;
         long heldSince = -1;
         long leaseEnds = Long.MIN_VALUE;
         long heardAt;
@@ -56,7 +59,8 @@
     private record Waiting(int from, long jobId, String changeId, long horizon) {
     }
 
-    private record Relayed(long jobId, int node, String kind, long horizon) {
+    /** A job carried to the control master for another process, or for a caller of this one. */
+    private record Relayed(long jobId, int from, int node, String kind, long horizon) {
     }
 
     private static final int MAX_GOES = 20;
@@ -74,6 +78,9 @@
     private final TreeMap<Long, Post> posts = new TreeMap<>();
     private long nextMove = Long.MIN_VALUE / 2;
     private long dutySince = -1;
+    private final FleetClock clock = new FleetClock();
+    /** Polls that this node has carried to a control master, by who asked. */
+    private final TreeMap<Integer, SpecPoll> carried = new TreeMap<>();
 
     public BailiffNode(final int self, final List<Member> members, final Founding founding, final Tempo tempo, final long seed,
                        final long firstId, final long rollBytes) {
@@ -136,7 +143,7 @@
         }
         relayed.values().removeIf(r -> {
             if (now >= r.horizon) {
-                out.respond(r.jobId, lostResponse(r.kind, "no word from the control master in time"));
+                respond(r.from, r.jobId, lostResponse(r.kind, "no word from the control master in time"));
             }
             return now >= r.horizon;
         });
@@ -157,12 +164,20 @@
     protected void onMessage(final int from, final Msg msg, final Time time) {
         final long now = time.mono();
         if (msg instanceof SpecPoll m) {
-            poll(from, m, now);
+            poll(from, m, time);
+        } else if (msg instanceof SpecReply m) {
+            if (carried.remove(m.node()) != null) {
+                out.send(m.node(), m);
+            }
         } else if (msg instanceof Op m) {
-            operate(from, m, time);
+            if (isSibling(from) || group.mayAct(now) || !carry(from, m, now)) {
+                operate(from, m, time);
+            }
         } else if (msg instanceof OpReply m) {
             final Relayed r = relayed.remove(m.jobId());
-            if (r != null) {
+            if (r != null && r.from != self) {
+                out.send(r.from, new OpReply(r.jobId, m.status(), m.retryAfterMs(), m.body()));
+            } else if (r != null) {
                 out.respond(r.jobId, new Response(m.status(), m.retryAfterMs(), new String(m.body(), UTF_8)));
             }
         } else {
@@ -173,19 +188,26 @@
 
     @Override
     protected void onUnsent(final int to, final Msg msg, final Time time) {
+        if (msg instanceof SpecPoll m && carried.remove(m.node()) != null) {
+            notMaster(m.node(), m, 0);
+        }
         if (msg instanceof Op m) {
             final Relayed r = relayed.remove(m.jobId());
             if (r != null) {
-                out.respond(r.jobId, masterless("no session to the control master"));
+                respond(r.from, r.jobId, masterless("no session to the control master"));
             }
         }
     }
 
     @Override
     protected void onSessionLost(final int node, final Time time) {
+        if (isSibling(node)) {
+            carried.forEach((from, m) -> notMaster(from, m, 0));
+            carried.clear();
+        }
         relayed.values().removeIf(r -> {
             if (r.node == node) {
-                out.respond(r.jobId, lostResponse(r.kind, "the session with the control master broke"));
+                respond(r.from, r.jobId, lostResponse(r.kind, "the session with the control master broke"));
             }
             return r.node == node;
         });
@@ -203,46 +225,72 @@
         } else if (job instanceof Job.Operate j) {
             if (group.mayAct(now)) {
                 operate(self, new Op(j.jobId(), j.kind(), j.body()), time);
-            } else if (group.masterHeard() != 0 && group.masterHeard() != self) {
-                relayed.put(++ids, new Relayed(j.jobId(), group.masterHeard(), j.kind(), now + tempo.opHorizon()));
-                out.send(group.masterHeard(), new Op(ids, j.kind(), j.body()));
-            } else {
+            } else if (!carry(self, new Op(j.jobId(), j.kind(), j.body()), now)) {
                 out.respond(j.jobId(), masterless("the control group has no master just now"));
             }
         }
     }
 
+    private boolean isSibling(final int node) {
+        return Membership.find(members, node) != null;
+    }
+
+    /** Hands a job on to the control master; false where none is heard. */
+    private boolean carry(final int from, final Op op, final long now) {
+        final int master = group.masterHeard();
+        if (master == 0 || master == self) {
+            return false;
+        }
+        relayed.put(++ids, new Relayed(op.jobId(), from, master, op.kind(), now + tempo.opHorizon()));
+        out.send(master, new Op(ids, op.kind(), op.body()));
+        return true;
+    }
+
     // ---- polls
 
-    private void poll(final int from, final SpecPoll m, final long now) {
+    private void poll(final int from, final SpecPoll m, final Time time) {
+        final long now = time.mono();
         if (!group.mayAct(now)) {
-            out.send(from, new SpecReply(m.pollId(), false, group.masterHeard() == self ? 0 : group.masterHeard(), group.epoch(), 0,
-                    new byte[0], 0, new byte[0]));
+            final int master = group.masterHeard() == self ? 0 : group.masterHeard();
+            if (m.relay() && from == m.node() && master != 0) {
+                // why: it cannot reach the master but this node can; without this a half cut-off master would pause all who do not hear it
+                carried.put(from, m);
+                out.send(master, m);
+            } else {
+                notMaster(from, m, master);
+            }
             return;
         }
-        final Poller p = pollers.computeIfAbsent(from, k -> new Poller());
+        clock.hear(m.node(), m.wall(), now);
+        final Poller p = pollers.computeIfAbsent(m.node(), k -> new Poller());
+        p.via = from;
         p.last = m;
         p.heardAt = now;
         p.heldSince = now;
-        answerPoll(from, p, now);
+        answerPoll(p, now);
         if (!waitlist.isEmpty()) {
             confirm(now);
         }
     }
 
+    private void notMaster(final int to, final SpecPoll m, final int hint) {
+        out.send(to, new SpecReply(m.pollId(), false, hint, group.epoch(), 0, new byte[0], 0, new byte[0], m.node(), 0));
+    }
+
     /** Answers when there is news, or when the poll has been held long enough. */
-    private void answerPoll(final int node, final Poller p, final long now) {
+    private void answerPoll(final Poller p, final long now) {
         final SpecAt spec = spec();
         final Roster roster = roster();
         final boolean news = p.last.specVersion() < spec.version() || p.last.rosterVersion() < roster.version();
-        if (!news && now - p.heldSince < tempo.specHold()) {
+        // why: a lease that a predecessor granted may be about to run out, so the first poll is never held
+        if (!news && p.leaseEnds != Long.MIN_VALUE && now - p.heldSince < tempo.specHold()) {
             return;
         }
         p.heldSince = -1;
         p.leaseEnds = now + tempo.specLease();
-        out.send(node, new SpecReply(p.last.pollId(), true, self, group.epoch(), spec.version(),
+        out.send(p.via, new SpecReply(p.last.pollId(), true, self, group.epoch(), spec.version(),
                 p.last.specVersion() < spec.version() ? spec.doc() : new byte[0], roster.version(),
-                p.last.rosterVersion() < roster.version() ? roster.save() : new byte[0]));
+                p.last.rosterVersion() < roster.version() ? roster.save() : new byte[0], p.last.node(), clock.known() ? clock.wall(now) : 0));
     }
 
     private void after(final Time time) {
@@ -251,6 +299,7 @@
             if (group.role() != GroupMachine.MASTER && dutySince >= 0) {
                 dutySince = -1;
                 pollers.clear();
+                clock.clear();
                 waitlist.forEach(w -> respond(w.from, w.jobId, lostResponse("change", "the control master stepped down")));
                 waitlist.clear();
                 told.clear();
@@ -261,13 +310,17 @@
         if (dutySince < 0) {
             dutySince = now;
         }
+        clock.hear(self, time.wall(), now);
         pollers.forEach((node, p) -> {
             if (p.heldSince >= 0) {
-                answerPoll(node, p, now);
+                answerPoll(p, now);
             }
         });
         // why: a process that is gone and whose lease has run out serves nothing, so nobody needs to wait for it
         pollers.values().removeIf(p -> p.heldSince < 0 && now > p.leaseEnds && now - p.heardAt > 2 * tempo.specLease());
+        final Set<Integer> heard = new HashSet<>(pollers.keySet());
+        heard.add(self);
+        clock.keep(heard);
         confirm(now);
     }
 
@@ -466,7 +519,7 @@
 
     private void total(final Time time) {
         final Roster roster = roster();
-        if (told.isEmpty() || roster.groups().isEmpty()) {
+        if (told.isEmpty() || roster.groups().isEmpty() || !clock.known()) {
             return;
         }
         final long last = state().lastWindow();
@@ -475,7 +528,7 @@
         for (final GroupInfo g : roster.groups()) {
             all &= told.containsKey(g.id()) && told.get(g.id()).closed >= window;
         }
-        if (!all && time.wall() < (window + 1) * tempo.windowMs() + tempo.straggle()) {
+        if (!all && clock.wall(time.mono()) < (window + 1) * tempo.windowMs() + tempo.straggle()) {
             return;
         }
         final TreeMap<String, long[]> sums = new TreeMap<>();
--- a/coordination/src/main/java/brookpath/coordination/node/FrontNode.java
+++ b/coordination/src/main/java/brookpath/coordination/node/FrontNode.java
@@ -144,7 +144,7 @@
     @Override
     protected void onTick(final Time time) {
         final long now = time.mono();
-        client.tick(now);
+        client.tick(time);
         for (final Iterator<Map.Entry<Long, Ferry>> it = ferries.entrySet().iterator(); it.hasNext();) {
             final Ferry f = it.next().getValue();
             if (now >= f.horizon) {
@@ -209,7 +209,7 @@
     protected void onMessage(final int from, final Msg msg, final Time time) {
         final long now = time.mono();
         if (msg instanceof SpecReply m) {
-            if (client.onReply(m, now)) {
+            if (client.onReply(m, time)) {
                 closeUnasked(now);
             }
         } else if (msg instanceof PublishReply m) {
@@ -322,7 +322,7 @@
 
     private void ferry(final Job.Publish j, final Path path, final long horizon, final boolean again) {
         ferries.put(++ids, new Ferry(j, path, horizon, again));
-        out.send(path.node(), new Publish(ids, path.group(), client.spec().version(), 0, j.seq(), path.tenant(), j.topic(), j.sender(), j.text()));
+        out.send(path.node(), new Publish(ids, path.group(), client.spec().version(), j.seq(), path.tenant(), j.topic(), j.sender(), j.text()));
     }
 
     private void published(final PublishReply m, final long now) {
@@ -376,6 +376,7 @@
 
     @Override
     protected void onSessionLost(final int node, final Time time) {
+        client.unsent(node, time.mono());
         ferries.values().removeIf(f -> {
             if (f.path.node() == node) {
                 unsettled(f.job.jobId(), "the session with node " + node + " broke");
--- a/coordination/src/main/java/brookpath/coordination/node/StorageNode.java
+++ b/coordination/src/main/java/brookpath/coordination/node/StorageNode.java
@@ -115,7 +115,7 @@
     @Override
     protected void onTick(final Time time) {
         final long now = time.mono();
-        client.tick(now);
+        client.tick(time);
         for (final GroupMachine g : groups.values()) {
             g.tick(now, table);
             after(g, now);
@@ -145,9 +145,12 @@
 
     /** Once the clock has passed a window's end, a record says that nothing more goes into it. */
     private void closeWindow(final GroupMachine g, final Time time) {
-        final long ended = (time.wall() - tempo.beat()) / tempo.windowMs() - 1;
+        if (!client.clockKnown()) {
+            return;
+        }
+        final long ended = (client.wall(time) - tempo.beat()) / tempo.windowMs() - 1;
         if (((TopicState) g.live()).closed(Long.MAX_VALUE) < ended && g.mayAct(time.mono())) {
-            g.append(Rec.CLOSE, Pack.writer().num(ended).done(), time.mono(), time.wall());
+            g.append(Rec.CLOSE, Pack.writer().num(ended).done(), time.mono(), client.wall(time));
         }
     }
 
@@ -207,7 +210,7 @@
             }
             return;
         }
-        g.change(next, time.mono(), time.wall());
+        g.change(next, time.mono(), client.wall(time));
     }
 
     private GroupInfo info(final int group) {
@@ -223,7 +226,7 @@
     protected void onMessage(final int from, final Msg msg, final Time time) {
         final long now = time.mono();
         if (msg instanceof SpecReply m) {
-            if (client.onReply(m, now)) {
+            if (client.onReply(m, time)) {
                 configure(now);
             }
         } else if (msg instanceof Msg.VoteAsk m) {
@@ -306,6 +309,7 @@
         final String busy = !client.leased(now) ? "spec lease has run out"
                 : client.spec().version() < m.specVersion() || space == null ? "spec is older than the front's"
                 : !g.mayAct(now) ? "master has no lease yet"
+                : !client.clockKnown() ? "the fleet's clock is not known yet"
                 : info == null || !info.founded() ? "group is not founded yet" : null;
         if (busy != null) {
             reply(from, m.jobId(), BUSY, 0, 0, busy);
@@ -323,7 +327,7 @@
                 reply(from, m.jobId(), BUSY, 0, 0, "only " + g.active(now) + " of " + need + " copies are active");
                 return;
             }
-            lsn = g.append(Rec.PUBLISH, Rec.publishBody(m.seq(), need, m.tenant(), m.topic(), m.sender(), m.text()), now, time.wall());
+            lsn = g.append(Rec.PUBLISH, Rec.publishBody(m.seq(), need, m.tenant(), m.topic(), m.sender(), m.text()), now, client.wall(time));
         }
         // why: a repeat waits for the copies just as the first did, and gets the same position
         waitlists.computeIfAbsent(g.id(), k -> new ArrayList<>()).add(new Waiting(from, m.jobId(), lsn, need, now + tempo.settleHorizon()));
@@ -400,13 +404,14 @@
                 bytes += rec.bytes().length;
             }
         }
-        if (found.isEmpty() && gone.isEmpty() && !evenEmpty) {
-            return false;
-        }
-        if (!g.inSync(now) && found.isEmpty()) {
+        if (found.isEmpty() && !g.inSync(now)) {
+            // why: at once, not when the hold is over: the front has others to ask
             out.send(to, new FetchReply(m.jobId(), g.id(), FetchReply.NOT_HERE, 0, List.of(), List.of()));
             return true;
         }
+        if (found.isEmpty() && gone.isEmpty() && !evenEmpty) {
+            return false;
+        }
         out.send(to, new FetchReply(m.jobId(), g.id(), FetchReply.OK, Math.max(lsn, first), gone, found));
         return true;
     }
@@ -456,6 +461,11 @@
         }
     }
 
+    @Override
+    protected void onSessionLost(final int node, final Time time) {
+        client.unsent(node, time.mono());
+    }
+
     @Override
     protected void onJob(final Job job, final Time time) {
         if (job instanceof Job.Status j) {
--- /dev/null
+++ b/coordination/src/main/java/brookpath/coordination/spec/FleetClock.java
@@ -0,0 +1,39 @@
+package brookpath.coordination.spec;
+
+import java.util.Arrays;
+import java.util.Set;
+import java.util.TreeMap;
+
+/**
+ * The fleet's clock: the middle one of the clocks that the control master hears. Windows are closed and totalled by it, so that no single machine's
+ * wrong clock makes a report late or early.
+ */
+public final class FleetClock {
+    private static final int ENOUGH = 3;
+
+    /** Per node, its wall clock less our monotonic one. */
+    private final TreeMap<Integer, Long> ahead = new TreeMap<>();
+
+    public void hear(final int node, final long wall, final long mono) {
+        ahead.put(node, wall - mono);
+    }
+
+    public void keep(final Set<Integer> nodes) {
+        ahead.keySet().retainAll(nodes);
+    }
+
+    public void clear() {
+        ahead.clear();
+    }
+
+    /** Whether enough clocks were heard that one wrong one cannot be the middle. */
+    public boolean known() {
+        return ahead.size() >= ENOUGH;
+    }
+
+    public long wall(final long mono) {
+        final long[] sorted = ahead.values().stream().mapToLong(Long::longValue).toArray();
+        Arrays.sort(sorted);
+        return mono + sorted[(sorted.length - 1) / 2];
+    }
+}
--- a/coordination/src/main/java/brookpath/coordination/spec/SpecClient.java
+++ b/coordination/src/main/java/brookpath/coordination/spec/SpecClient.java
@@ -4,6 +4,7 @@
 import brookpath.coordination.action.Actions;
 import brookpath.coordination.message.Msg.SpecPoll;
 import brookpath.coordination.message.Msg.SpecReply;
+import brookpath.coordination.node.Node.Time;
 import java.util.List;
 
 /** A data-plane process's side of the spec: asks with the version that it has, and holds the lease on it. */
@@ -27,6 +28,9 @@
     private int target;
     private int turn;
     private boolean drain;
+    private boolean relay;
+    private long relayUntil;
+    private long clockAhead = Long.MIN_VALUE;
 
     public SpecClient(final int self, final int role, final String zone, final String address, final List<Integer> seeds,
                       final Tempo tempo, final Actions out) {
@@ -70,44 +74,66 @@
         return known ? leaseUntil : Long.MIN_VALUE;
     }
 
-    public void tick(final long now) {
+    /** Nothing is stamped by this machine's own clock, which may be the wrong one. */
+    public boolean clockKnown() {
+        return clockAhead != Long.MIN_VALUE;
+    }
+
+    /** The fleet's clock as the control master told it. */
+    public long wall(final Time time) {
+        return clockKnown() ? time.mono() + clockAhead : 0;
+    }
+
+    public void tick(final Time time) {
+        final long now = time.mono();
         if (polling && now - sentAt > tempo.specHorizon()) {
             polling = false;
-            nextSeed();
+            unreached(now);
         }
         if (!polling && now >= nextAt) {
-            poll(now);
+            poll(time);
         }
     }
 
+    /** The one that was asked cannot be reached. Another may reach it, so it is asked to carry the poll, for a while. */
+    private void unreached(final long now) {
+        relay = true;
+        relayUntil = now + 2 * tempo.specLease();
+        nextSeed();
+    }
+
     private void nextSeed() {
         turn = (turn + 1) % seeds.size();
         target = seeds.get(turn);
     }
 
-    private void poll(final long now) {
+    private void poll(final Time time) {
+        final long now = time.mono();
         polling = true;
         sentAt = now;
+        relay &= now < relayUntil;
         out.send(target, new SpecPoll(++pollId, self, role, zone, address, known ? spec.version() : -1,
-                known ? roster.version() : -1, drain));
+                known ? roster.version() : -1, drain, relay, time.wall()));
     }
 
+    /** The poll never left, or the session that it went over broke: waiting for its horizon would only waste the lease. */
     public void unsent(final int to, final long now) {
         if (polling && to == target) {
             polling = false;
-            nextSeed();
+            unreached(now);
             nextAt = now + tempo.tick();
         }
     }
 
     /** True when the spec or the roster is a newer one. */
-    public boolean onReply(final SpecReply m, final long now) {
+    public boolean onReply(final SpecReply m, final Time time) {
+        final long now = time.mono();
         if (!polling || m.pollId() != pollId) {
             return false;
         }
         polling = false;
         if (!m.master()) {
-            if (m.masterHint() != 0 && m.masterHint() != target && seeds.contains(m.masterHint())) {
+            if (!relay && m.masterHint() != 0 && m.masterHint() != target && seeds.contains(m.masterHint())) {
                 target = m.masterHint();
                 nextAt = now;
             } else {
@@ -133,7 +159,10 @@
         known = true;
         // why: the lease runs from when the poll was sent, which is before it was granted
         leaseUntil = Math.max(leaseUntil, sentAt + tempo.specLease());
-        poll(now);
+        if (m.wall() != 0) {
+            clockAhead = m.wall() - now;
+        }
+        poll(time);
         return news;
     }
 }
--- a/protocol/src/main/java/brookpath/protocol/frame/FrameCodec.java
+++ b/protocol/src/main/java/brookpath/protocol/frame/FrameCodec.java
@@ -96,7 +96,7 @@
             return e.putImage(m.image(), 0, m.image().length).encodedLength();
         } else if (msg instanceof Msg.Publish m) {
             final PublishFrameEncoder e = new PublishFrameEncoder().wrapAndApplyHeader(out, 0, headEnc).jobId(m.jobId()).group(m.group())
-                    .specVersion(m.specVersion()).repl(m.repl()).seq(m.seq());
+                    .specVersion(m.specVersion()).seq(m.seq());
             final byte[] tenant = utf(m.tenant());
             final byte[] topic = utf(m.topic());
             final byte[] sender = utf(m.sender());
@@ -125,11 +125,12 @@
             final byte[] zone = utf(m.zone());
             final byte[] address = utf(m.address());
             return new SpecPollFrameEncoder().wrapAndApplyHeader(out, 0, headEnc).pollId(m.pollId()).node(m.node()).role((short) m.role())
-                    .specVersion(m.specVersion()).rosterVersion(m.rosterVersion()).drain(bit(m.drain())).putZone(zone, 0, zone.length)
+                    .specVersion(m.specVersion()).rosterVersion(m.rosterVersion()).drain(bit(m.drain())).relay(bit(m.relay())).wall(m.wall())
+                    .putZone(zone, 0, zone.length)
                     .putAddress(address, 0, address.length).encodedLength();
         } else if (msg instanceof Msg.SpecReply m) {
             return new SpecReplyFrameEncoder().wrapAndApplyHeader(out, 0, headEnc).pollId(m.pollId()).master(bit(m.master()))
-                    .masterHint(m.masterHint()).epoch(m.epoch()).specVersion(m.specVersion()).rosterVersion(m.rosterVersion())
+                    .masterHint(m.masterHint()).epoch(m.epoch()).specVersion(m.specVersion()).rosterVersion(m.rosterVersion()).node(m.node()).wall(m.wall())
                     .putSpec(m.spec(), 0, m.spec().length).putRoster(m.roster(), 0, m.roster().length).encodedLength();
         } else if (msg instanceof Msg.Op m) {
             final byte[] kind = utf(m.kind());
@@ -198,7 +199,7 @@
             }
             case PublishFrameDecoder.TEMPLATE_ID -> {
                 final PublishFrameDecoder d = new PublishFrameDecoder().wrapAndApplyHeader(in, 0, headDec);
-                return new Msg.Publish(d.jobId(), d.group(), d.specVersion(), d.repl(), d.seq(), str(data(d.tenantLength(), d::getTenant)),
+                return new Msg.Publish(d.jobId(), d.group(), d.specVersion(), d.seq(), str(data(d.tenantLength(), d::getTenant)),
                         str(data(d.topicLength(), d::getTopic)), str(data(d.senderLength(), d::getSender)), str(data(d.textLength(), d::getText)));
             }
             case PublishReplyFrameDecoder.TEMPLATE_ID -> {
@@ -228,12 +229,12 @@
             case SpecPollFrameDecoder.TEMPLATE_ID -> {
                 final SpecPollFrameDecoder d = new SpecPollFrameDecoder().wrapAndApplyHeader(in, 0, headDec);
                 return new Msg.SpecPoll(d.pollId(), d.node(), d.role(), str(data(d.zoneLength(), d::getZone)),
-                        str(data(d.addressLength(), d::getAddress)), d.specVersion(), d.rosterVersion(), d.drain() == 1);
+                        str(data(d.addressLength(), d::getAddress)), d.specVersion(), d.rosterVersion(), d.drain() == 1, d.relay() == 1, d.wall());
             }
             case SpecReplyFrameDecoder.TEMPLATE_ID -> {
                 final SpecReplyFrameDecoder d = new SpecReplyFrameDecoder().wrapAndApplyHeader(in, 0, headDec);
                 return new Msg.SpecReply(d.pollId(), d.master() == 1, d.masterHint(), d.epoch(), d.specVersion(),
-                        data(d.specLength(), d::getSpec), d.rosterVersion(), data(d.rosterLength(), d::getRoster));
+                        data(d.specLength(), d::getSpec), d.rosterVersion(), data(d.rosterLength(), d::getRoster), d.node(), d.wall());
             }
             case OpFrameDecoder.TEMPLATE_ID -> {
                 final OpFrameDecoder d = new OpFrameDecoder().wrapAndApplyHeader(in, 0, headDec);
