--- a/trial/src/main/java/brookpath/trial/disk/TrialDisk.java
+++ b/trial/src/main/java/brookpath/trial/disk/TrialDisk.java
@@ -21,12 +21,18 @@
     private final TreeMap<String, Data> names = new TreeMap<>();
     private TreeMap<String, Data> durable = new TreeMap<>();
     private boolean failing;
+    private boolean full;
     private long syncs;
 
     public void failing(final boolean on) {
         failing = on;
     }
 
+    /** No byte more fits. */
+    public void full(final boolean on) {
+        full = on;
+    }
+
     public long syncs() {
         return syncs;
     }
@@ -110,6 +116,9 @@
 
         @Override
         public void append(final byte[] bytes, final int off, final int len) {
+            if (full) {
+                throw new UncheckedIOException(new IOException("no space left"));
+            }
             if (d.len + len > d.bytes.length) {
                 d.bytes = Arrays.copyOf(d.bytes, Math.max(d.bytes.length * 2, d.len + len));
             }
--- a/trial/src/main/java/brookpath/trial/sim/Callers.java
+++ b/trial/src/main/java/brookpath/trial/sim/Callers.java
@@ -492,6 +492,22 @@
         });
     }
 
+    /** Two operators hand over different documents made from the same version, at once. */
+    void race() {
+        readSpec(r -> {
+            if (r.status() == 200) {
+                world.count("staged races");
+                turn(json(r.json()).getInt("version"), false);
+                turn(json(r.json()).getInt("version"), false);
+            }
+        });
+    }
+
+    /** An operator's job that nobody waits for. */
+    void operate(final String kind, final byte[] body) {
+        ask(anyBailiff(), id -> new Job.Operate(id, kind, body), r -> world.count(kind + " said " + r.status()));
+    }
+
     /** One change that takes keys away or gives them back, by chance. */
     void turn(final long basedOn, final boolean nonsense) {
         final String changeId = "change-" + ++changes;
--- /dev/null
+++ b/trial/src/main/java/brookpath/trial/sim/CrashPoint.java
@@ -0,0 +1,83 @@
+package brookpath.trial.sim;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import brookpath.coordination.action.Action;
+import brookpath.coordination.group.GroupMachine;
+import brookpath.coordination.message.Msg;
+import brookpath.coordination.node.BailiffNode;
+import brookpath.coordination.node.Node;
+import brookpath.coordination.node.StorageNode;
+import brookpath.coordination.spec.ControlState;
+import brookpath.state.record.Pack;
+import brookpath.state.record.Rec;
+
+/** Where in its work an owner is to die: a position, not a time. */
+enum CrashPoint {
+    /** A publish is appended, nothing of it written. */
+    APPEND,
+    /** A publish is synced here and nobody knows. */
+    SYNC,
+    /** The accepted position has moved and nobody has been told. */
+    ACCEPT,
+    /** The acceptance has just been sent. */
+    ANSWER,
+    /** A window's closing record is synced here. */
+    CLOSE,
+    /** A membership record is synced here. */
+    MEMBERS,
+    /** A usage total is synced here. */
+    USAGE,
+    /** A change has just been confirmed. */
+    CONFIRM;
+
+    private static final int GROUP_RECORD = 1;
+
+    /** The point that is reached with this write's append (APPEND) or its sync (the others), null for none. */
+    static CrashPoint ofWrite(final byte[] entry) {
+        final Pack in = Pack.reader(entry);
+        in.num();
+        if (in.num() != GROUP_RECORD) {
+            return null;
+        }
+        final Rec rec = Rec.wrap(in.bytes(), 0);
+        return switch (rec.kind()) {
+            case Rec.PUBLISH -> SYNC;
+            case Rec.CLOSE -> CLOSE;
+            case Rec.MEMBERS -> MEMBERS;
+            case Rec.CONTROL -> Pack.reader(rec.body()).num() == ControlState.USAGE ? USAGE : null;
+            default -> null;
+        };
+    }
+
+    /** The point that is reached once this has left. */
+    static CrashPoint ofAction(final Action action) {
+        if (action instanceof Action.Send s && s.msg() instanceof Msg.PublishReply r && r.outcome() == Msg.PublishReply.ACCEPTED) {
+            return ANSWER;
+        }
+        final String told = action instanceof Action.Respond r ? r.response().json()
+                : action instanceof Action.Send s && s.msg() instanceof Msg.OpReply r ? new String(r.body(), UTF_8) : "";
+        return told.contains("\"confirmed\"") ? CONFIRM : null;
+    }
+
+    /** The sum of what this process has accepted as a master. */
+    static long accepted(final Node node, final int groups) {
+        long sum = 0;
+        if (node instanceof StorageNode s) {
+            for (int g = 0; g < groups; g++) {
+                sum += s.group(g) == null ? 0 : of(s.group(g));
+            }
+        } else if (node instanceof BailiffNode b) {
+            sum = of(b.group());
+        }
+        return sum;
+    }
+
+    private static long of(final GroupMachine g) {
+        return g.role() == GroupMachine.MASTER ? g.accepted() : 0;
+    }
+
+    static boolean owns(final Node node, final int groups) {
+        return accepted(node, groups) > 0;
+    }
+}
--- a/trial/src/main/java/brookpath/trial/sim/Day.java
+++ b/trial/src/main/java/brookpath/trial/sim/Day.java
@@ -2,7 +2,10 @@
 
 import static java.nio.charset.StandardCharsets.UTF_8;
 
+import brookpath.coordination.node.BailiffNode;
+import brookpath.coordination.node.Job;
 import brookpath.coordination.node.StorageNode;
+import brookpath.state.record.Pack;
 import brookpath.state.record.Rec;
 import java.io.ByteArrayInputStream;
 import java.util.ArrayList;
@@ -18,7 +21,8 @@
 
     /** What may go wrong in a day. */
     public enum Fault {
-        KILL, POWER, FREEZE, CUT, ONE_WAY, LOSS, SLOW_DISK, SYNC_FAILS, DISK_LOST, CORRUPT, CLOCK, RESETS, ROLLING, OWNER_DIES, SLOW_NET, BLACKOUT, PLATFORM
+        KILL, POWER, FREEZE, CUT, ONE_WAY, LOSS, SLOW_DISK, SYNC_FAILS, DISK_LOST, CORRUPT, CLOCK, RESETS, ROLLING, OWNER_DIES, SLOW_NET, BLACKOUT, PLATFORM,
+        FULL_DISK, STALLS, LINK_LOSS, RETIRE, SWITCHOVER, DRAIN, FRONTS_RESTART, RACE, LAST_ACT
     }
 
     /** What a day is made of. */
@@ -64,12 +68,20 @@
     private final Plan plan;
     private final World world;
     private int strikes;
+    private long drainingUntil;
     /** What a failure had still in store does not come any more. */
     private boolean morning;
 
     private Day(final Plan plan) {
         this.plan = plan;
         world = new World(plan.seed, plan.shape, plan.mutations);
+        world.mayCrash = p -> {
+            final boolean may = !morning && othersWell(p);
+            if (may) {
+                back(p, 300 + world.rnd.nextLong(3_000));
+            }
+            return may;
+        };
     }
 
     public static Outcome live(final Plan plan) {
@@ -157,11 +169,16 @@
     /** Machines come back; within the bound service is back too, for each kind of job; then everything accepted is read back. */
     private Outcome morningAfter() {
         morning = true;
+        world.armed = null;
+        world.net.linkLoss.clear();
         world.net.heal();
         world.net.lossPerMille = 0;
         world.net.extraDelay = 0;
         for (final Proc p : world.procs.values()) {
             p.syncMs = 2;
+            if (p.disk != null) {
+                p.disk.full(false);
+            }
             p.frozenUntil = Math.min(p.frozenUntil, world.now());
             if (!p.goneForGood) {
                 world.restart(p);
@@ -253,7 +270,7 @@
                 }
             }
         }
-        return p.node() instanceof brookpath.coordination.node.BailiffNode b && b.group().lost();
+        return p.node() instanceof BailiffNode b && b.group().lost();
     }
 
     private void back(final Proc p, final long after) {
@@ -347,6 +364,67 @@
                 world.platform.trouble(span * (world.rnd.nextInt(3) == 0 ? 8 : 2));
             }
             case RESETS -> world.callers.resetAll();
+            case FULL_DISK -> {
+                if (p.disk != null && othersWell(p)) {
+                    world.count("full disks");
+                    p.disk.full(true);
+                    // why: whoever looks after it starts it again and again, full or not
+                    for (long at = 1_000; at < span; at += 1_000) {
+                        back(p, at);
+                    }
+                    world.at(world.now() + span, () -> p.disk.full(false));
+                    back(p, span + 500);
+                }
+            }
+            case STALLS -> {
+                long at = 0;
+                for (final Proc each : world.procs.values()) {
+                    if (each.disk != null) {
+                        world.at(world.now() + at, () -> each.syncMs = morning ? 2 : 600);
+                        at += 700;
+                        world.at(world.now() + at, () -> each.syncMs = 2);
+                    }
+                }
+            }
+            case LINK_LOSS -> {
+                for (int i = 0; i < 4; i++) {
+                    final Proc to = any(new ArrayList<>(world.procs.keySet()));
+                    world.net.linkLoss.put(Net.link(p.id, to.id), 50 + world.rnd.nextInt(250));
+                }
+                world.at(world.now() + span, world.net.linkLoss::clear);
+            }
+            case RETIRE -> {
+                final int node = any(world.storages).id;
+                world.callers.operate("retire", Pack.writer().num(node).num(1).done());
+                world.at(world.now() + 3 * span, () -> world.callers.operate("retire", Pack.writer().num(node).num(0).done()));
+            }
+            case SWITCHOVER -> world.callers.operate("handover",
+                    Pack.writer().num(world.rnd.nextInt(world.groups)).num(any(world.storages).id).done());
+            case DRAIN -> {
+                // why: who drains all fronts at once has asked for it
+                if (world.now() >= drainingUntil) {
+                    final Proc front = any(world.fronts);
+                    drainingUntil = world.now() + 2 * span + 1_000;
+                    world.callers.asked(front, id -> new Job.Drain(id, true), r -> world.count("drains"));
+                    world.at(world.now() + 2 * span, () -> world.callers.asked(front, id -> new Job.Drain(id, false), r -> { }));
+                }
+            }
+            case FRONTS_RESTART -> {
+                world.count("all fronts restarted");
+                for (final int id : world.fronts) {
+                    world.at(world.now() + world.rnd.nextInt(200), () -> {
+                        if (!morning) {
+                            world.kill(world.procs.get(id), false);
+                            back(world.procs.get(id), 400);
+                        }
+                    });
+                }
+            }
+            case RACE -> {
+                world.callers.race();
+                world.at(world.now() + 3 + world.rnd.nextInt(30), () -> down(controlMaster(), world.rnd.nextBoolean(), span, () -> { }));
+            }
+            case LAST_ACT -> world.armed = CrashPoint.values()[world.rnd.nextInt(CrashPoint.values().length)];
             case ROLLING -> {
                 world.count("rolling restarts");
                 long at = 0;
@@ -369,6 +447,16 @@
         back(p, span);
     }
 
+    private Proc controlMaster() {
+        for (final int id : world.bailiffs) {
+            final Proc p = world.procs.get(id);
+            if (p.alive && !p.frozen() && ((BailiffNode) p.node()).group().mayAct(p.mono())) {
+                return p;
+            }
+        }
+        return null;
+    }
+
     /** A member that masters something just now. */
     private Proc owner() {
         final List<Proc> owners = new ArrayList<>();
@@ -380,7 +468,7 @@
                         owners.add(p);
                     }
                 }
-            } else if (p.alive && !p.frozen() && p.node() instanceof brookpath.coordination.node.BailiffNode b && b.group().mayAct(p.mono())) {
+            } else if (p.alive && !p.frozen() && p.node() instanceof BailiffNode b && b.group().mayAct(p.mono())) {
                 owners.add(p);
             }
         }
--- a/trial/src/main/java/brookpath/trial/sim/Net.java
+++ b/trial/src/main/java/brookpath/trial/sim/Net.java
@@ -15,13 +15,15 @@
     private final Set<Long> cuts = new HashSet<>();
     int lossPerMille;
     long extraDelay;
+    /** Loss of single links, in one direction. */
+    final Map<Long, Integer> linkLoss = new HashMap<>();
     long crossZoneBytes;
 
     Net(final World world) {
         this.world = world;
     }
 
-    private static long link(final int from, final int to) {
+    static long link(final int from, final int to) {
         return (long) from << 32 | to;
     }
 
@@ -55,7 +57,7 @@
         // why: virtual time has whole milliseconds, so half of one is one by turns
         final int zones = from.zone.equals(target.zone) ? 0 : (world.shape.halfMillis() + world.rnd.nextInt(2)) / 2;
         long delay = zones + extraDelay + (world.rnd.nextInt(4) == 0 ? 1 : 0);
-        if (world.rnd.nextInt(1000) < lossPerMille) {
+        if (world.rnd.nextInt(1000) < Math.max(lossPerMille, linkLoss.isEmpty() ? 0 : linkLoss.getOrDefault(link, 0))) {
             // why: to those above, a lost packet is one that comes late, and everything behind it waits
             delay += 200L << world.rnd.nextInt(2);
         }
--- a/trial/src/main/java/brookpath/trial/sim/Proc.java
+++ b/trial/src/main/java/brookpath/trial/sim/Proc.java
@@ -122,8 +122,15 @@
         beats.own(node.entries(time()));
         beats.tick(mono(), beatOut);
         look();
-        obey(event.apply(this));
-        look();
+        final long before = world.armed == CrashPoint.ACCEPT ? CrashPoint.accepted(node, world.groups) : 0;
+        final List<Action> actions = event.apply(this);
+        if (world.armed == CrashPoint.ACCEPT && before > 0 && CrashPoint.accepted(node, world.groups) > before && world.crashes(this)) {
+            return;
+        }
+        obey(actions);
+        if (alive) {
+            look();
+        }
     }
 
     private void thaw(final long ofLife) {
@@ -182,6 +189,10 @@
                 }
             } else if (action instanceof Action.Write || action instanceof Action.Roll) {
                 pending.add(action);
+                if (world.armed == CrashPoint.APPEND && action instanceof Action.Write w && CrashPoint.ofWrite(w.entry()) == CrashPoint.SYNC
+                        && CrashPoint.owns(node, world.groups) && world.crashes(this)) {
+                    return;
+                }
             } else if (action instanceof Action.BeatNow) {
                 beatNow = true;
             } else if (action instanceof Action.Respond a) {
@@ -195,6 +206,9 @@
             } else if (action instanceof Action.Note a) {
                 world.note(id, a.text(), a.grave());
             }
+            if (world.armed != null && CrashPoint.ofAction(action) == world.armed && world.crashes(this)) {
+                return;
+            }
         }
         final Set<Integer> now = node.beatSiblings();
         if (!now.equals(siblings)) {
@@ -249,6 +263,10 @@
                 return;
             }
             diskBusy = false;
+            if (world.armed != null && batch.stream().anyMatch(a -> a instanceof Action.Write w && CrashPoint.ofWrite(w.entry()) == world.armed)
+                    && CrashPoint.owns(node, world.groups) && world.crashes(this)) {
+                return;
+            }
             run(p -> p.node.synced(number, p.time()));
             if (alive && !frozen()) {
                 writeOut();
--- a/trial/src/main/java/brookpath/trial/sim/World.java
+++ b/trial/src/main/java/brookpath/trial/sim/World.java
@@ -196,6 +196,23 @@
 
     // ---- faults
 
+    /** Where the next owner that gets there dies; null for nowhere. */
+    CrashPoint armed;
+    /** Says whether this one may die now, and sees to its return. */
+    java.util.function.Predicate<Proc> mayCrash = p -> false;
+
+    boolean crashes(final Proc p) {
+        final CrashPoint point = armed;
+        if (!mayCrash.test(p)) {
+            return false;
+        }
+        armed = null;
+        count("died right after " + point);
+        note(p.id, "dies right after " + point, false);
+        kill(p, rnd.nextBoolean());
+        return true;
+    }
+
     void kill(final Proc p, final boolean powerLoss) {
         if (!p.alive) {
             return;
