Settings files may change under a running process: taken whole or kept out

Now each process looks at its file's content: segmentBytes and platform change live, all else and every wrong file is kept out with findings in status and ring log. Ruled out: file notices (a rename ends the watch), a reload call (says nothing of a file that went bad by itself). Seen: 400 changes of seven kinds against an oracle, and a running bailiff given a good, a wrong, no, and again the good file.

--- a/coordination/src/main/java/brookpath/coordination/node/BailiffNode.java
+++ b/coordination/src/main/java/brookpath/coordination/node/BailiffNode.java
@@ -68,7 +68,7 @@
 
     private final Founding founding;
     private final List<Member> members;
-    private final long rollBytes;
+    private long rollBytes;
     private final GroupMachine group;
     private final TreeMap<Integer, Poller> pollers = new TreeMap<>();
     private final List<Waiting> waitlist = new ArrayList<>();
@@ -216,7 +216,9 @@
     @Override
     protected void onJob(final Job job, final Time time) {
         final long now = time.mono();
-        if (job instanceof Job.Posted j) {
+        if (job instanceof Job.Adopt j) {
+            rollBytes = j.rollBytes();
+        } else if (job instanceof Job.Posted j) {
             posted(j, time);
         } else if (job instanceof Job.Status j) {
             out.respond(j.jobId(), new Response(200, 0, statusJson(time)));
--- a/coordination/src/main/java/brookpath/coordination/node/Job.java
+++ b/coordination/src/main/java/brookpath/coordination/node/Job.java
@@ -34,6 +34,10 @@
     record Posted(long jobId, int status) implements Job {
     }
 
+    /** Settings that were changed under the running process. Nobody waits for a response. */
+    record Adopt(long rollBytes) implements Job {
+    }
+
     /** An operator's job for the control master: change, spec, outcome, nodes. */
     record Operate(long jobId, String kind, byte[] body) implements Job {
     }
--- a/coordination/src/main/java/brookpath/coordination/node/StorageNode.java
+++ b/coordination/src/main/java/brookpath/coordination/node/StorageNode.java
@@ -59,7 +59,7 @@
 
     private final int toleratedLosses;
     private final long seed;
-    private final long rollBytes;
+    private long rollBytes;
     private final SpecClient client;
     private final TreeMap<Integer, GroupMachine> groups = new TreeMap<>();
     private final TreeMap<Integer, List<Waiting>> waitlists = new TreeMap<>();
@@ -468,7 +468,9 @@
 
     @Override
     protected void onJob(final Job job, final Time time) {
-        if (job instanceof Job.Status j) {
+        if (job instanceof Job.Adopt j) {
+            rollBytes = j.rollBytes();
+        } else if (job instanceof Job.Status j) {
             out.respond(j.jobId(), new Response(200, 0, statusJson(time)));
         } else if (job instanceof Job.Ready j) {
             out.respond(j.jobId(), Ready.response(client.leased(time.mono()), client.draining()));
--- a/programs/src/main/java/brookpath/programs/boot/Boot.java
+++ b/programs/src/main/java/brookpath/programs/boot/Boot.java
@@ -7,12 +7,14 @@
 import brookpath.coordination.group.Member;
 import brookpath.coordination.node.BailiffNode;
 import brookpath.coordination.node.FrontNode;
+import brookpath.coordination.node.Job;
 import brookpath.coordination.node.Node;
 import brookpath.coordination.node.Node.Time;
 import brookpath.coordination.node.StorageNode;
 import brookpath.coordination.spec.SpecClient;
 import brookpath.programs.settings.Settings;
 import brookpath.programs.settings.SettingsReader;
+import brookpath.programs.settings.SettingsWatch;
 import brookpath.state.disk.FolderDisk;
 import brookpath.state.spool.Spool;
 import brookpath.transport.http.CommonResource;
@@ -20,6 +22,7 @@
 import brookpath.transport.http.FrontResource;
 import brookpath.transport.http.OperatorResource;
 import brookpath.transport.http.PlatformPoster;
+import brookpath.transport.http.SettingsReport;
 import brookpath.transport.log.RingWriter;
 import brookpath.transport.loop.Host;
 import com.google.inject.AbstractModule;
@@ -59,15 +62,15 @@
             return;
         }
         try {
-            run(reading.settings());
+            run(reading.settings(), args, bailiff);
         } catch (final IllegalStateException | java.io.UncheckedIOException ex) {
             System.err.println(program + ": " + ex.getMessage());
             System.exit(1);
         }
     }
 
-    private static void run(final Settings s) throws Exception {
-        final Injector injector = Guice.createInjector(new Parts(s));
+    private static void run(final Settings s, final String[] args, final boolean bailiff) throws Exception {
+        final Injector injector = Guice.createInjector(new Parts(s, args, bailiff));
         final Host host = injector.getInstance(Host.class);
         final Start start = injector.getInstance(Start.class);
         if (!s.siblings().isEmpty()) {
@@ -84,9 +87,25 @@
         new Web(host(s.http()), port(s.http()), resources).run("server");
         // why: Jetty waits for its sessions, and a listening session ends only when it is told to
         Runtime.getRuntime().addShutdownHook(new Thread(host::close, "stop"));
+        watch(injector.getInstance(SettingsWatch.class), s.tempo().changeMs() / 6);
         Logger.info("{} {} serves on {}", s.role(), s.node(), s.http());
     }
 
+    private static void watch(final SettingsWatch watch, final long every) {
+        final Thread th = new Thread(() -> {
+            try {
+                while (true) {
+                    Thread.sleep(every);
+                    watch.look();
+                }
+            } catch (final InterruptedException ex) {
+                Thread.currentThread().interrupt();
+            }
+        }, "settings");
+        th.setDaemon(true);
+        th.start();
+    }
+
     /** What the machine did before its first event. */
     private record Start(List<Action> actions) {
     }
@@ -95,8 +114,33 @@
         private final Settings s;
         private final List<Action> first = new ArrayList<>();
 
-        Parts(final Settings s) {
+        private final String[] args;
+        private final boolean bailiff;
+
+        Parts(final Settings s, final String[] args, final boolean bailiff) {
             this.s = s;
+            this.args = args;
+            this.bailiff = bailiff;
+        }
+
+        @Provides
+        @Singleton
+        SettingsWatch settings(final Host host, final PlatformPoster poster) {
+            return new SettingsWatch(args, bailiff, s, is -> {
+                poster.url(is.platform());
+                host.tell(new Job.Adopt(is.rollBytes()));
+            });
+        }
+
+        @Provides
+        SettingsReport report(final SettingsWatch watch) {
+            return watch;
+        }
+
+        @Provides
+        @Singleton
+        PlatformPoster poster() {
+            return new PlatformPoster(s.platform(), s.tempo().deliverMs());
         }
 
         @Provides
@@ -150,10 +194,10 @@
 
         @Provides
         @Singleton
-        Host host(final Node node, final Recovered recovered) {
+        Host host(final Node node, final Recovered recovered, final PlatformPoster poster) {
             final SpecClient client = node instanceof FrontNode f ? f.client() : node instanceof StorageNode n ? n.client() : null;
             return new Host(node, s.node(), s.tempo(), recovered.spool, n -> addresses(client),
-                    () -> client == null ? Long.MAX_VALUE : client.leaseUntil(), new PlatformPoster(s.platform(), s.tempo().deliverMs()),
+                    () -> client == null ? Long.MAX_VALUE : client.leaseUntil(), poster,
                     () -> Runtime.getRuntime().halt(1));
         }
 
--- a/programs/src/main/java/brookpath/programs/settings/SettingsReader.java
+++ b/programs/src/main/java/brookpath/programs/settings/SettingsReader.java
@@ -11,6 +11,7 @@
 import jakarta.json.JsonReader;
 import jakarta.json.JsonString;
 import jakarta.json.JsonValue;
+import java.io.ByteArrayInputStream;
 import java.io.IOException;
 import java.io.InputStream;
 import java.nio.file.Files;
@@ -59,6 +60,21 @@
     }
 
     public static Reading read(final String[] args, final boolean bailiff) {
+        return read(args, bailiff, null);
+    }
+
+    /** The settings file that the flags name, null for none. */
+    public static Path file(final String[] args, final boolean bailiff) {
+        try {
+            final String name = new DefaultParser().parse(options(bailiff), args).getOptionValue("settings");
+            return name == null ? null : Path.of(name);
+        } catch (final ParseException ex) {
+            return null;
+        }
+    }
+
+    /** @param content what the settings file held when it was looked at, null to look now */
+    static Reading read(final String[] args, final boolean bailiff, final byte[] content) {
         final CommandLine cl;
         try {
             cl = new DefaultParser().parse(options(bailiff), args);
@@ -66,17 +82,17 @@
             return new Reading(null, List.of(new Finding("flags", ex.getMessage())), false, false);
         }
         final SettingsReader rd = new SettingsReader(bailiff, cl);
-        final Settings settings = cl.hasOption("help") ? null : rd.settings();
+        final Settings settings = cl.hasOption("help") ? null : rd.settings(content);
         return new Reading(settings, rd.findings, cl.hasOption("help"), cl.hasOption("check"));
     }
 
-    private Settings settings() {
+    private Settings settings(final byte[] content) {
         for (final String arg : cl.getArgList()) {
             findings.add(new Finding("flags", "unexpected \"" + arg + "\""));
         }
         if (cl.hasOption("settings")) {
             final Path path = Path.of(cl.getOptionValue("settings"));
-            try (InputStream in = Files.newInputStream(path);
+            try (InputStream in = content == null ? Files.newInputStream(path) : new ByteArrayInputStream(content);
                     JsonReader rd = Json.createReaderFactory(Map.of(JsonConfig.KEY_STRATEGY, JsonConfig.KeyStrategy.NONE)).createReader(in)) {
                 file = rd.readObject();
             } catch (final IOException ex) {
--- a/transport/src/main/java/brookpath/transport/http/CommonResource.java
+++ b/transport/src/main/java/brookpath/transport/http/CommonResource.java
@@ -16,9 +16,12 @@
 public final class CommonResource {
     private final Desk desk;
 
+    private final SettingsReport settings;
+
     @Inject
-    public CommonResource(final Desk desk) {
+    public CommonResource(final Desk desk, final SettingsReport settings) {
         this.desk = desk;
+        this.settings = settings;
     }
 
     @GET
@@ -30,7 +33,9 @@
     @GET
     @Path("/status")
     public CompletionStage<Response> status() {
-        return desk.ask(Job.Status::new);
+        // why: the settings file is the process's, not its state's, so the two are put together here
+        return desk.ask(Job.Status::new, r -> new brookpath.coordination.message.Response(r.status(), r.retryAfterMs(),
+                r.json().substring(0, r.json().length() - 1) + ",\"settings\":" + settings.json() + "}"));
     }
 
     /** Counters of the wire; they belong to the process rather than to its state. */
--- a/transport/src/main/java/brookpath/transport/http/Desk.java
+++ b/transport/src/main/java/brookpath/transport/http/Desk.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.function.LongFunction;
+import java.util.function.UnaryOperator;
 
 /** Hands callers' jobs to the state thread, and its responses back to HTTP. */
 public final class Desk {
@@ -35,9 +36,13 @@
     }
 
     CompletionStage<jakarta.ws.rs.core.Response> ask(final LongFunction<Job> job) {
+        return ask(job, r -> r);
+    }
+
+    CompletionStage<jakarta.ws.rs.core.Response> ask(final LongFunction<Job> job, final UnaryOperator<Response> then) {
         final long id = host.nextJobId();
         // why: the state thread must not write to a caller's socket
-        return host.submit(id, job.apply(id)).thenApplyAsync(Desk::http, traffic);
+        return host.submit(id, job.apply(id)).thenApplyAsync(r -> http(then.apply(r)), traffic);
     }
 
     static CompletionStage<jakarta.ws.rs.core.Response> now(final Response r) {
--- a/transport/src/main/java/brookpath/transport/http/PlatformPoster.java
+++ b/transport/src/main/java/brookpath/transport/http/PlatformPoster.java
@@ -11,23 +11,29 @@
 
 /** Posts usage reports to the platform over HTTP/1.1, each under its idempotency key. */
 public final class PlatformPoster implements Host.Poster {
-    private final URI uri;
     private final Duration horizon;
     private final HttpClient http;
+    private volatile URI uri;
 
     /** @param url empty where there is no platform to tell: totals can be read from a bailiff */
     public PlatformPoster(final String url, final long horizonMs) {
-        uri = url.isEmpty() ? null : URI.create(url);
+        url(url);
         horizon = Duration.ofMillis(horizonMs);
-        http = uri == null ? null : HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).connectTimeout(horizon).build();
+        http = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).connectTimeout(horizon).build();
+    }
+
+    /** From now on reports go there. */
+    public void url(final String url) {
+        uri = url.isEmpty() ? null : URI.create(url);
     }
 
     @Override
     public CompletableFuture<Integer> accept(final Action.Post post) {
-        if (uri == null) {
+        final URI to = uri;
+        if (to == null) {
             return CompletableFuture.completedFuture(200);
         }
-        return http.sendAsync(HttpRequest.newBuilder(uri).timeout(horizon).header("Content-Type", "application/json")
+        return http.sendAsync(HttpRequest.newBuilder(to).timeout(horizon).header("Content-Type", "application/json")
                 .header("Idempotency-Key", post.key()).POST(HttpRequest.BodyPublishers.ofString(post.json())).build(),
                 HttpResponse.BodyHandlers.discarding()).thenApply(HttpResponse::statusCode);
     }
--- a/transport/src/main/java/brookpath/transport/loop/Host.java
+++ b/transport/src/main/java/brookpath/transport/loop/Host.java
@@ -149,6 +149,11 @@
         return response;
     }
 
+    /** A job that nobody waits for. */
+    public void tell(final Job job) {
+        events.add((n, time) -> n.job(job, time));
+    }
+
     public CompletableFuture<Response> subscribe(final long sessionId, final Job job, final Sink sink) {
         sinks.put(sessionId, sink);
         return submit(sessionId, job);
@@ -156,7 +161,7 @@
 
     public void unsubscribe(final long sessionId) {
         sinks.remove(sessionId);
-        events.add((n, time) -> n.job(new Job.Unsubscribe(sessionId), time));
+        tell(new Job.Unsubscribe(sessionId));
     }
 
     @Override
--- a/trial/src/main/java/brookpath/trial/fleet/Fleet.java
+++ b/trial/src/main/java/brookpath/trial/fleet/Fleet.java
@@ -96,6 +96,10 @@
             new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).inheritIO().start().waitFor();
         }
 
+        public Path settings() {
+            return settings;
+        }
+
         public int siblingPort() {
             return siblingPort;
         }
--- a/trial/src/test/java/brookpath/trial/FleetSmokeTest.java
+++ b/trial/src/test/java/brookpath/trial/FleetSmokeTest.java
@@ -131,6 +131,32 @@
         throw new AssertionError("node " + u.node + " did not come back whole: " + status);
     }
 
+    private String awaitStatus(final Unit u, final String part) throws Exception {
+        final long end = System.nanoTime() + PATIENCE_MS * 1_000_000L;
+        String status = "";
+        while (System.nanoTime() < end && !status.contains(part)) {
+            status = fleet.get(u, "/v1/status");
+        }
+        assertTrue(status.contains(part), part + " is not in " + status);
+        return status;
+    }
+
+    @Test
+    public void settingsChangedUnderARunningProcessAreTakenOrKeptOut() throws Exception {
+        final Unit u = fleet.units().get(3);
+        final String good = Files.readString(u.settings()).strip();
+        Files.writeString(u.settings(), good.substring(0, good.length() - 1) + ",\"segmentBytes\":123456}");
+        awaitStatus(u, "\"segmentBytes\":123456");
+        Files.writeString(u.settings(), good.replace("\"zone\":", "\"zone\":1,\"colour\":"));
+        final String status = awaitStatus(u, "\"/colour\"");
+        assertTrue(status.contains("\"segmentBytes\":123456") && status.contains("\"/zone\""), status);
+        Files.delete(u.settings());
+        awaitStatus(u, "is gone");
+        Files.writeString(u.settings(), good);
+        awaitStatus(u, "\"keptOut\":[]");
+        assertEquals(change(DOC).statusCode(), 200, "it goes on with what it had");
+    }
+
     @Test
     public void badInputIsRefusedWithItsPlace() throws Exception {
         assertEquals(publish(0, "permits/north", "Bearer nobody-knows", message(1)).statusCode(), 401);
--- a/trial/src/test/java/brookpath/trial/SettingsTest.java
+++ b/trial/src/test/java/brookpath/trial/SettingsTest.java
@@ -1,12 +1,18 @@
 package brookpath.trial;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
+import brookpath.programs.settings.Settings;
 import brookpath.programs.settings.SettingsReader;
 import brookpath.programs.settings.SettingsReader.Reading;
+import brookpath.programs.settings.SettingsWatch;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
 import org.testng.annotations.Test;
 
 /** Settings and flags: all findings, with their place, together. */
@@ -52,4 +58,52 @@
         assertTrue(SettingsReader.read(new String[] {"--pace", "3"}, true).findings().toString().contains("--pace"));
         assertTrue(SettingsReader.read(new String[] {"--settings", "/nowhere/at/all"}, true).findings().toString().contains("cannot be read"));
     }
+
+    @Test
+    public void aFileChangedUnderARunningProcessIsTakenWholeOrKeptOut() throws Exception {
+        final Path file = Files.createTempFile("settings", ".json");
+        final String good = "{\"node\":1,\"zone\":\"a\",\"http\":\"127.0.0.1:1\",\"siblings\":\"127.0.0.1:2\",\"data\":\"d\","
+                + "\"seeds\":[\"1@127.0.0.1:2\",\"2@127.0.0.1:3\",\"3@127.0.0.1:4\"],\"segmentBytes\":100000,\"platform\":\"http://127.0.0.1:9/a\"}";
+        Files.writeString(file, good);
+        final String[] args = {"--settings=" + file};
+        final List<Settings> taken = new ArrayList<>();
+        final SettingsWatch watch = new SettingsWatch(args, true, SettingsReader.read(args, true).settings(), taken::add);
+        // why: seeds are chosen so that each kind of wrong file follows each other kind; the oracle is what the last whole good file said
+        final SplittableRandom rnd = new SplittableRandom(5);
+        String platform = "http://127.0.0.1:9/a";
+        int changes = 0;
+        for (int i = 0; i < 400; i++) {
+            final String next = "http://127.0.0.1:9/" + i;
+            final String fresh = good.replace("http://127.0.0.1:9/a", next);
+            final int kind = rnd.nextInt(7);
+            boolean fine = kind == 0;
+            switch (kind) {
+                case 0 -> Files.writeString(file, fresh);
+                case 1 -> Files.writeString(file, fresh.substring(0, 1 + rnd.nextInt(fresh.length() - 1)));
+                case 2 -> Files.deleteIfExists(file);
+                case 3 -> Files.writeString(file, fresh.replace("\"zone\":\"a\"", "\"zone\":\"b\""));
+                case 4 -> Files.writeString(file, fresh.replace("100000", "-3"));
+                case 5 -> {
+                    final Path other = Files.createTempFile("settings", ".json");
+                    Files.writeString(other, fresh.replace("\"node\":1", "\"node\":7"));
+                    Files.move(other, file, java.nio.file.StandardCopyOption.REPLACE_EXISTING);
+                }
+                default -> Files.write(file, new byte[] {(byte) rnd.nextInt(256), 0, 1, (byte) rnd.nextInt(256)});
+            }
+            final boolean atOnce = watch.look();
+            assertFalse(atOnce, "a file was judged at first sight, it may be half written");
+            watch.look();
+            if (fine) {
+                platform = next;
+                changes++;
+                assertTrue(watch.findings().isEmpty(), watch.findings().toString());
+            } else {
+                assertFalse(watch.findings().isEmpty(), "kind " + kind + " was not found wrong");
+                assertTrue(watch.json().contains("\"keptOut\":[{\"place\":"), watch.json());
+            }
+            assertEquals(watch.inForce().platform(), platform);
+            assertEquals(watch.inForce().zone(), "a");
+        }
+        assertTrue(changes > 20 && taken.size() == changes, taken.size() + " of " + changes);
+    }
 }
