--- a/coordination/src/main/java/brookpath/coordination/beat/BeatMachine.java
+++ b/coordination/src/main/java/brookpath/coordination/beat/BeatMachine.java
@@ -26,6 +26,7 @@
         long answeredSentAt = Long.MIN_VALUE / 2;
         Map<Integer, BeatEntry> answeredOwn = Map.of();
         long heardAt = Long.MIN_VALUE / 2;
+        long known;
         Map<Integer, BeatEntry> entries = Map.of();
     }
 
@@ -87,7 +88,7 @@
             if (sib.sent.size() > OUTSTANDING) {
                 sib.sent.remove(sib.sent.keySet().iterator().next());
             }
-            out.send(node, new Beat(false, id, now, own));
+            out.send(node, new Beat(false, id, now, sib.known, false, own));
         });
         swap();
     }
@@ -100,7 +101,10 @@
                 swap();
             }
             // why: the pledge comes before the answer, for a vote given after the answer must know of it however late the table is seen
-            out.send(from, new Beat(true, beat.id(), beat.stamp(), pledges.answer(from, beat, own, now)));
+            final List<BeatEntry> answer = pledges.answer(from, beat, own, now);
+            // why: one that holds no copy asks only who is what; where that is as it was, a few bytes say so
+            final boolean same = beat.entries().isEmpty() && beat.known() == BeatEntry.digest(answer);
+            out.send(from, new Beat(true, beat.id(), beat.stamp(), 0, same, same ? List.of() : answer));
             return;
         }
         final Sent sent = sib == null ? null : sib.sent.get(beat.id());
@@ -122,7 +126,10 @@
 
     private static void learn(final Sibling sib, final Beat beat, final long now) {
         sib.heardAt = now;
-        sib.entries = byGroup(beat.entries());
+        if (!beat.same()) {
+            sib.entries = byGroup(beat.entries());
+            sib.known = BeatEntry.digest(beat.entries());
+        }
     }
 
     private void swap() {
--- a/coordination/src/main/java/brookpath/coordination/message/Msg.java
+++ b/coordination/src/main/java/brookpath/coordination/message/Msg.java
@@ -6,7 +6,11 @@
 /** What the processes say to each other. Every message that acts for a master carries its epoch and group version. */
 public sealed interface Msg {
     /** One sharing-beat per pair of processes, with an entry per group; its reply carries the replier's entries. */
-    record Beat(boolean reply, long id, long stamp, List<BeatEntry> entries) implements Msg {
+    /**
+     * @param known what the sender has of the receiver's entries ({@link BeatEntry#digest})
+     * @param same in a reply: the entries are left out, for what matters of them is what the asker has
+     */
+    record Beat(boolean reply, long id, long stamp, long known, boolean same, List<BeatEntry> entries) implements Msg {
     }
 
     record BeatEntry(int group, int groupVersion, long epoch, int role, int sync, long startLsn, long endLsn, long endEpoch,
@@ -15,6 +19,18 @@
         public static final int CANDIDATE = 1;
         public static final int MASTER = 2;
 
+        /** Who is what, in which epoch, without the positions: all that a process needs that holds no copy itself. */
+        public static long digest(final List<BeatEntry> entries) {
+            long d = 17;
+            for (final BeatEntry e : entries) {
+                for (final long part : new long[] {e.group, e.groupVersion, e.epoch, e.role, e.sync, e.masterHeard, e.weight}) {
+                    d = (d ^ part) * 0x9E3779B97F4A7C15L;
+                    d ^= d >>> 29;
+                }
+            }
+            return d;
+        }
+
         /** The same member after it has voted in a later epoch, in which it masters nothing yet. */
         public BeatEntry raised(final long later) {
             return new BeatEntry(group, groupVersion, later, SLAVE, sync, startLsn, endLsn, endEpoch, accepted, 0, weight);
@@ -90,8 +106,8 @@
     record OpReply(long jobId, int status, int retryAfterMs, byte[] body) implements Msg {
     }
 
-    /** How many sessions of a front listen to each topic of a group. */
-    record Listen(int group, List<TopicCount> counts) implements Msg {
+    /** How many sessions of a front listen to each topic of a group; same: as told in that edition, which is not told again. */
+    record Listen(int group, long edition, boolean same, List<TopicCount> counts) implements Msg {
     }
 
     record TopicCount(String topic, int count) {
--- a/coordination/src/main/java/brookpath/coordination/node/BailiffNode.java
+++ b/coordination/src/main/java/brookpath/coordination/node/BailiffNode.java
@@ -33,6 +33,7 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.zip.CRC32C;
@@ -748,6 +749,13 @@
         return nodes;
     }
 
+    @Override
+    public Map<Integer, String> zones() {
+        final Map<Integer, String> zones = zonesOf(roster());
+        pollers.forEach((node, p) -> zones.put(node, p.last.zone()));
+        return zones;
+    }
+
     @Override
     public String statusJson(final Time time) {
         final JsonArrayBuilder placed = Json.createArrayBuilder();
--- a/coordination/src/main/java/brookpath/coordination/node/FrontNode.java
+++ b/coordination/src/main/java/brookpath/coordination/node/FrontNode.java
@@ -69,6 +69,10 @@
         int source;
         long sentAt;
         boolean widened;
+        long edition;
+        int toldTo;
+        long toldAt;
+        Map<String, Integer> told = Map.of();
 
         Feed(final int group) {
             this.group = group;
@@ -193,15 +197,24 @@
         }
     }
 
+    /** Tells each group's master who listens: whole when that or the master has changed, else only that it is still so. */
     private void listen(final long now) {
         final PathFinder paths = paths(now);
         for (final Feed f : feeds.values()) {
             final Path path = paths.toMaster(new Path(null, "", f.group, 0, ""), now);
-            if (path.refusal() == null) {
-                final List<TopicCount> list = new ArrayList<>();
+            if (path.refusal() != null) {
+                continue;
+            }
+            final boolean same = f.toldTo == path.node() && f.told.equals(f.topics) && now - f.toldAt < tempo.keepAlive();
+            final List<TopicCount> list = new ArrayList<>();
+            if (!same) {
+                f.edition = ++ids;
+                f.toldTo = path.node();
+                f.toldAt = now;
+                f.told = Map.copyOf(f.topics);
                 f.topics.forEach((topic, n) -> list.add(new TopicCount(topic, n)));
-                out.send(path.node(), new Listen(f.group, list));
             }
+            out.send(path.node(), new Listen(f.group, f.edition, same, list));
         }
     }
 
@@ -302,7 +315,7 @@
         if (admitted.group() >= 0) {
             obj.add("readsFrom", paths.nearest(admitted.group(), 0, now));
             final JsonArrayBuilder seen = Json.createArrayBuilder();
-            client.roster().groups().get(admitted.group()).members().forEach(m -> seen.add(GroupStatus.row(m, table, admitted.group(), now)));
+            client.roster().groups().get(admitted.group()).members().forEach(m -> seen.add(GroupStatus.row(m, table, admitted.group(), now, false)));
             obj.add("table", seen);
         }
         return obj.build().toString();
@@ -376,6 +389,8 @@
             if (ask != null && sessions.containsKey(ask.sessionId)) {
                 sessions.get(ask.sessionId).parts.get(ask.group).sentAt = elsewhere(time.mono());
             }
+        } else if (msg instanceof Listen m && feeds.containsKey(m.group())) {
+            feeds.get(m.group()).toldTo = 0;
         } else if (msg instanceof CountAsk m) {
             final CountJob c = counts.remove(m.jobId());
             if (c != null) {
@@ -393,7 +408,11 @@
             }
             return f.path.node() == node;
         });
-        feeds.values().forEach(f -> f.fetchId = f.source == node ? 0 : f.fetchId);
+        feeds.values().forEach(f -> {
+            f.fetchId = f.source == node ? 0 : f.fetchId;
+            // why: what was told on the broken session may not have arrived
+            f.toldTo = f.toldTo == node ? 0 : f.toldTo;
+        });
         sessions.values().forEach(s -> s.parts.values().forEach(p -> {
             if (p.source == node) {
                 asked.remove(p.fetchId);
@@ -642,6 +661,11 @@
         return nodes;
     }
 
+    @Override
+    public Map<Integer, String> zones() {
+        return zonesOf(client.roster());
+    }
+
     @Override
     public String statusJson(final Time time) {
         final PathFinder paths = paths(time.mono());
--- a/coordination/src/main/java/brookpath/coordination/node/Node.java
+++ b/coordination/src/main/java/brookpath/coordination/node/Node.java
@@ -7,7 +7,10 @@
 import brookpath.coordination.beat.Pledges;
 import brookpath.coordination.message.Msg;
 import brookpath.coordination.message.Msg.BeatEntry;
+import brookpath.coordination.spec.Roster;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 
 /**
@@ -69,6 +72,12 @@
         return out.drain();
     }
 
+    protected static Map<Integer, String> zonesOf(final Roster roster) {
+        final Map<Integer, String> zones = new HashMap<>();
+        roster.nodes().forEach(n -> zones.put(n.node(), n.zone()));
+        return zones;
+    }
+
     protected abstract void onTick(Time time);
 
     protected abstract void onMessage(int from, Msg msg, Time time);
@@ -93,4 +102,7 @@
     public abstract Set<Integer> beatSiblings();
 
     public abstract String statusJson(Time time);
+
+    /** The zones of the processes that this one knows, for counting what goes between zones. */
+    public abstract Map<Integer, String> zones();
 }
--- a/coordination/src/main/java/brookpath/coordination/node/StorageNode.java
+++ b/coordination/src/main/java/brookpath/coordination/node/StorageNode.java
@@ -57,7 +57,7 @@
     private record HeldFetch(int from, Fetch fetch, long horizon) {
     }
 
-    private record Listeners(long heardAt, Map<String, Integer> counts) {
+    private record Listeners(long heardAt, long edition, Map<String, Integer> counts) {
     }
 
     private final int toleratedLosses;
@@ -259,9 +259,15 @@
         } else if (msg instanceof Fetch m) {
             fetch(from, m, now);
         } else if (msg instanceof Listen m) {
-            final Map<String, Integer> counts = new HashMap<>();
-            m.counts().forEach(c -> counts.put(c.topic(), c.count()));
-            listeners.computeIfAbsent(m.group(), k -> new TreeMap<>()).put(from, new Listeners(now, counts));
+            final TreeMap<Integer, Listeners> told = listeners.computeIfAbsent(m.group(), k -> new TreeMap<>());
+            final Listeners before = told.get(from);
+            if (!m.same()) {
+                final Map<String, Integer> counts = new HashMap<>();
+                m.counts().forEach(c -> counts.put(c.topic(), c.count()));
+                told.put(from, new Listeners(now, m.edition(), counts));
+            } else if (before != null && before.edition == m.edition()) {
+                told.put(from, new Listeners(now, m.edition(), before.counts));
+            }
         } else if (msg instanceof CountAsk m) {
             count(from, m, now);
         }
@@ -489,6 +495,11 @@
         }
     }
 
+    @Override
+    public Map<Integer, String> zones() {
+        return zonesOf(client.roster());
+    }
+
     @Override
     public String statusJson(final Time time) {
         final JsonArrayBuilder arr = Json.createArrayBuilder();
--- a/protocol/src/main/java/brookpath/protocol/frame/FrameCodec.java
+++ b/protocol/src/main/java/brookpath/protocol/frame/FrameCodec.java
@@ -67,7 +67,8 @@
 
     private int body(final Msg msg) {
         if (msg instanceof Msg.Beat m) {
-            final BeatFrameEncoder e = new BeatFrameEncoder().wrapAndApplyHeader(out, 0, headEnc).reply(bit(m.reply())).id(m.id()).stamp(m.stamp());
+            final BeatFrameEncoder e = new BeatFrameEncoder().wrapAndApplyHeader(out, 0, headEnc).reply(bit(m.reply())).id(m.id()).stamp(m.stamp())
+                    .known(m.known()).same(bit(m.same()));
             final BeatFrameEncoder.EntriesEncoder g = e.entriesCount(m.entries().size());
             for (final Msg.BeatEntry b : m.entries()) {
                 g.next().group(b.group()).groupVersion(b.groupVersion()).epoch(b.epoch()).role((short) b.role()).sync((short) b.sync())
@@ -140,7 +141,8 @@
             return new OpReplyFrameEncoder().wrapAndApplyHeader(out, 0, headEnc).jobId(m.jobId()).status(m.status()).retryAfterMs(m.retryAfterMs())
                     .putBody(m.body(), 0, m.body().length).encodedLength();
         } else if (msg instanceof Msg.Listen m) {
-            final ListenFrameEncoder e = new ListenFrameEncoder().wrapAndApplyHeader(out, 0, headEnc).group(m.group());
+            final ListenFrameEncoder e = new ListenFrameEncoder().wrapAndApplyHeader(out, 0, headEnc).group(m.group())
+                    .edition(m.edition()).same(bit(m.same()));
             final ListenFrameEncoder.CountsEncoder g = e.countsCount(m.counts().size());
             m.counts().forEach(c -> g.next().sessions(c.count()).putTopic(utf(c.topic()), 0, utf(c.topic()).length));
             return e.encodedLength();
@@ -168,12 +170,14 @@
         switch (headDec.templateId()) {
             case BeatFrameDecoder.TEMPLATE_ID -> {
                 final BeatFrameDecoder d = new BeatFrameDecoder().wrapAndApplyHeader(in, 0, headDec);
+                final long known = d.known();
+                final boolean same = d.same() == 1;
                 final List<Msg.BeatEntry> list = new ArrayList<>();
                 for (final BeatFrameDecoder.EntriesDecoder g : d.entries()) {
                     list.add(new Msg.BeatEntry(g.group(), g.groupVersion(), g.epoch(), g.role(), g.sync(), g.startLsn(), g.endLsn(),
                             g.endEpoch(), g.accepted(), g.masterHeard(), g.weight()));
                 }
-                return new Msg.Beat(d.reply() == 1, d.id(), d.stamp(), List.copyOf(list));
+                return new Msg.Beat(d.reply() == 1, d.id(), d.stamp(), known, same, List.copyOf(list));
             }
             case VoteAskFrameDecoder.TEMPLATE_ID -> {
                 final VoteAskFrameDecoder d = new VoteAskFrameDecoder().wrapAndApplyHeader(in, 0, headDec);
@@ -250,7 +254,7 @@
                 for (final ListenFrameDecoder.CountsDecoder g : d.counts()) {
                     counts.add(new Msg.TopicCount(str(data(g.topicLength(), g::getTopic)), g.sessions()));
                 }
-                return new Msg.Listen(d.group(), counts);
+                return new Msg.Listen(d.group(), d.edition(), d.same() == 1, counts);
             }
             case CountAskFrameDecoder.TEMPLATE_ID -> {
                 final CountAskFrameDecoder d = new CountAskFrameDecoder().wrapAndApplyHeader(in, 0, headDec);
--- a/transport/src/main/java/brookpath/transport/http/CommonResource.java
+++ b/transport/src/main/java/brookpath/transport/http/CommonResource.java
@@ -42,6 +42,7 @@
     @GET
     @Path("/wire")
     public Response wire() {
-        return Response.ok("{\"malformedFrames\":" + desk.host().wire().malformed() + ",\"bytesOut\":" + desk.host().wire().bytesOut() + ",\"waiting\":" + desk.host().waitlistsJson() + "}\n").build();
+        final String wire = desk.host().wireJson();
+        return Response.ok(wire.substring(0, wire.length() - 1) + ",\"waiting\":" + desk.host().waitlistsJson() + "}\n").build();
     }
 }
--- a/transport/src/main/java/brookpath/transport/loop/Host.java
+++ b/transport/src/main/java/brookpath/transport/loop/Host.java
@@ -15,10 +15,12 @@
 import brookpath.coordination.node.Node.Time;
 import brookpath.state.spool.Spool;
 import brookpath.transport.wire.Wire;
+import jakarta.json.Json;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
@@ -83,6 +85,8 @@
     private volatile List<BeatEntry> entries = List.of();
     private volatile Set<Integer> siblings = Set.of();
     private volatile long leaseSnapshot = Long.MAX_VALUE;
+    private volatile Map<Integer, String> zones = Map.of();
+    private long nextZones;
     private volatile boolean closed;
     private BeatTable seen = BeatTable.EMPTY;
     private Map<Integer, String> dialled = Map.of();
@@ -106,6 +110,17 @@
         wire = new Wire(self, this, tempo.beat() / 2);
     }
 
+    /** Bytes per zone of the other side; "?" for siblings whose zone this process does not know. */
+    public String wireJson() {
+        final Map<Integer, String> known = zones;
+        final TreeMap<String, long[]> perZone = new TreeMap<>();
+        wire.bytesOut().forEach((n, b) -> perZone.computeIfAbsent(known.getOrDefault(n, "?"), k -> new long[2])[0] += b.sum());
+        wire.bytesIn().forEach((n, b) -> perZone.computeIfAbsent(known.getOrDefault(n, "?"), k -> new long[2])[1] += b.sum());
+        final var obj = Json.createObjectBuilder();
+        perZone.forEach((zone, n) -> obj.add(zone, Json.createObjectBuilder().add("out", n[0]).add("in", n[1])));
+        return Json.createObjectBuilder().add("malformedFrames", wire.malformed()).add("bytesPerZone", obj).build().toString();
+    }
+
     /** What waits just now, and how many jobs were refused for it. */
     public String waitlistsJson() {
         return "{\"events\":" + events.size() + ",\"jobs\":" + jobs.size() + ",\"writes\":" + writes.size() + ",\"beats\":" + beatInbox.size()
@@ -234,6 +249,10 @@
     private void obey(final List<Action> actions) {
         entries = node.entries(time());
         leaseSnapshot = leaseUntil.getAsLong();
+        if (time().mono() >= nextZones) {
+            nextZones = time().mono() + tempo.keepAlive();
+            zones = node.zones();
+        }
         for (final Action action : actions) {
             if (action instanceof Action.Send a) {
                 if (!wire.send(a.node(), a.msg())) {
--- a/transport/src/main/java/brookpath/transport/wire/Wire.java
+++ b/transport/src/main/java/brookpath/transport/wire/Wire.java
@@ -46,7 +46,8 @@
     private final Map<Integer, Channel> accepted = new ConcurrentHashMap<>();
     private final ThreadLocal<FrameCodec> codecs = ThreadLocal.withInitial(FrameCodec::new);
     private final LongAdder malformed = new LongAdder();
-    private final LongAdder bytesOut = new LongAdder();
+    private final Map<Integer, LongAdder> bytesOut = new ConcurrentHashMap<>();
+    private final Map<Integer, LongAdder> bytesIn = new ConcurrentHashMap<>();
     private volatile boolean closed;
     private Channel server;
 
@@ -66,8 +67,13 @@
         return malformed.sum();
     }
 
-    public long bytesOut() {
-        return bytesOut.sum();
+    /** Bytes sent so far, per sibling. */
+    public Map<Integer, LongAdder> bytesOut() {
+        return bytesOut;
+    }
+
+    public Map<Integer, LongAdder> bytesIn() {
+        return bytesIn;
     }
 
     /** Ends the sessions with a node; whoever dialled dials again. */
@@ -129,7 +135,7 @@
         }
         final byte[] frame = codecs.get().encode(msg);
         final ByteBuf buf = ch.alloc().buffer(4 + frame.length).writeInt(self).writeBytes(frame);
-        bytesOut.add(8 + frame.length);
+        bytesOut.computeIfAbsent(node, k -> new LongAdder()).add(8 + frame.length);
         ch.writeAndFlush(buf, ch.voidPromise());
         return true;
     }
@@ -165,6 +171,7 @@
             if (from != node) {
                 throw new IllegalArgumentException("node " + from + " on the session of node " + node);
             }
+            bytesIn.computeIfAbsent(from, k -> new LongAdder()).add(8 + bytes.length);
             inbox.frame(from, msg);
         }
 
--- a/trial/src/main/java/brookpath/trial/sim/Day.java
+++ b/trial/src/main/java/brookpath/trial/sim/Day.java
@@ -53,7 +53,7 @@
 
     /** What a day came to. */
     public record Outcome(long seed, List<String> violations, int accepted, int delivered, TreeMap<String, Integer> counts, List<Long> latencies,
-                          List<Long> sendToAccept, List<Long> masterless, List<String> notes, long trace) {
+                          List<Long> sendToAccept, List<Long> masterless, TreeMap<String, Long> crossZoneBytes, List<String> notes, long trace) {
         public boolean good() {
             return violations.isEmpty();
         }
@@ -217,7 +217,7 @@
             trace = trace * 31 + note.hashCode();
         }
         return new Outcome(plan.seed, world.history.violations(), world.history.accepted(), world.history.delivered(), world.counts,
-                world.history.latencies(), world.sendToAccept, world.masterless, world.notes(), trace);
+                world.history.latencies(), world.sendToAccept, world.masterless, world.net.crossZoneBytes, world.notes(), trace);
     }
 
     /** All members of a group hold the same record at the same accepted position. */
--- a/trial/src/main/java/brookpath/trial/sim/Net.java
+++ b/trial/src/main/java/brookpath/trial/sim/Net.java
@@ -17,7 +17,8 @@
     long extraDelay;
     /** Loss of single links, in one direction. */
     final Map<Long, Integer> linkLoss = new HashMap<>();
-    long crossZoneBytes;
+    /** Bytes between zones so far, by what they were for. */
+    final java.util.TreeMap<String, Long> crossZoneBytes = new java.util.TreeMap<>();
 
     Net(final World world) {
         this.world = world;
@@ -51,7 +52,8 @@
         }
         final byte[] frame = codec.encode(msg);
         if (!from.zone.equals(target.zone)) {
-            crossZoneBytes += frame.length;
+            // why: eight more bytes go on each frame, its length and its sender
+            crossZoneBytes.merge(msg.getClass().getSimpleName(), frame.length + 8L, Long::sum);
         }
         final long link = link(from.id, to);
         // why: virtual time has whole milliseconds, so half of one is one by turns
