Copies and masters are spread again after a machine returns, by one plan that never goes back

Cause: after a machine was retired and taken back, or a master killed and restarted, groups and masterships stayed where they had gone: loads of 4, 4, 4, 0 groups for good, and a master that won stays while it lives. Now MovePlan, a pure function of the roster, names the next moves; retiring uses the same plan, at most 4 groups at a time. Ruled out: moves kept in the control log (the memberships say enough), moving when a machine is merely missed.

--- a/coordination/src/main/java/brookpath/coordination/node/BailiffNode.java
+++ b/coordination/src/main/java/brookpath/coordination/node/BailiffNode.java
@@ -19,6 +19,7 @@
 import brookpath.coordination.spec.ControlState.SpecAt;
 import brookpath.coordination.spec.Finding;
 import brookpath.coordination.spec.FleetClock;
+import brookpath.coordination.spec.MovePlan;
 import brookpath.coordination.spec.Placement;
 import brookpath.coordination.spec.Roster;
 import brookpath.coordination.spec.Roster.GroupInfo;
@@ -54,6 +55,8 @@
         long heldSince = -1;
         long leaseEnds = Long.MIN_VALUE;
         long heardAt;
+        /** Since when it has been heard without a break. */
+        long since = -1;
     }
 
     /** A change on its way: its responders wait until it is everywhere. */
@@ -80,6 +83,9 @@
     private final TreeMap<Integer, Told> told = new TreeMap<>();
     private final TreeMap<Long, Post> posts = new TreeMap<>();
     private long nextMove = Long.MIN_VALUE / 2;
+    private long nextSwitchover = Long.MIN_VALUE / 2;
+    /** Who told last that it masters a group. */
+    private final TreeMap<Integer, Integer> masters = new TreeMap<>();
     private long dutySince = -1;
     private final FleetClock clock = new FleetClock();
     /** Polls that this node has carried to a control master, by who asked. */
@@ -140,7 +146,7 @@
         after(time);
         if (group.mayAct(now)) {
             place(time);
-            empty(time);
+            move(time);
             total(time);
             report(time);
         }
@@ -270,6 +276,9 @@
         final Poller p = pollers.computeIfAbsent(m.node(), k -> new Poller());
         p.via = from;
         p.last = m;
+        if (p.since < 0 || now - p.heardAt > tempo.specLease()) {
+            p.since = now;
+        }
         p.heardAt = now;
         p.heldSince = now;
         answerPoll(p, now);
@@ -308,6 +317,7 @@
                 waitlist.forEach(w -> respond(w.from, w.jobId, lostResponse("change", "the control master stepped down")));
                 waitlist.clear();
                 told.clear();
+                masters.clear();
                 posts.clear();
             }
             return;
@@ -447,31 +457,37 @@
         respond(from, op.jobId(), new Response(202, 0, "{\"outcome\":\"" + (on ? "retiring" : "kept") + "\",\"node\":" + node + "}"));
     }
 
-    /** Asks the groups of retiring machines, again and again, for the next step away from them. */
-    private void empty(final Time time) {
-        final Roster roster = roster();
-        if (roster.retiring().isEmpty() || time.mono() < nextMove) {
+    /** Drives on the moves that the plan names, and hands masterships back to those that rank first. */
+    private void move(final Time time) {
+        final long now = time.mono();
+        if (now < nextMove) {
             return;
         }
-        nextMove = time.mono() + tempo.beat();
-        for (final GroupInfo g : roster.groups()) {
-            for (final int leaving : roster.retiring()) {
-                if (Membership.find(g.members(), leaving) == null || !g.founded()) {
-                    continue;
-                }
-                // why: with one voter too many the newcomer votes already, and all that is left is to let the other go
-                final NodeInfo to = g.members().size() > founding.copies
-                        ? roster.node(g.members().stream().map(Member::node).filter(n -> n != leaving).findFirst().orElseThrow())
-                        : Placement.instead(roster, g, leaving, aliveStorages(time.mono()));
-                if (to != null) {
-                    final byte[] body = Pack.writer().num(g.id()).num(leaving).num(to.node()).str(to.zone()).done();
-                    g.members().forEach(m -> out.send(m.node(), new Op(0, "move", body)));
-                    break;
-                }
+        nextMove = now + tempo.beat();
+        final Roster roster = roster();
+        for (final MovePlan.Move m : MovePlan.next(roster, aliveStorages(now), steadyStorages(now), founding.copies)) {
+            final byte[] body = Pack.writer().num(m.group()).num(m.from()).num(m.to().node()).str(m.to().zone()).done();
+            roster.groups().get(m.group()).members().forEach(to -> out.send(to.node(), new Op(0, "move", body)));
+        }
+        if (now >= nextSwitchover) {
+            final MovePlan.Switchover s = MovePlan.switchover(roster, masters, steadyStorages(now));
+            if (s != null) {
+                // why: one at a time, each with time to settle; a handing over that fails costs its group a moment
+                nextSwitchover = now + tempo.recoverMs() / 2;
+                masters.remove(s.group());
+                out.note("group " + s.group() + ": asks node " + s.from() + " to hand over to node " + s.to() + ", which ranks first");
+                out.send(s.from(), new Op(0, "handover", Pack.writer().num(s.group()).num(s.to()).done()));
             }
         }
     }
 
+    /** Storage machines that have been heard for several times the recovery bound without a break. */
+    private Set<Integer> steadyStorages(final long now) {
+        final Set<Integer> steady = aliveStorages(now);
+        steady.removeIf(n -> now - pollers.get(n).since < 2 * tempo.recoverMs());
+        return steady;
+    }
+
     /** A group's master tells the membership that its log has accepted. */
     private void members(final Op op, final Time time) {
         final Pack in = Pack.reader(op.body());
@@ -510,6 +526,9 @@
         final int id = (int) in.num();
         final long after = in.num();
         final long closed = in.num();
+        if (roster().node(from) != null) {
+            masters.put(id, from);
+        }
         final long included = state().included(id);
         if (after <= included) {
             final List<TopicState.Count> counts = new ArrayList<>();
@@ -766,8 +785,11 @@
             placed.add(Json.createObjectBuilder().add("group", g.id()).add("groupVersion", g.version()).add("founded", g.founded()).add("members", ms)
                     .add("learners", Json.createArrayBuilder(g.membership().learners().stream().map(Member::node).toList())));
         }
+        final JsonArrayBuilder storages = Json.createArrayBuilder();
+        roster.nodes().forEach(n -> storages.add(Json.createObjectBuilder().add("node", n.node()).add("zone", n.zone()).add("address", n.address())));
         final JsonObjectBuilder obj = Json.createObjectBuilder().add("node", self).add("role", "bailiff").add("specVersion", spec().version())
                 .add("rosterVersion", roster.version()).add("control", GroupStatus.json(group, table, time.mono())).add("placement", placed)
+                .add("copies", founding.copies).add("storages", storages)
                 .add("retiring", Json.createArrayBuilder(roster.retiring()));
         return obj.build().toString();
     }
--- /dev/null
+++ b/coordination/src/main/java/brookpath/coordination/spec/MovePlan.java
@@ -0,0 +1,174 @@
+package brookpath.coordination.spec;
+
+import brookpath.coordination.group.Member;
+import brookpath.coordination.group.Membership;
+import brookpath.coordination.spec.Roster.GroupInfo;
+import brookpath.coordination.spec.Roster.NodeInfo;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * Which copies are to move, and which masterships: asked by the bailiff again and again, and by the planner, which changes nothing. It follows from
+ * the roster alone, so that any control master goes on with what another began; nothing of a move is kept but the memberships themselves.
+ */
+public final class MovePlan {
+    /** Groups whose copies move at the same time, so that the others are not slowed. */
+    public static final int MOST = 4;
+
+    /** A copy of the group goes from one node to another. */
+    public record Move(int group, int from, NodeInfo to, String why) {
+        @Override
+        public String toString() {
+            return "group " + group + ": a copy from node " + from + " to node " + to.node() + ", " + why;
+        }
+    }
+
+    /** The group's mastership goes to a member that ranks higher. */
+    public record Switchover(int group, int from, int to) {
+    }
+
+    private MovePlan() {
+    }
+
+    /**
+     * The moves to be driven on now, one step each.
+     *
+     * @param alive storage machines heard lately
+     * @param steady those among them that have been heard for so long that it is worth moving something to them
+     */
+    public static List<Move> next(final Roster roster, final Set<Integer> alive, final Set<Integer> steady, final int copies) {
+        final List<Move> moves = new ArrayList<>();
+        // why: what has begun is ended first, else a change of plans would leave copies half moved everywhere
+        for (final GroupInfo g : roster.groups()) {
+            if (g.founded() && underWay(g, copies)) {
+                final Move m = goOn(roster, g, alive, copies);
+                if (m != null) {
+                    moves.add(m);
+                }
+            }
+        }
+        for (final GroupInfo g : roster.groups()) {
+            final int leaving = leaving(roster, g);
+            if (moves.size() < MOST && g.founded() && !underWay(g, copies) && leaving != 0) {
+                final NodeInfo to = Placement.instead(roster, g, leaving, alive);
+                if (to != null) {
+                    moves.add(new Move(g.id(), leaving, to, "node " + leaving + " retires"));
+                }
+            }
+        }
+        if (moves.isEmpty()) {
+            final Move m = spread(roster, steady, copies);
+            if (m != null) {
+                moves.add(m);
+            }
+        }
+        return moves;
+    }
+
+    private static boolean underWay(final GroupInfo g, final int copies) {
+        return g.members().size() > copies || !g.membership().learners().isEmpty();
+    }
+
+    private static int leaving(final Roster roster, final GroupInfo g) {
+        for (final int node : roster.retiring()) {
+            if (Membership.find(g.members(), node) != null) {
+                return node;
+            }
+        }
+        return 0;
+    }
+
+    /** A group with a learner, or with one voter too many: who learns becomes a voter, then the one that leaves is let go. */
+    private static Move goOn(final Roster roster, final GroupInfo g, final Set<Integer> alive, final int copies) {
+        final int retires = leaving(roster, g);
+        if (g.members().size() > copies) {
+            final int from = retires != 0 ? retires : mostLoaded(roster, g.members());
+            final NodeInfo stays = roster.node(g.members().stream().map(Member::node).filter(n -> n != from).findFirst().orElseThrow());
+            return new Move(g.id(), from, stays, "it has a copy more than it needs");
+        }
+        for (final Member learner : g.membership().learners()) {
+            final NodeInfo to = roster.node(learner.node());
+            if (to != null && alive.contains(to.node()) && !roster.retiring().contains(to.node())) {
+                return new Move(g.id(), retires != 0 ? retires : mostLoaded(roster, g.members()), to, "node " + to.node() + " learns it already");
+            }
+        }
+        final NodeInfo to = retires == 0 ? null : Placement.instead(roster, g, retires, alive);
+        return to == null ? null : new Move(g.id(), retires, to, "node " + retires + " retires, and who learns is away");
+    }
+
+    private static int load(final Roster roster, final int node) {
+        return (int) roster.groups().stream().filter(g -> g.membership().holds(node)).count();
+    }
+
+    private static int mostLoaded(final Roster roster, final List<Member> members) {
+        int best = 0;
+        int bestScore = -1;
+        for (final Member m : members) {
+            final boolean zoneTwice = members.stream().filter(o -> o.zone().equals(m.zone())).count() > 1;
+            final int score = load(roster, m.node()) + (zoneTwice ? 10_000 : 0);
+            if (score > bestScore) {
+                bestScore = score;
+                best = m.node();
+            }
+        }
+        return best;
+    }
+
+    /** One move that makes the spread over machines better by two, and the spread over zones no worse; null where there is none. */
+    private static Move spread(final Roster roster, final Set<Integer> steady, final int copies) {
+        Move best = null;
+        int bestGain = 1;
+        for (final GroupInfo g : roster.groups()) {
+            if (!g.founded() || g.members().size() != copies || !steady.containsAll(g.members().stream().map(Member::node).toList())) {
+                // why: with a member away no copy is moved for mere looks
+                continue;
+            }
+            for (final NodeInfo to : roster.nodes()) {
+                if (!steady.contains(to.node()) || roster.retiring().contains(to.node()) || g.membership().holds(to.node())) {
+                    continue;
+                }
+                for (final Member from : g.members()) {
+                    final int zones = zones(g, from.node(), to.zone()) - zones(g, 0, "");
+                    // why: a difference of one would only swap sides, so such moves would go to and fro
+                    final int gain = load(roster, from.node()) - load(roster, to.node()) + 100 * zones;
+                    if (zones >= 0 && gain > bestGain) {
+                        bestGain = gain;
+                        best = new Move(g.id(), from.node(), to, zones > 0 ? "its copies lie in fewer zones than they could"
+                                : "node " + from.node() + " holds " + load(roster, from.node()) + " groups, node " + to.node() + " " + load(roster, to.node()));
+                    }
+                }
+            }
+        }
+        return best;
+    }
+
+    private static int zones(final GroupInfo g, final int without, final String with) {
+        final java.util.Set<String> zones = new java.util.HashSet<>();
+        g.members().stream().filter(m -> m.node() != without).forEach(m -> zones.add(m.zone()));
+        if (!with.isEmpty()) {
+            zones.add(with);
+        }
+        return zones.size();
+    }
+
+    /** The first group whose master is not its highest rank, though that one is steady; null where all is as the weights spread it. */
+    public static Switchover switchover(final Roster roster, final Map<Integer, Integer> masters, final Set<Integer> steady) {
+        for (final GroupInfo g : roster.groups()) {
+            final Integer master = masters.get(g.id());
+            Member first = null;
+            for (final Member m : g.members()) {
+                if (!roster.retiring().contains(m.node())
+                        && (first == null || m.weight() > first.weight() || m.weight() == first.weight() && m.node() > first.node())) {
+                    first = m;
+                }
+            }
+            if (g.founded() && master != null && first != null && first.node() != master && steady.contains(first.node())
+                    && Membership.find(g.members(), master) != null && g.membership().learners().isEmpty()) {
+                return new Switchover(g.id(), master, first.node());
+            }
+        }
+        return null;
+    }
+}
--- a/trial/src/test/java/brookpath/trial/sim/ScenesTest.java
+++ b/trial/src/test/java/brookpath/trial/sim/ScenesTest.java
@@ -7,6 +7,7 @@
 import static org.testng.Assert.assertTrue;
 
 import brookpath.coordination.group.GroupMachine;
+import brookpath.coordination.group.Member;
 import brookpath.coordination.group.Membership;
 import brookpath.coordination.message.Msg;
 import brookpath.coordination.message.Response;
@@ -484,8 +485,13 @@
         final long end = m.endLsn();
         // why: what the old master had on its way, of its own epoch, fitting the end of this log exactly
         final Rec late = Rec.of(end + 1, epoch, 0, Rec.PUBLISH, Rec.publishBody(9, 2, "members", "permits/t1", "late", "x"), 0);
-        voter.run(p -> p.node.message(master.id, new Msg.PullReply(g, m.groupVersion(), epoch, Msg.PullReply.RECORDS, Msg.PullReply.ACTING_MASTER,
-                m.accepted(), end, m.rec(end).epoch(), 0, new byte[0], List.of(late)), p.time()));
+        // why: it may have asked the other slave last, when the master did not answer any more
+        for (final Member from : m.members()) {
+            if (from.node() != voter.id) {
+                voter.run(p -> p.node.message(from.node(), new Msg.PullReply(g, m.groupVersion(), epoch, Msg.PullReply.RECORDS,
+                        Msg.PullReply.ACTING_MASTER, m.accepted(), end, m.rec(end).epoch(), 0, new byte[0], List.of(late)), p.time()));
+            }
+        }
         assertEquals(m.endLsn(), end, "a fenced-off master's record was taken");
         world.run(world.now() + 6_000);
         quietly();
@@ -519,4 +525,43 @@
             assertEquals(s.senders(), 1);
         }
     }
+
+    private List<Integer> loads() {
+        return world.storages.stream().map(id -> groupsHeldBy(world.procs.get(id))).toList();
+    }
+
+    @Test
+    public void copiesAndMastersAreSpreadAgainOnceAMachineIsBackForGood() {
+        begin(60);
+        callers();
+        final Proc back = acting(0);
+        operate("retire", Pack.writer().num(back.id).num(1).done(), r -> assertEquals(r.status(), 202, r.toString()));
+        world.run(world.now() + 8_000);
+        assertEquals(groupsHeldBy(back), 0);
+        operate("retire", Pack.writer().num(back.id).num(0).done(), r -> assertEquals(r.status(), 202, r.toString()));
+        for (int i = 0; i < 40; i++) {
+            world.run(world.now() + 1_000);
+            for (int g = 0; g < GROUPS; g++) {
+                final Proc master = acting(g);
+                assertTrue(master == null || group(master, g).members().size() >= 3, "fewer copies than before");
+            }
+        }
+        assertEquals(loads(), List.of(3, 3, 3, 3));
+        // why: a killed master's groups stay where they went until it has been back for long; then each rank has its own again
+        final Proc killed = acting(1);
+        world.kill(killed, true);
+        world.run(world.now() + 3_000);
+        world.restart(killed);
+        world.run(world.now() + 60_000);
+        for (int g = 0; g < GROUPS; g++) {
+            final GroupMachine m = group(acting(g), g);
+            final int first = m.members().stream().max((a, b) -> a.weight() != b.weight() ? a.weight() - b.weight() : a.node() - b.node()).orElseThrow().node();
+            assertEquals(acting(g).id, first, "group " + g + " is not mastered by its first rank");
+        }
+        final int elections = world.counted("topic elections");
+        world.run(world.now() + 60_000);
+        assertEquals(world.counted("topic elections"), elections, "masters go to and fro");
+        assertEquals(loads(), List.of(3, 3, 3, 3));
+        quietly();
+    }
 }
