--- a/coordination/src/main/java/brookpath/coordination/group/GroupMachine.java
+++ b/coordination/src/main/java/brookpath/coordination/group/GroupMachine.java
@@ -47,6 +47,7 @@
     private static final int W_IMAGE = 5;
     private static final int REPLY_BYTES = 256 << 10;
     private static final int DEFERENCE = 3;
+    private static final int SWEPT_AT_ONCE = 16;
 
     private record Waiting(long write, int node, Msg msg) {
     }
@@ -87,6 +88,10 @@
     private LogState base;
     private LogState live;
     private final ArrayList<Rec> recs = new ArrayList<>();
+    /** Per record, a digest of the whole log up to it: equal here and there means equal all the way. */
+    private final ArrayList<Long> chain = new ArrayList<>();
+    private long baseChain;
+    private long swept;
     private long syncedLsn;
     private long accepted;
     private final ArrayDeque<Unsynced> unsynced = new ArrayDeque<>();
@@ -408,6 +413,7 @@
             }
         }
         lookBehind(now);
+        sweep();
         pull(now);
         trim(now);
     }
@@ -732,7 +738,7 @@
         pullSource = source;
         pullSentAt = now;
         final long next = wantFull ? -1 : endLsn() + 1;
-        out.send(source, new Pull(id, groupVersion, epoch, next, epochAt(endLsn()), syncedLsn, epochAt(syncedLsn), accepted, lost));
+        out.send(source, new Pull(id, groupVersion, epoch, next, epochAt(endLsn()), syncedLsn, epochAt(syncedLsn), accepted, lost, chainAt(syncedLsn)));
     }
 
     /** The master while it can be reached; else a slave that still hears it. */
@@ -758,6 +764,15 @@
             }
             return;
         }
+        if (role == MASTER && !m.lost() && epochAt(m.syncedLsn()) == m.syncedEpoch() && chainAt(m.syncedLsn()) != m.chain()) {
+            // why: the same (epoch, LSN) must mean the same log; where it does not, the copy is no copy and is sent whole
+            copies.remove(from);
+            learnt.remove(from);
+            held.remove(from);
+            out.note("group " + id + ": the copy of node " + from + " differs at or before " + m.syncedLsn() + " and is sent whole");
+            sendWhole(from, m, mayAct(now) ? PullReply.ACTING_MASTER : PullReply.MASTER);
+            return;
+        }
         if (role == MASTER) {
             if (weight(from) < 0) {
                 // why: a learner's copy is looked at to see when it may vote, and counts for nothing until then
@@ -784,7 +799,7 @@
         // why: only a master that has opened its epoch knows everything that was accepted before it
         final int lead = mayAct(now) ? PullReply.ACTING_MASTER : role == MASTER ? PullReply.MASTER : PullReply.SLAVE;
         if (m.nextLsn() < 0 || prev < baseLsn) {
-            out.send(to, new PullReply(id, groupVersion, epoch, FULL, lead, accepted, prev, m.prevEpoch(), 0, image(), List.of()));
+            sendWhole(to, m, lead);
             return true;
         }
         if (prev > endLsn() || epochAt(prev) != m.prevEpoch()) {
@@ -798,6 +813,9 @@
         final List<Rec> part = new ArrayList<>();
         int bytes = 0;
         for (long lsn = m.nextLsn(); lsn <= endLsn() && bytes < REPLY_BYTES; lsn++) {
+            if (!whole(lsn)) {
+                return true;
+            }
             part.add(rec(lsn));
             bytes += rec(lsn).bytes().length;
         }
@@ -808,6 +826,15 @@
         return true;
     }
 
+    private void sendWhole(final int to, final Pull m, final int lead) {
+        for (long lsn = baseLsn + 1; lsn <= endLsn(); lsn++) {
+            if (!whole(lsn)) {
+                return;
+            }
+        }
+        out.send(to, new PullReply(id, groupVersion, epoch, FULL, lead, accepted, m.nextLsn() - 1, m.prevEpoch(), 0, image(), List.of()));
+    }
+
     private void serveHeld(final long now) {
         held.entrySet().removeIf(h -> reply(h.getKey(), h.getValue(), now));
     }
@@ -909,6 +936,7 @@
             throw new IllegalStateException("group " + id + ": record " + rec.lsn() + " after " + endLsn());
         }
         recs.add(rec);
+        chain.add(link(chain.isEmpty() ? baseChain : chain.get(chain.size() - 1), rec));
         live.apply(rec);
         if (rec.kind() == Rec.MEMBERS) {
             useMembership();
@@ -917,6 +945,7 @@
 
     private void cutTo(final long lsn) {
         recs.subList((int) (lsn - baseLsn), recs.size()).clear();
+        chain.subList((int) (lsn - baseLsn), chain.size()).clear();
         live = states.get();
         live.load(base.save());
         recs.forEach(live::apply);
@@ -965,6 +994,48 @@
             baseEpoch = rec.epoch();
         }
         recs.subList(0, n).clear();
+        baseChain = chain.get(n - 1);
+        chain.subList(0, n).clear();
+    }
+
+    private static long link(final long before, final Rec rec) {
+        final long d = (before ^ rec.madeSum() ^ rec.lsn() << 32) * 0x9E3779B97F4A7C15L;
+        return d ^ d >>> 31;
+    }
+
+    private long chainAt(final long lsn) {
+        return lsn == baseLsn ? baseChain : lsn < baseLsn || lsn > endLsn() ? -1 : chain.get((int) (lsn - baseLsn - 1));
+    }
+
+    // ---- repair
+
+    /** Whether the record is as it was made. Where not, this copy is out and is mended from another, and nothing of it is served. */
+    public boolean whole(final long lsn) {
+        if (rec(lsn).whole()) {
+            return true;
+        }
+        if (!lost) {
+            lost = true;
+            joinTarget = -1;
+            wantFull = true;
+            inSync = false;
+            out.write(entryOf(W_INIT).num(1).done());
+            if (role == MASTER) {
+                stepDown("record " + lsn + " is damaged");
+            }
+            out.note("group " + id + ": record " + lsn + " is damaged; the copy is mended");
+        }
+        return false;
+    }
+
+    /** A few records each time, round and round: finds what no read has met. */
+    private void sweep() {
+        for (int i = 0; i < SWEPT_AT_ONCE && swept < recs.size(); i++) {
+            if (!whole(baseLsn + 1 + swept++)) {
+                return;
+            }
+        }
+        swept = swept >= recs.size() ? 0 : swept;
     }
 
     private long epochAt(final long lsn) {
@@ -972,7 +1043,7 @@
     }
 
     private byte[] image() {
-        final Pack pack = Pack.writer().num(baseLsn).num(baseEpoch).bytes(base.save()).num(recs.size());
+        final Pack pack = Pack.writer().num(baseLsn).num(baseEpoch).num(baseChain).bytes(base.save()).num(recs.size());
         recs.forEach(r -> pack.bytes(r.bytes()));
         if (baseMembership != null) {
             pack.bytes(baseMembership.save());
@@ -983,8 +1054,11 @@
     private void loadImage(final byte[] image, final long now) {
         final Pack in = Pack.reader(image);
         recs.clear();
+        chain.clear();
+        swept = 0;
         baseLsn = in.num();
         baseEpoch = in.num();
+        baseChain = in.num();
         final byte[] saved = in.bytes();
         base = states.get();
         base.load(saved);
--- a/coordination/src/main/java/brookpath/coordination/message/Msg.java
+++ b/coordination/src/main/java/brookpath/coordination/message/Msg.java
@@ -47,9 +47,9 @@
     record StandNow(int group, long epoch) implements Msg {
     }
 
-    /** A slave asks its source for the log; what it has synced is its copy's acknowledgement. */
+    /** A slave asks its source for the log; what it has synced is its copy's acknowledgement, and the chain tells whether it is the same log. */
     record Pull(int group, int groupVersion, long epoch, long nextLsn, long prevEpoch, long syncedLsn, long syncedEpoch,
-                long accepted, boolean lost) implements Msg {
+                long accepted, boolean lost, long chain) implements Msg {
     }
 
     /** The asked LSN and epoch are the end of the log that the pull told of; only to that log do a cut and a full sync apply. */
--- a/coordination/src/main/java/brookpath/coordination/node/BailiffNode.java
+++ b/coordination/src/main/java/brookpath/coordination/node/BailiffNode.java
@@ -157,12 +157,17 @@
             return now >= r.horizon;
         });
         if (out.bytesSinceRoll() > rollBytes) {
-            final Pack pack = Pack.writer();
-            group.checkpoint().forEach(pack::bytes);
-            out.roll(pack.done());
+            onDamage(time);
         }
     }
 
+    @Override
+    protected void onDamage(final Time time) {
+        final Pack pack = Pack.writer();
+        group.checkpoint().forEach(pack::bytes);
+        out.roll(pack.done());
+    }
+
     @Override
     protected void onSynced(final long number, final Time time) {
         group.synced(number, time.mono());
--- a/coordination/src/main/java/brookpath/coordination/node/Node.java
+++ b/coordination/src/main/java/brookpath/coordination/node/Node.java
@@ -67,6 +67,13 @@
         return out.drain();
     }
 
+    /** The disk gives back something else than was written; what is in memory is whole and is written anew. */
+    public final List<Action> damaged(final Time time) {
+        out.note("the data folder reads back damaged; it is written anew");
+        onDamage(time);
+        return out.drain();
+    }
+
     public final List<Action> job(final Job job, final Time time) {
         onJob(job, time);
         return out.drain();
@@ -86,6 +93,10 @@
 
     protected abstract void onJob(Job job, Time time);
 
+    protected void onDamage(final Time time) {
+        // why: a process without a disk has nothing that could be damaged
+    }
+
     protected void onUnsent(final int to, final Msg msg, final Time time) {
         // why: what is asked again by a wakeup needs no word of a lost message
     }
--- a/coordination/src/main/java/brookpath/coordination/node/StorageNode.java
+++ b/coordination/src/main/java/brookpath/coordination/node/StorageNode.java
@@ -132,6 +132,11 @@
         }
     }
 
+    @Override
+    protected void onDamage(final Time time) {
+        roll();
+    }
+
     private void roll() {
         final Pack pack = Pack.writer();
         groups.values().forEach(g -> g.checkpoint().forEach(pack::bytes));
@@ -416,6 +421,11 @@
         int bytes = 0;
         while (lsn < g.accepted() && bytes < FETCH_BYTES) {
             final Rec rec = g.rec(++lsn);
+            if (!g.whole(lsn)) {
+                // why: a read that meets a damaged record starts its mending, and asks the front to read elsewhere
+                out.send(to, new FetchReply(m.jobId(), g.id(), FetchReply.NOT_HERE, 0, List.of(), List.of()));
+                return true;
+            }
             final Long from = rec.kind() == Rec.PUBLISH ? wanted.get(rec.topic()) : null;
             if (from != null && lsn > from) {
                 found.add(rec);
--- a/protocol/src/main/java/brookpath/protocol/frame/FrameCodec.java
+++ b/protocol/src/main/java/brookpath/protocol/frame/FrameCodec.java
@@ -87,7 +87,7 @@
         } else if (msg instanceof Msg.Pull m) {
             return new PullFrameEncoder().wrapAndApplyHeader(out, 0, headEnc).group(m.group()).groupVersion(m.groupVersion()).epoch(m.epoch())
                     .nextLsn(m.nextLsn()).prevEpoch(m.prevEpoch()).syncedLsn(m.syncedLsn()).syncedEpoch(m.syncedEpoch())
-                    .accepted(m.accepted()).lost(bit(m.lost())).encodedLength();
+                    .accepted(m.accepted()).lost(bit(m.lost())).chain(m.chain()).encodedLength();
         } else if (msg instanceof Msg.PullReply m) {
             final PullReplyFrameEncoder e = new PullReplyFrameEncoder().wrapAndApplyHeader(out, 0, headEnc).group(m.group())
                     .groupVersion(m.groupVersion()).epoch(m.epoch()).kind((short) m.kind()).standing((short) m.standing())
@@ -190,7 +190,7 @@
             case PullFrameDecoder.TEMPLATE_ID -> {
                 final PullFrameDecoder d = new PullFrameDecoder().wrapAndApplyHeader(in, 0, headDec);
                 return new Msg.Pull(d.group(), d.groupVersion(), d.epoch(), d.nextLsn(), d.prevEpoch(), d.syncedLsn(), d.syncedEpoch(),
-                        d.accepted(), d.lost() == 1);
+                        d.accepted(), d.lost() == 1, d.chain());
             }
             case PullReplyFrameDecoder.TEMPLATE_ID -> {
                 final PullReplyFrameDecoder d = new PullReplyFrameDecoder().wrapAndApplyHeader(in, 0, headDec);
--- a/state/src/main/java/brookpath/state/record/Rec.java
+++ b/state/src/main/java/brookpath/state/record/Rec.java
@@ -2,11 +2,12 @@
 
 import static java.nio.charset.StandardCharsets.UTF_8;
 
+import java.util.zip.CRC32C;
 import org.agrona.concurrent.UnsafeBuffer;
 
 /**
  * Flyweight over one log record. The same bytes lie in memory, on disk and on the wire:
- * lsn, epoch, stamp, kind, and for a publish seq, ReplSize, tenant, topic, sender, text.
+ * lsn, epoch, stamp, kind, a checksum of all of it, and for a publish seq, ReplSize, tenant, topic, sender, text.
  */
 public final class Rec {
     public static final int OPEN = 1;
@@ -20,7 +21,8 @@
     private static final int EPOCH = 8;
     private static final int STAMP = 16;
     private static final int KIND = 24;
-    private static final int BODY = 28;
+    private static final int SUM = 28;
+    private static final int BODY = 32;
     private static final int SEQ = BODY;
     private static final int REPL = BODY + 8;
     private static final int TENANT = BODY + 12;
@@ -44,6 +46,9 @@
             throw new IllegalArgumentException("record of " + bytes.length + " bytes");
         }
         final Rec rec = new Rec(bytes, learnedAt);
+        if (!rec.whole()) {
+            throw new IllegalArgumentException("record " + rec.lsn() + " does not fit its checksum");
+        }
         if (rec.kind() == PUBLISH) {
             int pos = TENANT;
             for (int i = 0; i < 4; i++) {
@@ -64,9 +69,27 @@
         rec.buf.putLong(STAMP, stamp);
         rec.buf.putInt(KIND, kind);
         rec.buf.putBytes(BODY, body);
+        rec.buf.putInt(SUM, rec.sum());
         return rec;
     }
 
+    private int sum() {
+        final CRC32C crc = new CRC32C();
+        crc.update(buf.byteArray(), 0, SUM);
+        crc.update(buf.byteArray(), BODY, buf.capacity() - BODY);
+        return (int) crc.getValue();
+    }
+
+    /** Whether these are still the bytes that the master made. */
+    public boolean whole() {
+        return buf.getInt(SUM) == sum();
+    }
+
+    /** The checksum as it was made. */
+    public int madeSum() {
+        return buf.getInt(SUM);
+    }
+
     public static byte[] publishBody(final long seq, final int repl, final String tenant, final String topic, final String sender, final String text) {
         final byte[][] parts = {tenant.getBytes(UTF_8), topic.getBytes(UTF_8), sender.getBytes(UTF_8), text.getBytes(UTF_8)};
         int len = 12;
--- a/state/src/main/java/brookpath/state/spool/Spool.java
+++ b/state/src/main/java/brookpath/state/spool/Spool.java
@@ -170,6 +170,12 @@
         file.sync();
     }
 
+    /** Reads back what was written since the last snapshot, and that snapshot; false where the disk gives back something else. */
+    public boolean whole() {
+        final Scan now = scan(disk, segName(seg));
+        return now.damage == null && now.torn < 0 && (!disk.list().contains("snap-" + seg) || scan(disk, "snap-" + seg).isSnapshot());
+    }
+
     public long segmentBytes() {
         return file.size();
     }
--- a/transport/src/main/java/brookpath/transport/loop/Host.java
+++ b/transport/src/main/java/brookpath/transport/loop/Host.java
@@ -42,6 +42,7 @@
     private static final int MAX_SIBLING_EVENTS = 4 * MAX_EVENTS;
     private static final int MAX_JOBS = 8_192;
     private static final int MAX_BEATS = 1_024;
+    private static final int SCRUB = 5;
 
     private record Heard(int from, Msg.Beat beat) {
     }
@@ -341,11 +342,23 @@
     }
 
     private void diskLoop() {
+        long nextScrub = time().mono() + SCRUB * tempo.recoverMs();
         final List<Action> batch = new ArrayList<>();
         while (!closed) {
             try {
                 batch.clear();
-                batch.add(writes.take());
+                final Action first = writes.poll(tempo.recoverMs(), MILLISECONDS);
+                if (time().mono() >= nextScrub) {
+                    // why: what went bad on the disk is to be found while the copy in memory is still there
+                    nextScrub = time().mono() + SCRUB * tempo.recoverMs();
+                    if (!spool.whole()) {
+                        events.add(Node::damaged);
+                    }
+                }
+                if (first == null) {
+                    continue;
+                }
+                batch.add(first);
                 writes.drainTo(batch);
                 long last = 0;
                 for (final Action action : batch) {
--- a/trial/src/main/java/brookpath/trial/disk/TrialDisk.java
+++ b/trial/src/main/java/brookpath/trial/disk/TrialDisk.java
@@ -2,6 +2,7 @@
 
 import brookpath.state.disk.Disk;
 import brookpath.state.disk.DiskFile;
+import brookpath.state.spool.Spool;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.util.ArrayList;
@@ -57,6 +58,28 @@
         durable.clear();
     }
 
+    /** Puts bytes in the place of others of the same length, with all sums right, as no disk does by itself. */
+    public void replace(final byte[] was, final byte[] is) {
+        final Spool.Inspection now = Spool.inspect(this);
+        wipe();
+        final Spool spool = Spool.recover(this).spool();
+        for (final byte[] entry : now.replayed()) {
+            spool.append(swapped(entry, was, is));
+        }
+        spool.sync();
+    }
+
+    private static byte[] swapped(final byte[] entry, final byte[] was, final byte[] is) {
+        for (int i = 0; i + was.length <= entry.length; i++) {
+            if (Arrays.equals(entry, i, i + was.length, was, 0, was.length)) {
+                final byte[] out = entry.clone();
+                System.arraycopy(is, 0, out, i, is.length);
+                return out;
+            }
+        }
+        return entry;
+    }
+
     /** Flips one bit amid the newest segment; false where there is none. */
     public boolean corrupt(final SplittableRandom rnd) {
         for (final String name : names.descendingKeySet()) {
--- a/trial/src/main/java/brookpath/trial/sim/Day.java
+++ b/trial/src/main/java/brookpath/trial/sim/Day.java
@@ -2,6 +2,7 @@
 
 import static java.nio.charset.StandardCharsets.UTF_8;
 
+import brookpath.coordination.group.GroupMachine;
 import brookpath.coordination.node.BailiffNode;
 import brookpath.coordination.node.Job;
 import brookpath.coordination.node.StorageNode;
@@ -22,7 +23,7 @@
     /** What may go wrong in a day. */
     public enum Fault {
         KILL, POWER, FREEZE, CUT, ONE_WAY, LOSS, SLOW_DISK, SYNC_FAILS, DISK_LOST, CORRUPT, CLOCK, RESETS, ROLLING, OWNER_DIES, SLOW_NET, BLACKOUT, PLATFORM,
-        FULL_DISK, STALLS, LINK_LOSS, RETIRE, SWITCHOVER, DRAIN, FRONTS_RESTART, RACE, LAST_ACT
+        FULL_DISK, STALLS, LINK_LOSS, RETIRE, SWITCHOVER, DRAIN, FRONTS_RESTART, RACE, LAST_ACT, ROT
     }
 
     /** What a day is made of. */
@@ -424,6 +425,19 @@
                 world.callers.race();
                 world.at(world.now() + 3 + world.rnd.nextInt(30), () -> down(controlMaster(), world.rnd.nextBoolean(), span, () -> { }));
             }
+            case ROT -> {
+                // why: one copy goes bad on a running machine, on its disk or in its memory
+                if (p.disk != null && othersWell(p) && world.rnd.nextInt(3) == 0) {
+                    world.count(p.disk.corrupt(world.rnd) ? "rotten disks" : "no rot");
+                } else if (p.node() instanceof StorageNode s && othersWell(p)) {
+                    final GroupMachine g = s.group(world.rnd.nextInt(world.groups));
+                    if (g != null && g.accepted() > g.baseLsn()) {
+                        final byte[] rec = g.rec(g.baseLsn() + 1 + world.rnd.nextLong(g.accepted() - g.baseLsn())).bytes();
+                        rec[rec.length - 1 - world.rnd.nextInt(8)] ^= 1 << world.rnd.nextInt(8);
+                        world.count("rotten records");
+                    }
+                }
+            }
             case LAST_ACT -> world.armed = CrashPoint.values()[world.rnd.nextInt(CrashPoint.values().length)];
             case ROLLING -> {
                 world.count("rolling restarts");
--- a/trial/src/main/java/brookpath/trial/sim/Proc.java
+++ b/trial/src/main/java/brookpath/trial/sim/Proc.java
@@ -107,6 +107,21 @@
             foundOnStart = false;
         }
         wakeup(life);
+        scrub(life);
+    }
+
+    private void scrub(final long ofLife) {
+        if (disk != null) {
+            world.at(world.now() + 10_000, () -> {
+                if (alive && life == ofLife) {
+                    if (!frozen() && !diskBusy && !spool.whole()) {
+                        world.count("damage found by the sweep of the disk");
+                        run(p -> p.node.damaged(p.time()));
+                    }
+                    scrub(ofLife);
+                }
+            });
+        }
     }
 
     private void wakeup(final long ofLife) {
--- a/trial/src/test/java/brookpath/trial/sim/ScenesTest.java
+++ b/trial/src/test/java/brookpath/trial/sim/ScenesTest.java
@@ -564,4 +564,50 @@
         assertEquals(loads(), List.of(3, 3, 3, 3));
         quietly();
     }
+
+    private static void rot(final GroupMachine m, final long lsn) {
+        final byte[] bytes = m.rec(lsn).bytes();
+        bytes[bytes.length - 1] ^= 1;
+    }
+
+    @Test
+    public void aDamagedRecordIsNeverServedAndItsCopyIsMended() {
+        for (final boolean master : new boolean[] {true, false}) {
+            begin(70);
+            callers();
+            final int g = groupOf("permits/t0");
+            final Proc victim = master ? acting(g) : slaveOf(acting(g), g);
+            final GroupMachine m = group(victim, g);
+            rot(m, m.accepted() - 1);
+            world.callers.subscriber("late", "key-members", List.of("permits/t0"));
+            world.run(world.now() + 4_000);
+            assertFalse(m.lost(), m.why());
+            for (long lsn = m.baseLsn() + 1; lsn <= m.accepted(); lsn++) {
+                assertTrue(m.rec(lsn).whole(), "record " + lsn + " is still damaged");
+            }
+            assertTrue(world.counted("full syncs") > 0 && world.notes().toString().contains("the copy is mended"));
+            quietly();
+        }
+    }
+
+    @Test
+    public void aCopyThatDiffersIsFoundByTheNextPullAndSentWhole() {
+        begin(71);
+        callers();
+        final int g = groupOf("permits/t0");
+        final Proc slave = slaveOf(acting(g), g);
+        world.kill(slave, false);
+        // why: a whole record with a good checksum, but not the one that the others have: only comparing copies can find it
+        final StorageNode node = (StorageNode) slave.node;
+        final Rec was = node.group(g).rec(node.group(g).accepted());
+        final byte[] body = was.body();
+        body[body.length - 1] ^= 1;
+        final Rec other = Rec.of(was.lsn(), was.epoch(), was.stamp(), was.kind(), body, 0);
+        slave.disk.replace(was.bytes(), other.bytes());
+        world.restart(slave);
+        world.run(world.now() + 3_000);
+        assertTrue(world.notes().toString().contains("differs at or before"), "nobody saw it");
+        assertEquals(group(slave, g).rec(was.lsn()).bytes(), was.bytes());
+        quietly();
+    }
 }
