plan: what a retire, drain or change would do, step by step, by the bailiff's own code

Cause: the users' aim names planners; an operator learned what a retire does by doing it. The bailiff's check for a retire moved into MovePlan, so that both decide by the same code; clue and plan share how they ask. Seen: against a real fleet, steps for a retire, refusals with places, an unreachable bailiff named, wrong arguments with exit 2, and the roster's version unchanged after it all.

--- a/coordination/src/main/java/brookpath/coordination/node/BailiffNode.java
+++ b/coordination/src/main/java/brookpath/coordination/node/BailiffNode.java
@@ -437,28 +437,12 @@
         final Pack in = Pack.reader(op.body());
         final int node = (int) in.num();
         final boolean on = in.num() == 1;
-        final Roster roster = newestRoster();
-        final List<Finding> findings = new ArrayList<>();
-        if (roster.node(node) == null) {
-            findings.add(new Finding("/storages/" + node, "no such storage machine"));
-        }
-        final List<Integer> retiring = new ArrayList<>(roster.retiring());
-        retiring.remove((Integer) node);
-        if (on) {
-            retiring.add(node);
-            final Roster then = new Roster(roster.version() + 1, roster.nodes(), roster.groups(), List.copyOf(retiring));
-            for (final GroupInfo g : roster.groups()) {
-                if (Membership.find(g.members(), node) != null && Placement.instead(then, g, node, aliveStorages(time.mono())) == null) {
-                    findings.add(new Finding("/groups/" + g.id(), "no live storage machine can take the place of node " + node
-                            + "; the group would have fewer copies than it was founded with"));
-                }
-            }
-        }
-        if (!findings.isEmpty()) {
-            respond(from, op.jobId(), new Response(409, 0, findings(findings)));
+        final MovePlan.Retirement r = MovePlan.retire(newestRoster(), node, on, aliveStorages(time.mono()));
+        if (!r.findings().isEmpty()) {
+            respond(from, op.jobId(), new Response(409, 0, findings(r.findings())));
             return;
         }
-        appendRoster(new Roster(roster.version() + 1, roster.nodes(), roster.groups(), List.copyOf(retiring)), time);
+        appendRoster(r.then(), time);
         respond(from, op.jobId(), new Response(202, 0, "{\"outcome\":\"" + (on ? "retiring" : "kept") + "\",\"node\":" + node + "}"));
     }
 
--- a/coordination/src/main/java/brookpath/coordination/spec/MovePlan.java
+++ b/coordination/src/main/java/brookpath/coordination/spec/MovePlan.java
@@ -29,9 +29,41 @@
     public record Switchover(int group, int from, int to) {
     }
 
+    /** What retiring a machine, or keeping it after all, comes to: the roster then, or why not. */
+    public record Retirement(Roster then, List<Finding> findings) {
+    }
+
     private MovePlan() {
     }
 
+    public static Retirement retire(final Roster roster, final int node, final boolean on, final Set<Integer> alive) {
+        final List<Finding> findings = new ArrayList<>();
+        if (roster.node(node) == null) {
+            findings.add(new Finding("/storages/" + node, "no such storage machine"));
+        }
+        final List<Integer> retiring = new ArrayList<>(roster.retiring());
+        retiring.remove((Integer) node);
+        if (on) {
+            retiring.add(node);
+        }
+        final Roster then = new Roster(roster.version() + 1, roster.nodes(), roster.groups(), List.copyOf(retiring));
+        for (final GroupInfo g : roster.groups()) {
+            if (on && Membership.find(g.members(), node) != null && Placement.instead(then, g, node, alive) == null) {
+                findings.add(new Finding("/groups/" + g.id(), "no live storage machine can take the place of node " + node
+                        + "; the group would have fewer copies than it was founded with"));
+            }
+        }
+        return new Retirement(then, findings);
+    }
+
+    /** The roster after one step of a move, as the group's master takes it; null where nothing is left of it. */
+    public static Roster after(final Roster roster, final Move m) {
+        final GroupInfo g = roster.groups().get(m.group());
+        final Member from = Membership.find(g.members(), m.from());
+        final Membership next = from == null ? null : g.membership().step(m.from(), new Member(m.to().node(), from.weight(), m.to().zone()));
+        return next == null ? null : roster.with(new GroupInfo(g.id(), g.founded(), next));
+    }
+
     /**
      * The moves to be driven on now, one step each.
      *
--- a/tools/src/main/java/brookpath/tools/clue/Clue.java
+++ b/tools/src/main/java/brookpath/tools/clue/Clue.java
@@ -1,22 +1,14 @@
 package brookpath.tools.clue;
 
 import brookpath.coordination.spec.Finding;
-import jakarta.json.Json;
+import brookpath.tools.ask.Ask;
 import jakarta.json.JsonArray;
-import jakarta.json.JsonException;
 import jakarta.json.JsonObject;
-import jakarta.json.JsonReader;
 import jakarta.json.JsonValue;
 import java.io.IOException;
 import java.io.PrintStream;
-import java.io.StringReader;
-import java.net.URI;
-import java.net.http.HttpClient;
-import java.net.http.HttpRequest;
-import java.net.http.HttpResponse;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import org.apache.commons.cli.CommandLine;
@@ -32,8 +24,7 @@
 
     private final PrintStream out;
     private final PrintStream err;
-    private final HttpClient http = HttpClient.newBuilder().connectTimeout(Duration.ofSeconds(2)).build();
-    private final List<Finding> missing = new ArrayList<>();
+    private final Ask ask = new Ask();
 
     private Clue(final PrintStream out, final PrintStream err) {
         this.out = out;
@@ -85,8 +76,8 @@
         if (cl.hasOption("ring")) {
             ring(Path.of(cl.getOptionValue("ring")), cl, group);
         }
-        missing.forEach(f -> err.println("clue: " + f));
-        return missing.isEmpty() ? 0 : INCOMPLETE;
+        ask.missing().forEach(f -> err.println("clue: " + f));
+        return ask.missing().isEmpty() ? 0 : INCOMPLETE;
     }
 
     private static void check(final CommandLine cl, final List<Finding> findings) {
@@ -100,18 +91,14 @@
             findings.add(new Finding("flags", "--at or --ring is needed"));
         }
         if (cl.hasOption("at")) {
-            for (final String at : cl.getOptionValue("at").split(",")) {
-                if (!at.matches("[^:/]+:[0-9]{1,5}")) {
-                    findings.add(new Finding("--at", "\"" + at + "\" must be host:port"));
-                }
-            }
+            Ask.check("--at", cl.getOptionValue("at"), findings);
         }
         cl.getArgList().forEach(arg -> findings.add(new Finding("flags", "unexpected \"" + arg + "\"")));
     }
 
     /** Asks one process for its part; returns the topic's group where it tells. */
     private int process(final String at, final CommandLine cl, final int group) throws InterruptedException {
-        final JsonObject status = get(at, "/v1/status", "");
+        final JsonObject status = ask.get(at, "/v1/status", "");
         if (status == null) {
             return group;
         }
@@ -127,7 +114,7 @@
     }
 
     private int front(final String at, final CommandLine cl) throws InterruptedException {
-        final JsonObject ex = get(at, "/v1/explain?topic=" + cl.getOptionValue("topic"), cl.getOptionValue("key", ""));
+        final JsonObject ex = ask.get(at, "/v1/explain?topic=" + cl.getOptionValue("topic"), cl.getOptionValue("key", ""));
         if (ex == null) {
             return -1;
         }
@@ -155,7 +142,7 @@
         out.println("bailiff " + status.getInt("node") + " (" + at + "), spec " + status.getJsonNumber("specVersion"));
         member(status.getJsonObject("control"));
         if (cl.hasOption("change")) {
-            final JsonObject outcome = get(at, "/v1/changes/" + cl.getOptionValue("change"), "");
+            final JsonObject outcome = ask.get(at, "/v1/changes/" + cl.getOptionValue("change"), "");
             if (outcome != null) {
                 out.println("  change " + cl.getOptionValue("change") + ": " + outcome);
             }
@@ -179,21 +166,6 @@
         rows.forEach(r -> out.println("    " + r));
     }
 
-    private JsonObject get(final String at, final String path, final String key) throws InterruptedException {
-        try {
-            final HttpResponse<String> r = http.send(HttpRequest.newBuilder(URI.create("http://" + at + path)).timeout(Duration.ofSeconds(5))
-                    .header("Authorization", "Bearer " + key).build(), HttpResponse.BodyHandlers.ofString());
-            try (JsonReader rd = Json.createReader(new StringReader(r.body()))) {
-                return rd.readObject();
-            }
-        } catch (final IOException | IllegalArgumentException ex) {
-            missing.add(new Finding(at, "could not be reached: " + ex));
-        } catch (final JsonException ex) {
-            missing.add(new Finding(at + path, "did not respond as a brookpath process does: " + ex.getMessage()));
-        }
-        return null;
-    }
-
     private void ring(final Path file, final CommandLine cl, final int group) {
         try {
             out.println("ring " + file);
@@ -205,7 +177,7 @@
                 }
             }
         } catch (final IOException ex) {
-            missing.add(new Finding(file.toString(), "cannot be read: " + ex));
+            ask.missing().add(new Finding(file.toString(), "cannot be read: " + ex));
         }
     }
 }
--- /dev/null
+++ b/tools/src/main/java/brookpath/tools/plan/Plan.java
@@ -0,0 +1,275 @@
+package brookpath.tools.plan;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import brookpath.coordination.group.Copies;
+import brookpath.coordination.group.Member;
+import brookpath.coordination.group.Membership;
+import brookpath.coordination.spec.Finding;
+import brookpath.coordination.spec.MovePlan;
+import brookpath.coordination.spec.Roster;
+import brookpath.coordination.spec.Roster.GroupInfo;
+import brookpath.coordination.spec.Roster.NodeInfo;
+import brookpath.coordination.spec.Spec;
+import brookpath.coordination.spec.SpecReader;
+import brookpath.tools.ask.Ask;
+import jakarta.json.JsonObject;
+import jakarta.json.JsonValue;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.io.PrintWriter;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.DefaultParser;
+import org.apache.commons.cli.HelpFormatter;
+import org.apache.commons.cli.Options;
+import org.apache.commons.cli.ParseException;
+
+/**
+ * Tells what a retiring, a drain or a change would do, step by step, or why it would not be done. Changes nothing; the code that decides is the
+ * bailiff's own. Exit 0: it can be done. 1: it would be refused, or something could not be reached or read. 2: wrong arguments.
+ */
+public final class Plan {
+    private static final int WRONG_ARGUMENTS = 2;
+    private static final int MOST_STEPS = 10_000;
+
+    private final PrintStream out;
+    private final PrintStream err;
+    private final Ask ask = new Ask();
+    private final List<Finding> whyNot = new ArrayList<>();
+
+    private Plan(final PrintStream out, final PrintStream err) {
+        this.out = out;
+        this.err = err;
+    }
+
+    public static void main(final String[] args) throws InterruptedException {
+        System.exit(run(args, System.out, System.err));
+    }
+
+    private static Options options() {
+        return new Options().addOption(null, "at", true, "HTTP addresses of bailiffs, host:port,...; the first that responds is asked")
+                .addOption(null, "retire", true, "the storage machine with this number would be emptied")
+                .addOption(null, "drain", true, "the front with this number would be drained")
+                .addOption(null, "change", true, "the document in this file would be handed over").addOption("h", "help", false, "this text");
+    }
+
+    public static int run(final String[] args, final PrintStream out, final PrintStream err) throws InterruptedException {
+        return new Plan(out, err).run(args);
+    }
+
+    private int run(final String[] args) throws InterruptedException {
+        final List<Finding> findings = new ArrayList<>();
+        CommandLine cl = null;
+        try {
+            cl = new DefaultParser().parse(options(), args);
+            if (cl.hasOption("help")) {
+                new HelpFormatter().printHelp("plan", options());
+                return 0;
+            }
+            check(cl, findings);
+        } catch (final ParseException ex) {
+            findings.add(new Finding("flags", ex.getMessage()));
+        }
+        if (!findings.isEmpty()) {
+            findings.forEach(f -> err.println("plan: " + f));
+            new HelpFormatter().printHelp(new PrintWriter(err, true), 120, "plan", null, options(), 2, 2, null);
+            return WRONG_ARGUMENTS;
+        }
+        for (final String at : cl.getOptionValue("at").split(",")) {
+            final JsonObject status = ask.get(at, "/v1/status", "");
+            final JsonObject nodes = status == null ? null : ask.get(at, "/v1/nodes", "");
+            if (nodes != null && nodes.containsKey("nodes") && status.containsKey("placement")) {
+                tell(cl, at, status, nodes);
+                whyNot.forEach(f -> out.println("not so: " + f));
+                ask.missing().forEach(f -> err.println("plan: " + f));
+                return whyNot.isEmpty() && ask.missing().isEmpty() ? 0 : 1;
+            }
+            if (status != null) {
+                ask.missing().add(new Finding(at, "is no bailiff that hears a control master"));
+            }
+        }
+        ask.missing().forEach(f -> err.println("plan: " + f));
+        return 1;
+    }
+
+    private static void check(final CommandLine cl, final List<Finding> findings) {
+        final long asked = List.of("retire", "drain", "change").stream().filter(cl::hasOption).count();
+        if (asked != 1) {
+            findings.add(new Finding("flags", "one of --retire, --drain and --change is needed"));
+        }
+        for (final String flag : List.of("retire", "drain")) {
+            if (!cl.getOptionValue(flag, "1").matches("[1-9][0-9]{0,5}")) {
+                findings.add(new Finding("--" + flag, "must be a machine's number"));
+            }
+        }
+        if (cl.hasOption("at")) {
+            Ask.check("--at", cl.getOptionValue("at"), findings);
+        } else {
+            findings.add(new Finding("--at", "is missing"));
+        }
+        cl.getArgList().forEach(arg -> findings.add(new Finding("flags", "unexpected \"" + arg + "\"")));
+    }
+
+    private void tell(final CommandLine cl, final String at, final JsonObject status, final JsonObject nodes) throws InterruptedException {
+        if (cl.hasOption("retire")) {
+            retire(Integer.parseInt(cl.getOptionValue("retire")), roster(status), status.getInt("copies"), alive(nodes, "storage"));
+        } else if (cl.hasOption("drain")) {
+            drain(Integer.parseInt(cl.getOptionValue("drain")), nodes);
+        } else {
+            change(Path.of(cl.getOptionValue("change")), at, status.getInt("copies"));
+        }
+    }
+
+    // ---- retiring
+
+    private static Roster roster(final JsonObject status) {
+        final List<NodeInfo> nodes = new ArrayList<>();
+        final Map<Integer, String> zones = new HashMap<>();
+        for (final JsonObject n : status.getJsonArray("storages").getValuesAs(JsonObject.class)) {
+            nodes.add(new NodeInfo(n.getInt("node"), n.getString("zone"), n.getString("address")));
+            zones.put(n.getInt("node"), n.getString("zone"));
+        }
+        final List<GroupInfo> groups = new ArrayList<>();
+        for (final JsonObject g : status.getJsonArray("placement").getValuesAs(JsonObject.class)) {
+            final List<Member> voters = new ArrayList<>();
+            g.getJsonArray("members").getValuesAs(JsonObject.class)
+                    .forEach(m -> voters.add(new Member(m.getInt("node"), m.getInt("weight"), m.getString("zone"))));
+            final List<Member> learners = new ArrayList<>();
+            g.getJsonArray("learners").forEach(v -> learners.add(new Member(Integer.parseInt(v.toString()), 0, zones.get(Integer.parseInt(v.toString())))));
+            groups.add(new GroupInfo(g.getInt("group"), g.getBoolean("founded"), new Membership(g.getInt("groupVersion"), voters, learners)));
+        }
+        final List<Integer> retiring = new ArrayList<>();
+        for (final JsonValue v : status.getJsonArray("retiring")) {
+            retiring.add(Integer.parseInt(v.toString()));
+        }
+        return new Roster(status.getInt("rosterVersion"), nodes, groups, retiring);
+    }
+
+    private static Set<Integer> alive(final JsonObject nodes, final String role) {
+        final Set<Integer> alive = new TreeSet<>();
+        for (final JsonObject n : nodes.getJsonArray("nodes").getValuesAs(JsonObject.class)) {
+            if (n.getString("role").equals(role) && n.getInt("leaseLeftMs") > 0) {
+                alive.add(n.getInt("node"));
+            }
+        }
+        return alive;
+    }
+
+    private void retire(final int node, final Roster roster, final int copies, final Set<Integer> alive) {
+        final MovePlan.Retirement r = MovePlan.retire(roster, node, true, alive);
+        whyNot.addAll(r.findings());
+        if (!whyNot.isEmpty()) {
+            return;
+        }
+        Roster now = r.then();
+        int step = 0;
+        // why: without steady machines nothing moves for the mere spread, which is not what was asked
+        for (List<MovePlan.Move> moves = MovePlan.next(now, alive, Set.of(), copies); !moves.isEmpty() && step < MOST_STEPS;
+                moves = MovePlan.next(now, alive, Set.of(), copies)) {
+            for (final MovePlan.Move m : moves) {
+                final Roster then = MovePlan.after(now, m);
+                if (then != null) {
+                    final GroupInfo was = now.groups().get(m.group());
+                    now = then;
+                    out.println("step " + ++step + ": " + what(was, m));
+                }
+            }
+        }
+        for (final NodeInfo n : now.nodes()) {
+            final Roster end = now;
+            out.println("then node " + n.node() + " in zone " + n.zone() + " holds "
+                    + end.groups().stream().filter(g -> g.membership().holds(n.node())).count() + " groups, held "
+                    + roster.groups().stream().filter(g -> g.membership().holds(n.node())).count());
+        }
+    }
+
+    private static String what(final GroupInfo g, final MovePlan.Move m) {
+        final int to = m.to().node();
+        final String step = !g.membership().holds(to) ? "node " + to + " learns it" : Membership.find(g.membership().learners(), to) != null
+                ? "node " + to + " votes" : "node " + m.from() + " lets it go";
+        return "group " + g.id() + ": " + step + "; " + m.why();
+    }
+
+    // ---- draining
+
+    private void drain(final int node, final JsonObject nodes) {
+        JsonObject front = null;
+        final Set<Integer> inZone = new TreeSet<>();
+        final Set<Integer> elsewhere = new TreeSet<>();
+        for (final JsonObject n : nodes.getJsonArray("nodes").getValuesAs(JsonObject.class)) {
+            if (n.getInt("node") == node && n.getString("role").equals("front")) {
+                front = n;
+            }
+        }
+        if (front == null) {
+            whyNot.add(new Finding("/fronts/" + node, "no such front is heard"));
+            return;
+        }
+        for (final JsonObject n : nodes.getJsonArray("nodes").getValuesAs(JsonObject.class)) {
+            if (n.getString("role").equals("front") && n.getInt("node") != node && !n.getBoolean("draining") && n.getInt("leaseLeftMs") > 0) {
+                (n.getString("zone").equals(front.getString("zone")) ? inZone : elsewhere).add(n.getInt("node"));
+            }
+        }
+        if (inZone.isEmpty() && elsewhere.isEmpty()) {
+            whyNot.add(new Finding("/fronts/" + node, "no other front is ready; its sessions would find no node"));
+            return;
+        }
+        out.println("step 1: node " + node + " is not ready any more and refuses new sessions with 503");
+        out.println("step 2: its sessions end one by one over half the recovery bound, each with its cursor good");
+        out.println(inZone.isEmpty() ? "they go to other zones, none is left in " + front.getString("zone") + ": " + elsewhere
+                : "they find in their zone " + front.getString("zone") + ": " + inZone + ", elsewhere: " + elsewhere);
+    }
+
+    // ---- a change
+
+    private void change(final Path file, final String at, final int copies) throws InterruptedException {
+        final byte[] doc;
+        try {
+            doc = Files.readAllBytes(file);
+        } catch (final IOException ex) {
+            ask.missing().add(new Finding(file.toString(), "cannot be read: " + ex));
+            return;
+        }
+        final JsonObject now = ask.get(at, "/v1/spec", "");
+        if (now == null) {
+            return;
+        }
+        final long version = now.getInt("version", 0);
+        final Spec present = version == 0 ? Spec.NONE : SpecReader.stored(now.getJsonObject("document").toString().getBytes(UTF_8), version);
+        // why: the bailiff's floor follows from the copies and from one machine that may be lost, as its settings have it by default
+        final SpecReader.Reading r = SpecReader.read(doc, version + 1, new SpecReader.Limits(copies, Copies.floor(copies, 1)), present);
+        whyNot.addAll(r.findings());
+        if (r.spec() == null) {
+            return;
+        }
+        if (r.spec().basedOn() != version) {
+            whyNot.add(new Finding("/basedOn", "is " + r.spec().basedOn() + ", the present version is " + version));
+        }
+        differ("space", present.spaces(), r.spec().spaces());
+        differ("tenant", present.tenants(), r.spec().tenants());
+        final Set<String> gone = new HashSet<>(present.keys().keySet());
+        gone.removeAll(r.spec().keys().keySet());
+        final Set<String> come = new HashSet<>(r.spec().keys().keySet());
+        come.removeAll(present.keys().keySet());
+        out.println(come.size() + " keys come; " + gone.size() + " keys go, and the sessions on them end as each front takes the change");
+    }
+
+    private <T> void differ(final String what, final Map<String, T> was, final Map<String, T> is) {
+        was.keySet().stream().filter(n -> !is.containsKey(n)).sorted().forEach(n -> out.println(what + " " + n + " goes"));
+        is.keySet().stream().filter(n -> !was.containsKey(n)).sorted().forEach(n -> out.println(what + " " + n + " comes"));
+        is.forEach((n, v) -> {
+            if (was.containsKey(n) && !was.get(n).equals(v)) {
+                out.println(what + " " + n + " changes from " + was.get(n) + " to " + v);
+            }
+        });
+    }
+}
--- a/trial/src/test/java/brookpath/trial/FleetSmokeTest.java
+++ b/trial/src/test/java/brookpath/trial/FleetSmokeTest.java
@@ -5,6 +5,7 @@
 import static org.testng.Assert.assertTrue;
 
 import brookpath.tools.clue.Clue;
+import brookpath.tools.plan.Plan;
 import brookpath.trial.fleet.Fleet;
 import brookpath.trial.fleet.Fleet.Unit;
 import java.io.ByteArrayOutputStream;
@@ -203,6 +204,31 @@
         assertTrue(err.toString().contains("--topic") && err.toString().contains("\"nowhere\"") && err.toString().contains("stray"), err.toString());
     }
 
+    private static String plan(final int exit, final String... args) throws Exception {
+        final ByteArrayOutputStream said = new ByteArrayOutputStream();
+        assertEquals(Plan.run(args, new PrintStream(said), new PrintStream(said)), exit, said.toString());
+        return said.toString();
+    }
+
+    @Test
+    public void thePlannerTellsWhatWouldBeDoneAndDoesNothing() throws Exception {
+        final String at = Fleet.HOST + ":" + fleet.units().get(2).httpPort;
+        final String before = fleet.get(fleet.units().get(2), "/v1/status").replaceAll(".*\"rosterVersion\":([0-9]+).*", "$1");
+        final String steps = plan(0, "--retire", "12", "--at", at);
+        assertTrue(steps.contains("learns it") && steps.contains("votes") && steps.contains("node 12 lets it go") && steps.contains("node 12 in zone b holds 0"), steps);
+        assertTrue(plan(1, "--retire", "99", "--at", at).contains("/storages/99"));
+        assertTrue(plan(0, "--drain", "31", "--at", at).contains("[32]"));
+        final Path doc = Files.createTempFile("change", ".json");
+        Files.writeString(doc, DOC.replace("\"basedOn\":0", "\"basedOn\":7").replace("\"key-other-1\"", "").replace("\"first\"", "\"next\""));
+        final String change = plan(1, "--change", doc.toString(), "--at", Fleet.HOST + ":1," + at);
+        assertTrue(change.contains("/basedOn") && change.contains("1 keys go") && change.contains(":1: could not be reached"), change);
+        Files.writeString(doc, "{\"spaces\":7}");
+        assertTrue(plan(1, "--change", doc.toString(), "--at", at).contains("/changeId"));
+        final String wrong = plan(2, "--retire", "x", "--drain", "3", "stray");
+        assertTrue(wrong.contains("--retire") && wrong.contains("--at") && wrong.contains("stray") && wrong.contains("one of"), wrong);
+        assertEquals(fleet.get(fleet.units().get(2), "/v1/status").replaceAll(".*\"rosterVersion\":([0-9]+).*", "$1"), before);
+    }
+
     @Test
     public void aMalformedFrameEndsItsSessionAlone() throws Exception {
         final Unit u = fleet.storages().get(3);
--- a/trial/src/test/java/brookpath/trial/MovePlanTest.java
+++ b/trial/src/test/java/brookpath/trial/MovePlanTest.java
@@ -5,7 +5,6 @@
 import static org.testng.Assert.assertTrue;
 
 import brookpath.coordination.group.Member;
-import brookpath.coordination.group.Membership;
 import brookpath.coordination.spec.MovePlan;
 import brookpath.coordination.spec.MovePlan.Move;
 import brookpath.coordination.spec.Placement;
@@ -22,12 +21,6 @@
 
 /** The plan of moves, driven to its end on random fleets: it ends, spreads, and never goes below the copies or back and forth. */
 public final class MovePlanTest {
-    private static Roster step(final Roster roster, final Move m) {
-        final GroupInfo g = roster.groups().get(m.group());
-        final Membership next = g.membership().step(m.from(), new Member(m.to().node(), Membership.find(g.members(), m.from()).weight(), m.to().zone()));
-        return roster.with(new GroupInfo(g.id(), true, next));
-    }
-
     private static int load(final Roster r, final int node) {
         return (int) r.groups().stream().filter(g -> g.membership().holds(node)).count();
     }
@@ -55,7 +48,7 @@
             for (List<Move> moves = MovePlan.next(r, all, all, 3); !moves.isEmpty(); moves = MovePlan.next(r, all, all, 3)) {
                 assertTrue(moves.size() <= MovePlan.MOST, moves.toString());
                 for (final Move m : moves) {
-                    r = step(r, m);
+                    r = MovePlan.after(r, m);
                     for (final GroupInfo g : r.groups()) {
                         assertTrue(g.members().size() >= 3 && g.members().size() <= 4, "seed " + seed + ": " + g);
                     }
