Checks for three rules whose mutants lived: replies for another log, earlier epochs, posting

Cause: with these left out nothing went red: a reply that fits another log (needs a cut and a late reply), records of earlier epochs called accepted before the master's own (shows only three changes of master later), a report posted before its total is accepted (mostly the same numbers again). Now a scene hands the reply over; the group fuzz and the platform stand-in look at the two rules themselves.

--- a/coordination/src/main/java/brookpath/coordination/group/GroupMachine.java
+++ b/coordination/src/main/java/brookpath/coordination/group/GroupMachine.java
@@ -164,6 +164,11 @@
         return syncedLsn;
     }
 
+    /** Where this master opened its epoch, 0 while it has none. */
+    public long openLsn() {
+        return openLsn;
+    }
+
     public int groupVersion() {
         return groupVersion;
     }
--- a/trial/src/main/java/brookpath/trial/sim/GroupFuzz.java
+++ b/trial/src/main/java/brookpath/trial/sim/GroupFuzz.java
@@ -52,6 +52,7 @@
         long entriesLagUntil;
         int lastRole;
         String lastWhy = "";
+        long lastAccepted;
 
         Unit(final int id) {
             this.id = id;
@@ -256,6 +257,11 @@
                 }
             });
         }
+        if (g.role() == GroupMachine.MASTER && u.lastRole == GroupMachine.MASTER && g.accepted() > u.lastAccepted && g.accepted() < g.openLsn()) {
+            // why: what that can do shows only after three more changes of master, so the rule itself is looked at
+            violation("master " + u.id + " of epoch " + g.epoch() + " calls " + g.accepted() + " accepted before its own record at " + g.openLsn());
+        }
+        u.lastAccepted = g.accepted();
         u.lastRole = g.role();
         if (!g.why().equals(u.lastWhy)) {
             u.lastWhy = g.why();
--- a/trial/src/main/java/brookpath/trial/sim/Platform.java
+++ b/trial/src/main/java/brookpath/trial/sim/Platform.java
@@ -27,6 +27,7 @@
     }
 
     void post(final Proc from, final Action.Post post) {
+        logged(from, post);
         final long life = from.life;
         final boolean trouble = world.now() < troubleUntil;
         final int kind = trouble ? world.rnd.nextInt(4) : 3;
@@ -43,6 +44,18 @@
         });
     }
 
+    /** What is posted is in the control log and accepted there: a successor must not be able to total anew. */
+    private void logged(final Proc from, final Action.Post post) {
+        final BailiffNode b = (BailiffNode) from.node;
+        final long window = Long.parseLong(post.key().substring(post.key().lastIndexOf('/') + 1));
+        for (final ControlState.Window w : ((ControlState) b.group().live()).windows()) {
+            if (w.window() == window && w.lsn() <= b.group().accepted()) {
+                return;
+            }
+        }
+        world.history.violation(world.now(), "node " + from.id + " posts " + post.key() + " before its log has accepted the total");
+    }
+
     private void take(final Action.Post post) {
         world.count("usage posts");
         try (var rd = Json.createReader(new ByteArrayInputStream(post.json().getBytes(UTF_8)))) {
--- a/trial/src/test/java/brookpath/trial/sim/ScenesTest.java
+++ b/trial/src/test/java/brookpath/trial/sim/ScenesTest.java
@@ -497,6 +497,29 @@
         quietly();
     }
 
+    @Test
+    public void aReplyThatFitsAnotherLogAddsNothing() {
+        begin(53);
+        callers();
+        final int g = groupOf("permits/t1");
+        final Proc master = acting(g);
+        final Proc slave = slaveOf(master, g);
+        final GroupMachine m = group(slave, g);
+        world.callers.quiet = true;
+        world.run(world.now() + 2_000);
+        final long end = m.endLsn();
+        final long accepted = m.accepted();
+        // why: it was asked for when this log was longer, or another; what it calls accepted is not here
+        final Rec far = Rec.of(end + 6, m.epoch(), 0, Rec.PUBLISH, Rec.publishBody(9, 2, "members", "permits/t1", "late", "x"), 0);
+        for (final long asked : new long[] {end + 5, end}) {
+            slave.run(p -> p.node.message(master.id, new Msg.PullReply(g, m.groupVersion(), m.epoch(), Msg.PullReply.RECORDS, Msg.PullReply.ACTING_MASTER,
+                    end + 6, asked, asked == end ? m.epoch() + 1 : m.epoch(), 0, new byte[0], List.of(far)), p.time()));
+        }
+        assertEquals(m.endLsn(), end);
+        assertEquals(m.accepted(), accepted);
+        quietly();
+    }
+
     @Test
     public void whatIsStampedIntoAClosedWindowCountsInTheNext() {
         final TopicState state = new TopicState(t -> 1_000, 10_000);
