--- a/coordination/src/main/java/brookpath/coordination/node/BailiffNode.java
+++ b/coordination/src/main/java/brookpath/coordination/node/BailiffNode.java
@@ -67,7 +67,8 @@
     private record Relayed(long jobId, int from, int node, String kind, long horizon) {
     }
 
-    private static final int MAX_GOES = 20;
+    /** Goes at one report: about an hour of a platform that is down, as long as the groups keep their windows. */
+    private static final int MAX_GOES = 1_200;
     private static final int MAX_RELAYED = 1_024;
     private static final int MAX_CHANGES = 64;
     private static final int POSTS_AT_ONCE = 8;
@@ -599,7 +600,7 @@
         p.underWay = false;
         p.ok = j.status() / 100 == 2 || j.status() == 409;
         p.done = p.ok || p.goes >= MAX_GOES;
-        p.nextAt = time.mono() + Math.min(tempo.recoverMs(), tempo.down() << Math.min(p.goes, 6));
+        p.nextAt = time.mono() + Math.min(tempo.recoverMs() / 4, tempo.down() << Math.min(p.goes, 6));
         final List<Post> same = posts.values().stream().filter(q -> q.window == p.window).toList();
         if (same.stream().allMatch(q -> q.done)) {
             posts.values().removeAll(same);
--- a/trial/src/main/java/brookpath/trial/sim/Day.java
+++ b/trial/src/main/java/brookpath/trial/sim/Day.java
@@ -362,7 +362,7 @@
             }
             case PLATFORM -> {
                 world.count("platform troubles");
-                world.platform.trouble(span * (world.rnd.nextInt(3) == 0 ? 8 : 2));
+                world.platform.trouble(span * (world.rnd.nextInt(3) == 0 ? 8 : 2), world.rnd.nextBoolean());
             }
             case RESETS -> world.callers.resetAll();
             case FULL_DISK -> {
--- a/trial/src/main/java/brookpath/trial/sim/Platform.java
+++ b/trial/src/main/java/brookpath/trial/sim/Platform.java
@@ -13,12 +13,15 @@
 public final class Platform {
     private final World world;
     private long troubleUntil;
+    private boolean down;
 
     Platform(final World world) {
         this.world = world;
     }
 
-    void trouble(final long forMs) {
+    /** @param down takes nothing at all meanwhile */
+    void trouble(final long forMs, final boolean down) {
+        this.down = down;
         troubleUntil = Math.max(troubleUntil, world.now() + forMs);
     }
 
@@ -30,7 +33,7 @@
         logged(from, post);
         final long life = from.life;
         final boolean trouble = world.now() < troubleUntil;
-        final int kind = trouble ? world.rnd.nextInt(4) : 3;
+        final int kind = !trouble ? 3 : down ? 0 : world.rnd.nextInt(4);
         final long delay = trouble && kind != 0 ? 2_000 + world.rnd.nextInt(3_000) : 5;
         world.at(world.now() + delay, () -> {
             // why: 0 fails before it takes the report, 1 and 2 take it and the response is lost or late, 3 works
