--- a/trial/src/test/java/brookpath/trial/sim/ScenesTest.java
+++ b/trial/src/test/java/brookpath/trial/sim/ScenesTest.java
@@ -633,4 +633,36 @@
         assertEquals(group(slave, g).rec(was.lsn()).bytes(), was.bytes());
         quietly();
     }
+
+    @Test
+    public void twoControlMastersDyingInARowPauseNobody() {
+        for (long seed = 80; seed < 84; seed++) {
+            begin(seed);
+            world.run(world.now() + 1_000 + 150 * (seed - 80));
+            final Proc first = controlMaster();
+            world.kill(first, false);
+            world.at(world.now() + 300, () -> world.restart(first));
+            Proc second = null;
+            boolean killed = false;
+            long actsSince = 0;
+            for (final long end = world.now() + 5_000; world.now() < end;) {
+                world.run(world.now() + 5);
+                final Proc now = controlMaster();
+                final boolean acts = now != first && now.alive && ((BailiffNode) now.node).group().mayAct(now.mono());
+                if (acts && second == null) {
+                    second = now;
+                    actsSince = world.now();
+                }
+                if (second != null && !killed && world.now() >= actsSince + 150) {
+                    killed = true;
+                    world.kill(second, false);
+                }
+                for (final int id : world.fronts) {
+                    final Proc front = world.procs.get(id);
+                    assertTrue(((FrontNode) front.node).client().leased(front.mono()), "seed " + seed + ": front " + id + " pauses at " + world.now());
+                }
+            }
+            assertTrue(killed, "nothing was staged");
+        }
+    }
 }
