creel-check looks over several folders at once and tells whether their copies agree

Now the digest chained over each log is compared at every record that two folders share; a tail of an older epoch is told apart from a difference. Seen: agreeing, shorter, parted, forged and missing folders, and wrong flags.

--- a/coordination/src/main/java/brookpath/coordination/group/GroupMachine.java
+++ b/coordination/src/main/java/brookpath/coordination/group/GroupMachine.java
@@ -1008,7 +1008,8 @@
         return d ^ d >>> 31;
     }
 
-    private long chainAt(final long lsn) {
+    /** A digest of the whole log up to there; -1 where this copy does not reach. */
+    public long chainAt(final long lsn) {
         return lsn == baseLsn ? baseChain : lsn < baseLsn || lsn > endLsn() ? -1 : chain.get((int) (lsn - baseLsn - 1));
     }
 
--- a/tools/src/main/java/brookpath/tools/creelcheck/CreelCheck.java
+++ b/tools/src/main/java/brookpath/tools/creelcheck/CreelCheck.java
@@ -20,11 +20,13 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.TreeMap;
 import java.util.stream.Stream;
 
-/** Looks a data folder over while no process uses it, and changes nothing in it. */
+/** Looks data folders over while no process uses them, and changes nothing in them; of several it tells whether their copies agree. */
 public final class CreelCheck {
     private CreelCheck() {
     }
@@ -33,29 +35,85 @@
         System.exit(run(args, System.out, System.err));
     }
 
-    /** 0 for a whole folder, 1 where something is damaged or cannot be read, 2 for wrong arguments. */
+    /** 0 for whole folders that agree, 1 where something is damaged, differs or cannot be read (the rest is told), 2 for wrong arguments. */
     public static int run(final String[] args, final PrintStream out, final PrintStream err) {
-        if (args.length != 1 || args[0].startsWith("-")) {
-            err.println("usage: creel-check DATA-FOLDER");
+        final List<String> findings = new ArrayList<>();
+        for (final String arg : args) {
+            if (arg.startsWith("-")) {
+                err.println("creel-check: " + arg + ": there are no flags");
+            }
+        }
+        if (args.length == 0 || Stream.of(args).anyMatch(a -> a.startsWith("-"))) {
+            err.println("usage: creel-check DATA-FOLDER...");
             return 2;
         }
-        final Path folder = Path.of(args[0]);
+        final Map<String, TreeMap<Integer, GroupMachine>> folders = new LinkedHashMap<>();
+        for (final String arg : args) {
+            folder(Path.of(arg), folders, findings, out);
+        }
+        final List<String> names = new ArrayList<>(folders.keySet());
+        for (int i = 0; i < names.size(); i++) {
+            for (int k = i + 1; k < names.size(); k++) {
+                compare(names.get(i), folders.get(names.get(i)), names.get(k), folders.get(names.get(k)), findings, out);
+            }
+        }
+        findings.forEach(f -> err.println("creel-check: " + f));
+        return findings.isEmpty() ? 0 : 1;
+    }
+
+    private static void folder(final Path folder, final Map<String, TreeMap<Integer, GroupMachine>> folders, final List<String> all, final PrintStream out) {
         if (!Files.isDirectory(folder)) {
-            err.println("creel-check: " + folder + ": no such folder");
-            return 1;
+            all.add(folder + ": no such folder");
+            return;
         }
         final List<String> findings = new ArrayList<>();
+        out.println("folder " + folder);
         try {
             final Spool.Inspection found = Spool.inspect(new ReadOnly(folder));
             findings.addAll(found.findings());
             out.println("snapshot " + (found.snapshot() == null ? "none" : found.snapshotName() + " of " + found.snapshot().length + " bytes")
                     + ", segment " + found.segmentName() + " with " + found.entries().size() + " entries");
-            groups(found.replayed(), findings).forEach((id, g) -> tell(out, id, g));
+            final TreeMap<Integer, GroupMachine> groups = groups(found.replayed(), findings);
+            groups.forEach((id, g) -> {
+                tell(out, id, g);
+                for (long lsn = g.baseLsn() + 1; lsn <= g.endLsn(); lsn++) {
+                    if (!g.rec(lsn).whole()) {
+                        findings.add("group " + id + ": record " + lsn + " does not fit its checksum");
+                    }
+                }
+            });
+            folders.put(folder.toString(), groups);
         } catch (final UncheckedIOException ex) {
-            findings.add(folder + ": " + ex.getMessage());
+            findings.add(ex.getMessage());
+        }
+        findings.forEach(f -> all.add(folder + ": " + f));
+    }
+
+    /** The same (epoch, LSN) must mean the same log up to there; a tail of another epoch is what a start would cut. */
+    private static void compare(final String a, final TreeMap<Integer, GroupMachine> as, final String b, final TreeMap<Integer, GroupMachine> bs,
+                                final List<String> findings, final PrintStream out) {
+        for (final Integer id : as.keySet()) {
+            final GroupMachine x = as.get(id);
+            final GroupMachine y = bs.get(id);
+            if (y == null || x.lost() || y.lost()) {
+                continue;
+            }
+            long same = 0;
+            long lsn = Math.max(x.baseLsn(), y.baseLsn()) + 1;
+            for (; lsn <= Math.min(x.endLsn(), y.endLsn()) && x.rec(lsn).epoch() == y.rec(lsn).epoch(); lsn++) {
+                if (x.chainAt(lsn) != y.chainAt(lsn)) {
+                    findings.add("group " + id + ": " + a + " and " + b + " differ at or before record " + lsn + " of the same epoch");
+                    break;
+                }
+                same++;
+            }
+            if (lsn <= Math.min(x.endLsn(), y.endLsn()) && x.rec(lsn).epoch() != y.rec(lsn).epoch()) {
+                out.println("group " + id + ": " + a + " and " + b + " part at record " + lsn + ", epochs " + x.rec(lsn).epoch() + " and " + y.rec(lsn).epoch()
+                        + "; the older tail was not accepted and is cut at its start");
+            } else {
+                out.println("group " + id + ": " + a + " and " + b + " agree on " + same + " records, ends " + x.endLsn() + " and " + y.endLsn());
+            }
         }
-        findings.forEach(f -> err.println("creel-check: " + f));
-        return findings.isEmpty() ? 0 : 1;
     }
 
     private static TreeMap<Integer, GroupMachine> groups(final List<byte[]> entries, final List<String> findings) {
--- a/trial/src/test/java/brookpath/trial/CreelCheckTest.java
+++ b/trial/src/test/java/brookpath/trial/CreelCheckTest.java
@@ -9,6 +9,8 @@
 import brookpath.coordination.node.BailiffNode;
 import brookpath.coordination.node.Node.Time;
 import brookpath.state.disk.FolderDisk;
+import brookpath.state.record.Pack;
+import brookpath.state.record.Rec;
 import brookpath.state.spool.Spool;
 import brookpath.tools.creelcheck.CreelCheck;
 import java.io.ByteArrayOutputStream;
@@ -22,9 +24,40 @@
 public final class CreelCheckTest {
     private final ByteArrayOutputStream out = new ByteArrayOutputStream();
 
-    private int check(final Path folder) {
+    private int check(final Path... folders) {
         out.reset();
-        return CreelCheck.run(new String[] {folder.toString()}, new PrintStream(out), new PrintStream(out));
+        return CreelCheck.run(java.util.Arrays.stream(folders).map(Path::toString).toArray(String[]::new), new PrintStream(out), new PrintStream(out));
+    }
+
+    /** A folder with one topic group's records of these epochs, the texts as given. */
+    private static Path copy(final long[] epochs, final String[] texts) throws Exception {
+        final Path folder = Files.createTempDirectory("creel-copy");
+        try (FolderDisk disk = new FolderDisk(folder)) {
+            final Spool spool = Spool.recover(disk).spool();
+            for (int i = 0; i < epochs.length; i++) {
+                final Rec rec = Rec.of(i + 1, epochs[i], 1_000, Rec.PUBLISH, Rec.publishBody(i + 1, 2, "t", "s/a", "ana", texts[i]), 0);
+                spool.append(Pack.writer().num(3).num(1).bytes(rec.bytes()).done());
+            }
+            spool.sync();
+        }
+        return folder;
+    }
+
+    @Test
+    public void copiesThatAgreePartAndDifferAreToldApart() throws Exception {
+        final Path one = copy(new long[] {1, 1, 1}, new String[] {"x", "y", "z"});
+        final Path shorter = copy(new long[] {1, 1}, new String[] {"x", "y"});
+        final Path parted = copy(new long[] {1, 1, 2}, new String[] {"x", "y", "w"});
+        final Path other = copy(new long[] {1, 1, 1}, new String[] {"x", "Y", "z"});
+        assertEquals(check(one, shorter), 0, out.toString());
+        assertTrue(out.toString().contains("agree on 2 records, ends 3 and 2"), out.toString());
+        assertEquals(check(one, parted), 0, out.toString());
+        assertTrue(out.toString().contains("part at record 3, epochs 1 and 2"), out.toString());
+        assertEquals(check(one, other, shorter), 1);
+        assertTrue(out.toString().contains("differ at or before record 2"), out.toString());
+        assertEquals(check(one, one.resolve("none"), shorter), 1);
+        assertTrue(out.toString().contains("no such folder") && out.toString().contains("agree on 2"), out.toString());
+        assertEquals(CreelCheck.run(new String[] {"--all", one.toString()}, new PrintStream(out), new PrintStream(out)), 2);
     }
 
     @Test
