--- a/coordination/src/main/java/brookpath/coordination/node/BailiffNode.java
+++ b/coordination/src/main/java/brookpath/coordination/node/BailiffNode.java
@@ -14,6 +14,7 @@
 import brookpath.coordination.message.Msg.SpecPoll;
 import brookpath.coordination.message.Msg.SpecReply;
 import brookpath.coordination.message.Response;
+import brookpath.coordination.node.usage.UsageDesk;
 import brookpath.coordination.spec.ControlState;
 import brookpath.coordination.spec.ControlState.Outcome;
 import brookpath.coordination.spec.ControlState.SpecAt;
@@ -25,7 +26,6 @@
 import brookpath.coordination.spec.Roster.GroupInfo;
 import brookpath.coordination.spec.Roster.NodeInfo;
 import brookpath.coordination.spec.SpecReader;
-import brookpath.coordination.topic.TopicState;
 import brookpath.state.record.Pack;
 import brookpath.state.record.Rec;
 import jakarta.json.Json;
@@ -67,11 +67,8 @@
     private record Relayed(long jobId, int from, int node, String kind, long horizon) {
     }
 
-    /** Goes at one report: about an hour of a platform that is down, as long as the groups keep their windows. */
-    private static final int MAX_GOES = 1_200;
     private static final int MAX_RELAYED = 1_024;
     private static final int MAX_CHANGES = 64;
-    private static final int POSTS_AT_ONCE = 8;
 
     private final Founding founding;
     private final List<Member> members;
@@ -81,8 +78,7 @@
     private final List<Waiting> waitlist = new ArrayList<>();
     private final TreeMap<Long, Relayed> relayed = new TreeMap<>();
     private long ids;
-    private final TreeMap<Integer, Told> told = new TreeMap<>();
-    private final TreeMap<Long, Post> posts = new TreeMap<>();
+    private final UsageDesk usage;
     private long nextMove = Long.MIN_VALUE / 2;
     private long nextSwitchover = Long.MIN_VALUE / 2;
     /** Who told last that it masters a group. */
@@ -100,6 +96,7 @@
         this.members = members;
         ids = firstId;
         group = new GroupMachine(CONTROL, self, tempo, founding.toleratedLosses, seed, ControlState::new, pledges, out);
+        usage = new UsageDesk(group, clock, tempo, () -> ++ids, out);
     }
 
     public GroupMachine group() {
@@ -148,8 +145,8 @@
         if (group.mayAct(now)) {
             place(time);
             move(time);
-            total(time);
-            report(time);
+            usage.total(roster(), spec().spec().tenants().keySet(), time);
+            usage.report(time);
         }
         relayed.values().removeIf(r -> {
             if (now >= r.horizon) {
@@ -234,7 +231,7 @@
         if (job instanceof Job.Adopt j) {
             rollBytes = j.rollBytes();
         } else if (job instanceof Job.Posted j) {
-            posted(j, time);
+            usage.posted(j, time);
         } else if (job instanceof Job.Status j) {
             out.respond(j.jobId(), new Response(200, 0, statusJson(time)));
         } else if (job instanceof Job.Ready j) {
@@ -322,9 +319,8 @@
                 clock.clear();
                 waitlist.forEach(w -> respond(w.from, w.jobId, lostResponse("change", "the control master stepped down")));
                 waitlist.clear();
-                told.clear();
+                usage.clear();
                 masters.clear();
-                posts.clear();
             }
             return;
         }
@@ -415,7 +411,7 @@
                 respond(from, op.jobId(), o == null || o.lsn() > group.accepted() ? new Response(404, 0, "{\"outcome\":\"unknown\"}")
                         : outcome(o, o.status() != 200 || everywhere(o.version(), time.mono())));
             }
-            case "windows" -> respond(from, op.jobId(), new Response(200, 0, windowsJson()));
+            case "windows" -> respond(from, op.jobId(), new Response(200, 0, usage.windowsJson()));
             case "nodes" -> respond(from, op.jobId(), new Response(200, 0, nodesJson(time.mono())));
             default -> respond(from, op.jobId(), new Response(404, 0, "{}"));
         }
@@ -490,137 +486,12 @@
         appendRoster(roster.with(new GroupInfo(id, roster.groups().get(id).founded(), membership)), time);
     }
 
-    // ---- usage: the totals of a window go into the log before they go to the platform
-
-    private record Told(long closed, List<TopicState.Count> counts) {
-    }
-
-    private static final class Post {
-        final long window;
-        final ControlState.Used used;
-        int goes;
-        long nextAt;
-        boolean underWay;
-        boolean done;
-        boolean ok;
-
-        Post(final long window, final ControlState.Used used) {
-            this.window = window;
-            this.used = used;
-        }
-    }
-
-
     private void usage(final int from, final Op op) {
-        final Pack in = Pack.reader(op.body());
-        final int id = (int) in.num();
-        final long after = in.num();
-        final long closed = in.num();
+        final int id = (int) Pack.reader(op.body()).num();
         if (roster().node(from) != null) {
             masters.put(id, from);
         }
-        final long included = state().included(id);
-        if (after <= included) {
-            final List<TopicState.Count> counts = new ArrayList<>();
-            for (long n = in.num(); n > 0; n--) {
-                counts.add(new TopicState.Count(in.num(), in.str(), in.num(), in.num()));
-            }
-            told.put(id, new Told(closed, counts));
-        }
-        // why: what is only appended may still be lost, and the group would forget to tell it again
-        respond(from, op.jobId(), new Response(200, 0, ""), Pack.writer().num(group.accepted() >= group.endLsn() ? included : -1).done());
-    }
-
-    private void total(final Time time) {
-        final Roster roster = roster();
-        if (told.isEmpty() || roster.groups().isEmpty() || !clock.known()) {
-            return;
-        }
-        final long last = state().lastWindow();
-        final long window = last >= 0 ? last + 1 : told.values().stream().mapToLong(Told::closed).min().orElse(0);
-        boolean all = true;
-        for (final GroupInfo g : roster.groups()) {
-            all &= told.containsKey(g.id()) && told.get(g.id()).closed >= window;
-        }
-        if (!all && clock.wall(time.mono()) < (window + 1) * tempo.windowMs() + tempo.straggle()) {
-            return;
-        }
-        final TreeMap<String, long[]> sums = new TreeMap<>();
-        spec().spec().tenants().keySet().forEach(t -> sums.put(t, new long[3]));
-        final TreeMap<Integer, Long> upTo = new TreeMap<>();
-        told.forEach((id, t) -> {
-            final long included = state().included(id);
-            final long through = Math.min(window, t.closed);
-            for (final TopicState.Count c : t.counts) {
-                if (c.window() > included && c.window() <= through) {
-                    final long[] sum = sums.computeIfAbsent(c.tenant(), k -> new long[3]);
-                    sum[0] += c.publishes();
-                    sum[1] += c.bytes();
-                    sum[2] |= c.window() < window && last >= 0 ? 1 : 0;
-                }
-            }
-            if (through > included) {
-                upTo.put(id, through);
-            }
-        });
-        final List<ControlState.Used> used = new ArrayList<>();
-        sums.forEach((tenant, n) -> used.add(new ControlState.Used(tenant, n[0], n[1], n[2] == 1)));
-        group.append(Rec.CONTROL, ControlState.usageBody(window, used, upTo), time.mono(), time.wall());
-    }
-
-    private void report(final Time time) {
-        final long now = time.mono();
-        for (final ControlState.Window w : state().untold(group.accepted())) {
-            if (posts.values().stream().noneMatch(p -> p.window == w.window())) {
-                w.used().forEach(u -> posts.put(++ids, new Post(w.window(), u)));
-                if (w.used().isEmpty()) {
-                    group.append(Rec.CONTROL, ControlState.deliveredBody(w.window(), true), now, time.wall());
-                }
-            }
-        }
-        int underWay = (int) posts.values().stream().filter(p -> p.underWay).count();
-        for (final java.util.Map.Entry<Long, Post> e : posts.entrySet()) {
-            final Post p = e.getValue();
-            if (underWay < POSTS_AT_ONCE && !p.underWay && !p.done && now >= p.nextAt) {
-                underWay++;
-                p.underWay = true;
-                p.goes++;
-                out.post(e.getKey(), p.used.tenant() + "/" + p.window, Json.createObjectBuilder().add("tenant", p.used.tenant())
-                        .add("windowStartMs", p.window * tempo.windowMs()).add("windowEndMs", (p.window + 1) * tempo.windowMs())
-                        .add("publishes", p.used.publishes()).add("bytes", p.used.bytes()).add("late", p.used.late()).build().toString());
-            }
-        }
-    }
-
-    private void posted(final Job.Posted j, final Time time) {
-        final Post p = posts.get(j.jobId());
-        if (p == null || !group.mayAct(time.mono())) {
-            return;
-        }
-        p.underWay = false;
-        p.ok = j.status() / 100 == 2 || j.status() == 409;
-        p.done = p.ok || p.goes >= MAX_GOES;
-        p.nextAt = time.mono() + Math.min(tempo.recoverMs() / 4, tempo.down() << Math.min(p.goes, 6));
-        final List<Post> same = posts.values().stream().filter(q -> q.window == p.window).toList();
-        if (same.stream().allMatch(q -> q.done)) {
-            posts.values().removeAll(same);
-            group.append(Rec.CONTROL, ControlState.deliveredBody(p.window, same.stream().allMatch(q -> q.ok)), time.mono(), time.wall());
-        }
-    }
-
-    private String windowsJson() {
-        final JsonArrayBuilder arr = Json.createArrayBuilder();
-        for (final ControlState.Window w : state().windows()) {
-            if (w.lsn() <= group.accepted()) {
-                final JsonArrayBuilder used = Json.createArrayBuilder();
-                w.used().forEach(u -> used.add(Json.createObjectBuilder().add("tenant", u.tenant()).add("publishes", u.publishes())
-                        .add("bytes", u.bytes()).add("late", u.late())));
-                final Boolean was = state().told(w.window());
-                arr.add(Json.createObjectBuilder().add("windowStartMs", w.window() * tempo.windowMs())
-                        .add("platform", was == null ? "on its way" : was ? "told" : "given up").add("tenants", used));
-            }
-        }
-        return Json.createObjectBuilder().add("windowMs", tempo.windowMs()).add("windows", arr).build().toString();
+        respond(from, op.jobId(), new Response(200, 0, ""), Pack.writer().num(usage.tell(op)).done());
     }
 
     private void change(final int from, final Op op, final Time time) {
--- /dev/null
+++ b/coordination/src/main/java/brookpath/coordination/node/usage/UsageDesk.java
@@ -0,0 +1,186 @@
+package brookpath.coordination.node.usage;
+
+import brookpath.coordination.Tempo;
+import brookpath.coordination.action.Actions;
+import brookpath.coordination.group.GroupMachine;
+import brookpath.coordination.message.Msg.Op;
+import brookpath.coordination.node.Job;
+import brookpath.coordination.node.Node.Time;
+import brookpath.coordination.spec.ControlState;
+import brookpath.coordination.spec.FleetClock;
+import brookpath.coordination.spec.Roster;
+import brookpath.coordination.spec.Roster.GroupInfo;
+import brookpath.coordination.topic.TopicState;
+import brookpath.state.record.Pack;
+import brookpath.state.record.Rec;
+import jakarta.json.Json;
+import jakarta.json.JsonArrayBuilder;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.LongSupplier;
+
+/** The control master's duty of usage: the totals of a window go into the control log before they go to the platform. */
+public final class UsageDesk {
+    /** Goes at one report: about an hour of a platform that is down, as long as the groups keep their windows. */
+    private static final int MAX_GOES = 1_200;
+    private static final int POSTS_AT_ONCE = 8;
+
+    private record Told(long closed, List<TopicState.Count> counts) {
+    }
+
+    private static final class Post {
+        final long window;
+        final ControlState.Used used;
+        int goes;
+        long nextAt;
+        boolean underWay;
+        boolean done;
+        boolean ok;
+
+        Post(final long window, final ControlState.Used used) {
+            this.window = window;
+            this.used = used;
+        }
+    }
+
+    private final GroupMachine group;
+    private final FleetClock clock;
+    private final Tempo tempo;
+    private final LongSupplier ids;
+    private final Actions out;
+    private final TreeMap<Integer, Told> told = new TreeMap<>();
+    private final TreeMap<Long, Post> posts = new TreeMap<>();
+
+    /** @param ids of posts, never the same twice */
+    public UsageDesk(final GroupMachine group, final FleetClock clock, final Tempo tempo, final LongSupplier ids, final Actions out) {
+        this.group = group;
+        this.clock = clock;
+        this.tempo = tempo;
+        this.ids = ids;
+        this.out = out;
+    }
+
+    private ControlState state() {
+        return (ControlState) group.live();
+    }
+
+    /** What a master knows and its successor must learn anew. */
+    public void clear() {
+        told.clear();
+        posts.clear();
+    }
+
+    /** A group's master tells its closed windows; returns through which of them it is counted for good, -1 where that is not settled. */
+    public long tell(final Op op) {
+        final Pack in = Pack.reader(op.body());
+        final int id = (int) in.num();
+        final long after = in.num();
+        final long closed = in.num();
+        final long included = state().included(id);
+        if (after <= included) {
+            final List<TopicState.Count> counts = new ArrayList<>();
+            for (long n = in.num(); n > 0; n--) {
+                counts.add(new TopicState.Count(in.num(), in.str(), in.num(), in.num()));
+            }
+            told.put(id, new Told(closed, counts));
+        }
+        // why: what is only appended may still be lost, and the group would forget to tell it again
+        return group.accepted() >= group.endLsn() ? included : -1;
+    }
+
+    /** Totals the next window once all groups have closed it, or its time for stragglers is up. */
+    public void total(final Roster roster, final Set<String> tenants, final Time time) {
+        if (told.isEmpty() || roster.groups().isEmpty() || !clock.known()) {
+            return;
+        }
+        final long last = state().lastWindow();
+        final long window = last >= 0 ? last + 1 : told.values().stream().mapToLong(Told::closed).min().orElse(0);
+        boolean all = true;
+        for (final GroupInfo g : roster.groups()) {
+            all &= told.containsKey(g.id()) && told.get(g.id()).closed >= window;
+        }
+        if (!all && clock.wall(time.mono()) < (window + 1) * tempo.windowMs() + tempo.straggle()) {
+            return;
+        }
+        final TreeMap<String, long[]> sums = new TreeMap<>();
+        tenants.forEach(t -> sums.put(t, new long[3]));
+        final TreeMap<Integer, Long> upTo = new TreeMap<>();
+        told.forEach((id, t) -> {
+            final long included = state().included(id);
+            final long through = Math.min(window, t.closed);
+            for (final TopicState.Count c : t.counts) {
+                if (c.window() > included && c.window() <= through) {
+                    final long[] sum = sums.computeIfAbsent(c.tenant(), k -> new long[3]);
+                    sum[0] += c.publishes();
+                    sum[1] += c.bytes();
+                    sum[2] |= c.window() < window && last >= 0 ? 1 : 0;
+                }
+            }
+            if (through > included) {
+                upTo.put(id, through);
+            }
+        });
+        final List<ControlState.Used> used = new ArrayList<>();
+        sums.forEach((tenant, n) -> used.add(new ControlState.Used(tenant, n[0], n[1], n[2] == 1)));
+        group.append(Rec.CONTROL, ControlState.usageBody(window, used, upTo), time.mono(), time.wall());
+    }
+
+    /** Posts what the log has accepted and the platform has not taken yet. */
+    public void report(final Time time) {
+        final long now = time.mono();
+        for (final ControlState.Window w : state().untold(group.accepted())) {
+            if (posts.values().stream().noneMatch(p -> p.window == w.window())) {
+                w.used().forEach(u -> posts.put(ids.getAsLong(), new Post(w.window(), u)));
+                if (w.used().isEmpty()) {
+                    group.append(Rec.CONTROL, ControlState.deliveredBody(w.window(), true), now, time.wall());
+                }
+            }
+        }
+        int underWay = (int) posts.values().stream().filter(p -> p.underWay).count();
+        for (final java.util.Map.Entry<Long, Post> e : posts.entrySet()) {
+            final Post p = e.getValue();
+            if (underWay < POSTS_AT_ONCE && !p.underWay && !p.done && now >= p.nextAt) {
+                underWay++;
+                p.underWay = true;
+                p.goes++;
+                out.post(e.getKey(), p.used.tenant() + "/" + p.window, Json.createObjectBuilder().add("tenant", p.used.tenant())
+                        .add("windowStartMs", p.window * tempo.windowMs()).add("windowEndMs", (p.window + 1) * tempo.windowMs())
+                        .add("publishes", p.used.publishes()).add("bytes", p.used.bytes()).add("late", p.used.late()).build().toString());
+            }
+        }
+    }
+
+    /** What became of a post. */
+    public void posted(final Job.Posted j, final Time time) {
+        final Post p = posts.get(j.jobId());
+        if (p == null || !group.mayAct(time.mono())) {
+            return;
+        }
+        p.underWay = false;
+        p.ok = j.status() / 100 == 2 || j.status() == 409;
+        p.done = p.ok || p.goes >= MAX_GOES;
+        p.nextAt = time.mono() + Math.min(tempo.recoverMs() / 4, tempo.down() << Math.min(p.goes, 6));
+        final List<Post> same = posts.values().stream().filter(q -> q.window == p.window).toList();
+        if (same.stream().allMatch(q -> q.done)) {
+            posts.values().removeAll(same);
+            group.append(Rec.CONTROL, ControlState.deliveredBody(p.window, same.stream().allMatch(q -> q.ok)), time.mono(), time.wall());
+        }
+    }
+
+    public String windowsJson() {
+        final JsonArrayBuilder arr = Json.createArrayBuilder();
+        for (final ControlState.Window w : state().windows()) {
+            if (w.lsn() <= group.accepted()) {
+                final JsonArrayBuilder used = Json.createArrayBuilder();
+                w.used().forEach(u -> used.add(Json.createObjectBuilder().add("tenant", u.tenant()).add("publishes", u.publishes())
+                        .add("bytes", u.bytes()).add("late", u.late())));
+                final Boolean was = state().told(w.window());
+                arr.add(Json.createObjectBuilder().add("windowStartMs", w.window() * tempo.windowMs())
+                        .add("platform", was == null ? "on its way" : was ? "told" : "given up").add("tenants", used));
+            }
+        }
+        return Json.createObjectBuilder().add("windowMs", tempo.windowMs()).add("windows", arr).build().toString();
+    }
+}
