--- a/trial/src/test/java/brookpath/trial/sim/ScenesTest.java
+++ b/trial/src/test/java/brookpath/trial/sim/ScenesTest.java
@@ -665,4 +665,22 @@
             assertTrue(killed, "nothing was staged");
         }
     }
+
+    @Test
+    public void usageIsReportedInTimeThoughSomeGroupsCannotCloseTheirWindows() {
+        begin(90);
+        callers();
+        world.run(world.now() + 10_000);
+        // why: with two of four machines away some groups have no majority for three windows
+        final List<Proc> away = List.of(world.procs.get(11), world.procs.get(12));
+        away.forEach(p -> world.kill(p, false));
+        world.run(world.now() + 32_000);
+        assertTrue(java.util.stream.IntStream.range(0, GROUPS).anyMatch(g -> acting(g) == null), "nothing was staged");
+        away.forEach(world::restart);
+        world.run(world.now() + 25_000);
+        quietly();
+        world.platform.settle();
+        assertTrue(world.history.violations().isEmpty(), world.history.violations().toString());
+        assertTrue(world.history.usage.reports() > 20, world.history.usage.reports() + " reports");
+    }
 }
