--- a/trial/src/test/java/brookpath/trial/sim/ScenesTest.java
+++ b/trial/src/test/java/brookpath/trial/sim/ScenesTest.java
@@ -365,6 +365,9 @@
         world.callers.asked(front, Job.Ready::new, r -> got[0] = r);
         world.run(world.now() + 100);
         assertEquals(got[0].status(), 503);
+        world.callers.asked(front, id -> new Job.Subscribe(id, "key-members", List.of("permits/t0"), null), r -> got[0] = r);
+        world.run(world.now() + 500);
+        assertTrue(got[0].status() == 503 && got[0].json().contains("draining"), "a draining front takes a session: " + got[0]);
         quietly();
     }
 
