--- a/coordination/src/main/java/brookpath/coordination/spec/Finding.java
+++ b/coordination/src/main/java/brookpath/coordination/spec/Finding.java
@@ -1,5 +1,7 @@
 package brookpath.coordination.spec;
 
+import jakarta.json.Json;
+import jakarta.json.JsonArrayBuilder;
 import java.util.List;
 
 /** Something wrong, and where. Findings are collected and reported together. */
@@ -10,8 +12,13 @@
     }
 
     public static String json(final List<Finding> findings) {
-        final var arr = jakarta.json.Json.createArrayBuilder();
-        findings.forEach(f -> arr.add(jakarta.json.Json.createObjectBuilder().add("place", f.place).add("what", f.what)));
-        return arr.build().toString();
+        return array(findings).build().toString();
+    }
+
+    /** For a place in a larger document. */
+    public static JsonArrayBuilder array(final List<Finding> findings) {
+        final JsonArrayBuilder arr = Json.createArrayBuilder();
+        findings.forEach(f -> arr.add(Json.createObjectBuilder().add("place", f.place).add("what", f.what)));
+        return arr;
     }
 }
--- a/programs/src/main/java/brookpath/programs/settings/SettingsWatch.java
+++ b/programs/src/main/java/brookpath/programs/settings/SettingsWatch.java
@@ -112,7 +112,7 @@
     @Override
     public String json() {
         return Json.createObjectBuilder().add("file", file == null ? "" : file.toString()).add("changesTaken", taken)
-                .add("segmentBytes", inForce.rollBytes()).add("platform", inForce.platform()).build().toString()
-                .replaceFirst("}$", ",\"keptOut\":" + java.util.regex.Matcher.quoteReplacement(Finding.json(findings)) + "}");
+                .add("segmentBytes", inForce.rollBytes()).add("platform", inForce.platform()).add("keptOut", Finding.array(findings))
+                .build().toString();
     }
 }
--- a/trial/src/main/java/brookpath/trial/sim/Callers.java
+++ b/trial/src/main/java/brookpath/trial/sim/Callers.java
@@ -87,7 +87,7 @@
         return subscribers.stream().filter(s -> s.listeningSince >= 0 && s.listener.topics().contains(topic) && holds(s)).toList();
     }
 
-    private int groupOf(final String topic) {
+    int groupOf(final String topic) {
         return Placement.groupOf(topic, new Spec.Space(Spec.spaceOf(topic), 0, oneOrder(topic), 0), world.groups);
     }
 
--- a/trial/src/main/java/brookpath/trial/sim/Punctual.java
+++ b/trial/src/main/java/brookpath/trial/sim/Punctual.java
@@ -1,7 +1,5 @@
 package brookpath.trial.sim;
 
-import brookpath.coordination.spec.Placement;
-import brookpath.coordination.spec.Spec;
 import brookpath.trial.oracle.History.Sent;
 import java.util.Map;
 
@@ -16,7 +14,7 @@
     }
 
     void accepted(final Sent s) {
-        final int group = Placement.groupOf(s.topic, new Spec.Space(Spec.spaceOf(s.topic), 0, Callers.oneOrder(s.topic), 0), world.groups);
+        final int group = callers.groupOf(s.topic);
         for (final Callers.Subscriber sub : callers.listeningTo(s.topic)) {
             world.count("deliveries judged");
             look(s, sub, sub.sessionId, group, s.acceptedAt + world.tempo.deliverMs());
--- a/trial/src/main/java/brookpath/trial/sim/ZoneBytes.java
+++ b/trial/src/main/java/brookpath/trial/sim/ZoneBytes.java
@@ -1,7 +1,6 @@
 package brookpath.trial.sim;
 
 import java.util.EnumSet;
-import java.util.TreeMap;
 
 /** Measures what a calm day at the users' sizes sends between zones: {@code bin/zone-bytes}. Virtual time, so the same figures every time. */
 public final class ZoneBytes {
@@ -10,11 +9,6 @@
     private ZoneBytes() {
     }
 
-    /** Bytes between zones in a calm day, by kind of message. */
-    public static TreeMap<String, Long> of(final Shape shape) {
-        return Day.live(Day.Plan.of(1, EnumSet.noneOf(Day.Fault.class)).sized(shape).lasting(LENGTH)).crossZoneBytes();
-    }
-
     public static void main(final String[] args) {
         for (final String name : new String[] {"jadran", "sajha"}) {
             final Day.Outcome day = Day.live(Day.Plan.of(1, EnumSet.noneOf(Day.Fault.class)).sized(name.equals("sajha") ? Shape.SAJHA : Shape.JADRAN)
