Spool: a hole among unsynced writes is a torn tail, not damage; a mark says what was synced

Cause: after a loss of power each unsynced write is there, missing or torn by itself, so a hole may have whole entries behind it. The spool took every bad checksum with bytes behind it for damage and gave the whole folder up; with all machines dark at once that loses everything that was accepted. Change: each entry says how many bytes of its file were synced when it was written, and a mark follows each sync. A bad entry is damage only where a whole entry behind it says that the place had been synced; else the tail is cut there. The trial disk now loses and tears single writes. Ruled out: cutting at every bad entry (would take a rotten synced entry for a torn one; SpoolTest.damageAmidTheLogIsNeverTakenForATornTail keeps its assertions). The old spool was not run against the stricter disk. Conclusion: what was synced is read back, and a torn tail costs nothing but itself.

--- a/state/src/main/java/brookpath/state/disk/FolderDisk.java
+++ b/state/src/main/java/brookpath/state/disk/FolderDisk.java
@@ -92,6 +92,7 @@
 
     private static final class ChannelFile implements DiskFile {
         private final FileChannel ch;
+        private long end = -1;
 
         ChannelFile(final FileChannel ch) {
             this.ch = ch;
@@ -110,9 +111,9 @@
         public void append(final byte[] bytes, final int off, final int len) {
             try {
                 final ByteBuffer buf = ByteBuffer.wrap(bytes, off, len);
-                long pos = ch.size();
+                end = end < 0 ? ch.size() : end;
                 while (buf.hasRemaining()) {
-                    pos += ch.write(buf, pos);
+                    end += ch.write(buf, end);
                 }
             } catch (final IOException ex) {
                 throw new UncheckedIOException(ex);
@@ -135,7 +136,7 @@
         @Override
         public void sync() {
             try {
-                ch.force(true);
+                ch.force(false);
             } catch (final IOException ex) {
                 throw new UncheckedIOException(ex);
             }
@@ -145,6 +146,7 @@
         public void truncate(final long size) {
             try {
                 ch.truncate(size);
+                end = size;
             } catch (final IOException ex) {
                 throw new UncheckedIOException(ex);
             }
--- a/state/src/main/java/brookpath/state/spool/Spool.java
+++ b/state/src/main/java/brookpath/state/spool/Spool.java
@@ -7,17 +7,19 @@
 import brookpath.state.record.Pack;
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.TreeSet;
 import java.util.zip.CRC32C;
 
 /**
  * The segmented log of one process, with snapshots beside it: {@code seg-N} holds the entries written since
- * {@code snap-N}. An entry is length, checksum, bytes.
+ * {@code snap-N}. An entry is length, checksum, how many bytes of its file were synced when it was written, bytes.
+ * An entry without bytes is a mark: it says only how much was synced.
  */
 public final class Spool {
     public static final int MAX_ENTRY = 64 << 20;
-    private static final int HEAD = 8;
+    private static final int HEAD = 16;
     private static final String PROBE = "probe.tmp";
     private static final int PROBE_BYTES = 64 << 10;
 
@@ -43,11 +45,15 @@
     private final Disk disk;
     private long seg;
     private DiskFile file;
+    private long size;
+    private long synced;
 
     private Spool(final Disk disk, final long seg) {
         this.disk = disk;
         this.seg = seg;
         file = disk.open(segName(seg));
+        size = file.size();
+        synced = size;
         disk.syncFolder();
     }
 
@@ -162,12 +168,22 @@
     }
 
     public void append(final byte[] entry) {
-        final byte[] framed = frame(entry);
+        put(entry);
+    }
+
+    private void put(final byte[] entry) {
+        final byte[] framed = frame(entry, synced);
         file.append(framed, 0, framed.length);
+        size += framed.length;
     }
 
+    /** Only what was appended before this counts; a mark follows, so that a later look can tell damage from a torn tail. */
     public void sync() {
-        file.sync();
+        if (size > synced) {
+            file.sync();
+            synced = size;
+            put(new byte[0]);
+        }
     }
 
     /** Reads back what was written since the last snapshot, and that snapshot; false where the disk gives back something else. */
@@ -177,7 +193,7 @@
     }
 
     public long segmentBytes() {
-        return file.size();
+        return size;
     }
 
     /** Starts a new segment whose beginning is the given snapshot; everything older can go. */
@@ -185,7 +201,7 @@
         final long next = seg + 1;
         final DiskFile tmp = disk.open("snap-" + next + ".tmp");
         tmp.truncate(0);
-        final byte[] framed = frame(snapshot);
+        final byte[] framed = frame(snapshot, 0);
         tmp.append(framed, 0, framed.length);
         tmp.sync();
         tmp.close();
@@ -194,6 +210,8 @@
         file.close();
         seg = next;
         file = disk.open(segName(next));
+        size = 0;
+        synced = 0;
         disk.syncFolder();
         dropBefore(next);
     }
@@ -211,18 +229,18 @@
         return "seg-" + n;
     }
 
-    private static byte[] frame(final byte[] entry) {
+    private static byte[] frame(final byte[] entry, final long synced) {
         final ByteBuffer buf = ByteBuffer.allocate(HEAD + entry.length).order(LITTLE_ENDIAN);
-        buf.putInt(entry.length).putInt(sum(entry, 0, entry.length)).put(entry);
+        buf.putInt(entry.length).putInt(0).putLong(synced).put(entry);
+        buf.putInt(4, sum(buf.array(), 0, entry.length));
         return buf.array();
     }
 
-    private static int sum(final byte[] bytes, final int off, final int len) {
+    /** Of length, synced bytes and entry; the length is summed too, else a run of zeros would pass for an empty entry. */
+    private static int sum(final byte[] framed, final int at, final int len) {
         final CRC32C crc = new CRC32C();
-        // why: the length is summed too, else a run of zeros would pass for an empty entry
-        crc.update(len);
-        crc.update(len >>> 8);
-        crc.update(bytes, off, len);
+        crc.update(framed, at, 4);
+        crc.update(framed, at + 8, 8 + len);
         return (int) crc.getValue() ^ 0x5bd1e995;
     }
 
@@ -240,29 +258,37 @@
         final List<byte[]> entries = new ArrayList<>();
         int pos = 0;
         while (pos < bytes.length) {
-            final int left = bytes.length - pos;
-            final int len = left < HEAD ? -1 : buf.getInt(pos);
-            if (left < HEAD || len >= 0 && len <= MAX_ENTRY && HEAD + len > left || zeros(bytes, pos)) {
-                return new Scan(entries, pos, null);
+            final int len = length(buf, pos);
+            if (len < 0) {
+                // why: writes after the last sync may be missing or torn one by one, so a hole with whole entries behind it is no damage unless
+                // one of those says that the hole had been synced
+                return provenSynced(buf, pos) ? new Scan(entries, -1, name + ": bad checksum at byte " + pos) : new Scan(entries, pos, null);
             }
-            // why: a whole entry with a bad sum may have been confirmed, so it is damage and not a torn tail
-            if (len < 0 || len > MAX_ENTRY || sum(bytes, pos + HEAD, len) != buf.getInt(pos + 4)) {
-                return new Scan(entries, -1, name + ": bad checksum at byte " + pos);
+            if (len > 0) {
+                entries.add(Arrays.copyOfRange(bytes, pos + HEAD, pos + HEAD + len));
             }
-            final byte[] entry = new byte[len];
-            System.arraycopy(bytes, pos + HEAD, entry, 0, len);
-            entries.add(entry);
             pos += HEAD + len;
         }
         return new Scan(entries, -1, null);
     }
 
-    private static boolean zeros(final byte[] bytes, final int from) {
-        for (int i = from; i < bytes.length; i++) {
-            if (bytes[i] != 0) {
-                return false;
+    /** The length of the whole entry at the position, -1 where there is none. */
+    private static int length(final ByteBuffer buf, final int pos) {
+        if (buf.capacity() - pos < HEAD) {
+            return -1;
+        }
+        final int len = buf.getInt(pos);
+        return len >= 0 && len <= MAX_ENTRY && len <= buf.capacity() - pos - HEAD && buf.getLong(pos + 8) >= 0 && buf.getLong(pos + 8) <= pos
+                && sum(buf.array(), pos, len) == buf.getInt(pos + 4) ? len : -1;
+    }
+
+    /** Whether a whole entry behind the position says that this position had been synced before it was written. */
+    private static boolean provenSynced(final ByteBuffer buf, final int hole) {
+        for (int pos = hole + 1; pos <= buf.capacity() - HEAD; pos++) {
+            if (buf.getLong(pos + 8) > hole && length(buf, pos) >= 0) {
+                return true;
             }
         }
-        return true;
+        return false;
     }
 }
--- a/trial/src/main/java/brookpath/trial/disk/TrialDisk.java
+++ b/trial/src/main/java/brookpath/trial/disk/TrialDisk.java
@@ -17,6 +17,8 @@
         byte[] bytes = new byte[256];
         int len;
         int synced;
+        /** Where each write since the last sync began. */
+        final List<Integer> unsynced = new ArrayList<>();
     }
 
     private final TreeMap<String, Data> names = new TreeMap<>();
@@ -38,7 +40,7 @@
         return syncs;
     }
 
-    /** Power goes: of each file the synced part stays, and by chance some of what followed, whole or torn. */
+    /** Power goes: of each file the synced part stays, and by chance some of what followed: each write whole, torn or missing. */
     public void powerLoss(final SplittableRandom rnd) {
         names.clear();
         names.putAll(durable);
@@ -48,6 +50,14 @@
                 // why: a file system may have grown the file without having written its blocks
                 Arrays.fill(d.bytes, d.synced, kept, (byte) 0);
             }
+            for (int i = 0; i < d.unsynced.size(); i++) {
+                final int from = d.unsynced.get(i);
+                final int to = i + 1 < d.unsynced.size() ? d.unsynced.get(i + 1) : d.len;
+                // why: a later write may have reached the disk though an earlier one did not
+                final int lost = rnd.nextInt(4) == 0 ? rnd.nextInt(2) * (to - from) / 2 : to - from;
+                Arrays.fill(d.bytes, from + lost, Math.max(to, from + lost), (byte) 0);
+            }
+            d.unsynced.clear();
             d.len = rnd.nextBoolean() ? d.synced : kept;
             d.synced = d.len;
         }
@@ -146,6 +156,7 @@
                 d.bytes = Arrays.copyOf(d.bytes, Math.max(d.bytes.length * 2, d.len + len));
             }
             System.arraycopy(bytes, off, d.bytes, d.len, len);
+            d.unsynced.add(d.len);
             d.len += len;
         }
 
@@ -158,12 +169,14 @@
         public void sync() {
             check();
             d.synced = d.len;
+            d.unsynced.clear();
         }
 
         @Override
         public void truncate(final long size) {
             d.len = (int) size;
             d.synced = Math.min(d.synced, d.len);
+            d.unsynced.removeIf(from -> from >= d.len);
         }
 
         @Override
