--- a/coordination/src/main/java/brookpath/coordination/Tempo.java
+++ b/coordination/src/main/java/brookpath/coordination/Tempo.java
@@ -7,10 +7,16 @@
  * @param recoverMs never mostly down for longer than this
  * @param changeMs a confirmed change is everywhere within this
  * @param windowMs the length of a usage window
+ * @param leaseMs a process that does not hear from the control plane serves no longer than this; where it is more than changeMs, a change is
+ *     confirmed before the leases of processes that cannot be reached have run out, and holds there leaseMs after its confirmation at the latest
  */
-public record Tempo(long deliverMs, long recoverMs, long changeMs, long windowMs) {
+public record Tempo(long deliverMs, long recoverMs, long changeMs, long windowMs, long leaseMs) {
     public static final Tempo DEFAULT = new Tempo(2_000, 12_000, 3_000, 10_000);
 
+    public Tempo(final long deliverMs, final long recoverMs, final long changeMs, final long windowMs) {
+        this(deliverMs, recoverMs, changeMs, windowMs, changeMs * 4 / 5);
+    }
+
     /** The sharing-beat's period. */
     public long beat() {
         return deliverMs / 8;
@@ -30,8 +36,9 @@
         return beat();
     }
 
+    /** A pull that was not answered goes again; what breaks a session says so sooner. */
     public long pullHorizon() {
-        return 2 * beat();
+        return 4 * beat();
     }
 
     /** A candidate waits this long for votes. */
@@ -44,13 +51,38 @@
         return deliverMs / 2;
     }
 
-    /** How long a front waits for a master's response to a ferried publish. */
+    /** How long a front tries to bring a publish to its group's master. */
     public long ferryHorizon() {
         return deliverMs * 5 / 8;
     }
 
+    /** The pause before a master that took nothing is asked again. */
+    public long ferryPause() {
+        return beat() / 6;
+    }
+
+    /** A storage machine answers a front's held fetch after this, with or without records. */
+    public long fetchHold() {
+        return 2 * beat();
+    }
+
+    /** A front says so often who listens, though it is as before. */
+    public long listenRefresh() {
+        return recoverMs / 8;
+    }
+
+    /** Listeners of a front that says no more lapse after this. */
+    public long listenLapse() {
+        return recoverMs / 3;
+    }
+
     public long specLease() {
-        return changeMs * 4 / 5;
+        return leaseMs;
+    }
+
+    /** How long a change's confirmation waits for processes that have not said that they have it. */
+    public long confirmWait() {
+        return leaseMs <= changeMs ? leaseMs : changeMs / 4;
     }
 
     public long specHold() {
--- a/coordination/src/main/java/brookpath/coordination/action/Action.java
+++ b/coordination/src/main/java/brookpath/coordination/action/Action.java
@@ -2,6 +2,7 @@
 
 import brookpath.coordination.message.Msg;
 import brookpath.coordination.message.Response;
+import brookpath.state.record.Rec;
 
 /** What a machine wants done; the executor obeys. */
 public sealed interface Action {
@@ -24,11 +25,28 @@
     record Respond(long jobId, Response response) implements Action {
     }
 
-    /** A line for a listening session. */
-    record Deliver(long sessionId, byte[] line) implements Action {
+    /** What goes to the traffic side of a listening session. */
+    sealed interface ToSession extends Action {
+        long sessionId();
     }
 
-    record CloseSession(long sessionId, String why) implements Action {
+    /** A line for a session whose topics are listened to as a whole. */
+    record Deliver(long sessionId, byte[] line) implements ToSession {
+    }
+
+    /** A record for a session that joins and leaves topics one by one; its cursor is {@code Cursor.one} of its LSN. */
+    record Hand(long sessionId, Rec rec) implements ToSession {
+    }
+
+    /** A topic that a session had joined is no longer listened to, and why. */
+    record Ended(long sessionId, String topic, Response why) implements ToSession {
+    }
+
+    /** The session is to go on elsewhere; the address may be empty. */
+    record Move(long sessionId, String address) implements ToSession {
+    }
+
+    record CloseSession(long sessionId, String why) implements ToSession {
     }
 
     /** A post to the platform under an idempotency key; what became of it comes back as a job. */
--- a/coordination/src/main/java/brookpath/coordination/action/Actions.java
+++ b/coordination/src/main/java/brookpath/coordination/action/Actions.java
@@ -2,6 +2,7 @@
 
 import brookpath.coordination.message.Msg;
 import brookpath.coordination.message.Response;
+import brookpath.state.record.Rec;
 import java.util.ArrayList;
 import java.util.List;
 
@@ -46,6 +47,18 @@
         list.add(new Action.Deliver(sessionId, line));
     }
 
+    public void hand(final long sessionId, final Rec rec) {
+        list.add(new Action.Hand(sessionId, rec));
+    }
+
+    public void ended(final long sessionId, final String topic, final Response why) {
+        list.add(new Action.Ended(sessionId, topic, why));
+    }
+
+    public void move(final long sessionId, final String address) {
+        list.add(new Action.Move(sessionId, address));
+    }
+
     public void close(final long sessionId, final String why) {
         list.add(new Action.CloseSession(sessionId, why));
     }
--- a/coordination/src/main/java/brookpath/coordination/beat/BeatMachine.java
+++ b/coordination/src/main/java/brookpath/coordination/beat/BeatMachine.java
@@ -30,17 +30,26 @@
         Map<Integer, BeatEntry> entries = Map.of();
     }
 
+    /** A visitor that has not asked for so many beats is gone. */
+    private static final int VISIT = 16;
+    private static final int MAX_VISITORS = 4_096;
+
     private final Tempo tempo;
+    private final long period;
     private final Pledges pledges;
+    /** Who asks without being asked: until when it is told of changes at once. */
+    private final TreeMap<Integer, Long> visitors = new TreeMap<>();
     private final TreeMap<Integer, Sibling> siblings = new TreeMap<>();
     private List<BeatEntry> own = List.of();
     private Map<Integer, BeatEntry> ownById = Map.of();
     private BeatTable table = BeatTable.EMPTY;
     private long nextId;
-    private long nextRound = Long.MIN_VALUE;
+    private long nextRound = Long.MIN_VALUE / 2;
 
-    public BeatMachine(final Tempo tempo, final Pledges pledges) {
+    /** @param period between two beats: the tempo's for members of groups; who only watches them is told of changes besides and may ask less often */
+    public BeatMachine(final Tempo tempo, final long period, final Pledges pledges) {
         this.tempo = tempo;
+        this.period = period;
         this.pledges = pledges;
     }
 
@@ -62,10 +71,14 @@
         return table;
     }
 
-    public void tick(final long now, final Actions out) {
-        if (now >= nextRound) {
-            round(now, true, out);
-        }
+    /** When the next periodic round is due. */
+    public long nextRound() {
+        return nextRound;
+    }
+
+    /** True where a sibling has gone down, or is up again. */
+    public boolean tick(final long now, final Actions out) {
+        return now >= nextRound && round(now, true, out);
     }
 
     /** An extra round besides the period's; it counts no misses. */
@@ -73,9 +86,10 @@
         round(now, false, out);
     }
 
-    private void round(final long now, final boolean periodic, final Actions out) {
+    private boolean round(final long now, final boolean periodic, final Actions out) {
+        final long up = siblings.values().stream().filter(sib -> sib.missed < 2).count();
         if (periodic) {
-            nextRound = now + tempo.beat();
+            nextRound = now + period;
         }
         final long id = ++nextId;
         siblings.forEach((node, sib) -> {
@@ -90,29 +104,38 @@
             }
             out.send(node, new Beat(false, id, now, sib.known, false, own));
         });
+        if (!periodic) {
+            visitors.values().removeIf(until -> now >= until);
+            visitors.keySet().forEach(node -> out.send(node, new Beat(false, id, now, 0, false, own)));
+        }
         swap();
+        return siblings.values().stream().filter(sib -> sib.missed < 2).count() != up;
     }
 
-    public void onBeat(final int from, final Beat beat, final long now, final Actions out) {
+    /** True where it says something that matters at once: who is what has changed, or a master's beat is answered, on which its lease stands. */
+    public boolean onBeat(final int from, final Beat beat, final long now, final Actions out) {
         final Sibling sib = siblings.get(from);
+        boolean news = false;
         if (!beat.reply()) {
             if (sib != null) {
-                learn(sib, beat, now);
+                news = learn(sib, beat, now);
                 swap();
+            } else if (visitors.size() < MAX_VISITORS) {
+                visitors.put(from, now + VISIT * tempo.beat());
             }
             // why: the pledge comes before the answer, for a vote given after the answer must know of it however late the table is seen
             final List<BeatEntry> answer = pledges.answer(from, beat, own, now);
-            // why: one that holds no copy asks only who is what; where that is as it was, a few bytes say so
-            final boolean same = beat.entries().isEmpty() && beat.known() == BeatEntry.digest(answer);
+            // why: who is what is all that an answer must tell, for positions come with this member's own beats; where that is as it was, a few bytes say so
+            final boolean same = beat.known() == BeatEntry.digest(answer);
             out.send(from, new Beat(true, beat.id(), beat.stamp(), 0, same, same ? List.of() : answer));
-            return;
+            return news;
         }
         final Sent sent = sib == null ? null : sib.sent.get(beat.id());
         // why: a reply that took longer than the detection time says nothing about now
-        if (sent == null || now - sent.at > tempo.down()) {
-            return;
+        if (sent == null || now - sent.at > Math.max(tempo.down(), 2 * period)) {
+            return false;
         }
-        learn(sib, beat, now);
+        news = learn(sib, beat, now) || sib.missed >= 2 || own.stream().anyMatch(e -> e.role() == BeatEntry.MASTER);
         if (sent.at >= sib.answeredSentAt) {
             sib.answeredSentAt = sent.at;
             sib.answeredOwn = sent.own;
@@ -122,21 +145,24 @@
             sib.lastAnswered = true;
         }
         swap();
+        return news;
     }
 
-    private static void learn(final Sibling sib, final Beat beat, final long now) {
+    private static boolean learn(final Sibling sib, final Beat beat, final long now) {
         sib.heardAt = now;
+        final long before = sib.known;
         if (!beat.same()) {
             sib.entries = byGroup(beat.entries());
             sib.known = BeatEntry.digest(beat.entries());
         }
+        return sib.known != before;
     }
 
     private void swap() {
         final TreeMap<Integer, BeatTable.Row> rows = new TreeMap<>();
         siblings.forEach((node, sib) -> rows.put(node,
                 new BeatTable.Row(node, sib.missed < 2, sib.answeredSentAt, sib.answeredOwn, sib.heardAt, sib.entries)));
-        table = new BeatTable(rows, tempo.down());
+        table = new BeatTable(rows, period <= tempo.beat() ? tempo.down() : 5 * period / 2);
     }
 
     private static Map<Integer, BeatEntry> byGroup(final List<BeatEntry> entries) {
--- a/coordination/src/main/java/brookpath/coordination/group/GroupMachine.java
+++ b/coordination/src/main/java/brookpath/coordination/group/GroupMachine.java
@@ -79,6 +79,8 @@
 
     private boolean initialised;
     private boolean lost;
+    /** A record here is not as it was made. What was voted and how far the log goes is still known, so this member may vote; its copy is none. */
+    private boolean damaged;
     private long epoch;
     private int votedFor;
     private long epochSeen;
@@ -111,6 +113,8 @@
     private String why = "started";
     private String obstacle = "";
     private long deferUntil = Long.MIN_VALUE / 2;
+    private boolean retreats;
+    private long nextTrim = Long.MIN_VALUE;
 
     private int pullSource;
     private long pullSentAt;
@@ -181,6 +185,11 @@
         return membership;
     }
 
+    /** Whether the log itself tells who the members are, rather than whoever founded the group. */
+    public boolean tellsMembers() {
+        return membershipLsn > 0 || baseMembership != null;
+    }
+
     /** Whether the newest membership is accepted, so that a next step may follow. */
     public boolean membershipSettled() {
         return membershipLsn <= accepted;
@@ -191,6 +200,16 @@
         return learnt.getOrDefault(node, -1L);
     }
 
+    /** Nothing is under way that a wakeup would have to drive on. */
+    public boolean calm() {
+        return role == MASTER ? openLsn > 0 && accepted == endLsn() : role == SLAVE && masterHeard != 0 && !lost();
+    }
+
+    /** What was asked of the node may never have arrived. */
+    public void sessionLost(final int node) {
+        pulling &= pullSource != node;
+    }
+
     public LogState live() {
         return live;
     }
@@ -199,8 +218,9 @@
         return base;
     }
 
+    /** Whether this copy is none and is to be rebuilt from another. */
     public boolean lost() {
-        return lost;
+        return lost || damaged;
     }
 
     public String why() {
@@ -246,7 +266,7 @@
     public boolean inSync(final long now) {
         // why: a slave that hears its master but is not heard gets no more of the log, and would not know
         return role == MASTER ? mayAct(now)
-                : inSync && !lost && masterHeard != 0 && table.up(masterHeard) && now - behindSince <= tempo.down();
+                : inSync && !lost() && masterHeard != 0 && table.up(masterHeard) && now - behindSince <= tempo.down();
     }
 
     /** Since when the master has told of more accepted than is here. */
@@ -313,6 +333,11 @@
         }
     }
 
+    /** Since when the process runs that this member is part of: the pledges that a former one gave were given before. */
+    public void bornAt(final long mono) {
+        startedAt = mono;
+    }
+
     public void configure(final List<Member> newMembers, final int version, final boolean isFounded, final long now) {
         configure(new Membership(version, newMembers, List.of()), isFounded, now);
     }
@@ -356,6 +381,19 @@
         out.note("group " + id + ": " + why);
     }
 
+    /** This member is about to leave: it stands no more, and hands over to whoever has everything. True once it masters nothing. */
+    public boolean retreat(final long now) {
+        retreats = true;
+        if (role == MASTER && now >= handingOverUntil) {
+            for (final Member m : members) {
+                if (handOver(m.node(), now)) {
+                    break;
+                }
+            }
+        }
+        return role != MASTER;
+    }
+
     /** Manual switchover: asks a slave that has everything to stand, and does not act until that has been tried. */
     public boolean handOver(final int to, final long now) {
         if (!mayAct(now) || to == self || weight(to) < 0 || copies.getOrDefault(to, -1L) < endLsn()) {
@@ -436,8 +474,14 @@
                 out.send(w.node, w.msg);
             }
         }
-        if (lost && joinTarget >= 0 && syncedLsn >= joinTarget && unsynced.isEmpty()) {
+        if (damaged && !lost && !wantFull && unsynced.isEmpty()) {
+            // why: it has forgotten no vote, so the master's log, whole and synced, makes it the copy that any other slave is
+            damaged = false;
+            why = "copy mended up to " + syncedLsn;
+        }
+        if (lost() && joinTarget >= 0 && syncedLsn >= joinTarget && unsynced.isEmpty()) {
             lost = false;
+            damaged = false;
             joinTarget = -1;
             why = "copy rebuilt up to " + syncedLsn;
             out.write(entryOf(W_INIT).num(0).done());
@@ -457,7 +501,7 @@
             return;
         }
         if (msg instanceof Msg.StandNow m) {
-            if (role == SLAVE && from == masterHeard && m.epoch() == epoch && !lost && unsynced.isEmpty()) {
+            if (role == SLAVE && from == masterHeard && m.epoch() == epoch && !lost() && unsynced.isEmpty()) {
                 stand(now, true);
             }
         } else if (msg instanceof VoteAsk m) {
@@ -489,9 +533,12 @@
 
     /** What keeps this member from standing, empty for nothing. */
     private String obstacle(final long now) {
-        if (lost || !initialised) {
+        if (lost() || !initialised) {
             return "its copy is being rebuilt";
         }
+        if (retreats) {
+            return "it is about to leave";
+        }
         if (now - startedAt <= tempo.down()) {
             return "it has just started";
         }
@@ -743,7 +790,7 @@
         pullSource = source;
         pullSentAt = now;
         final long next = wantFull ? -1 : endLsn() + 1;
-        out.send(source, new Pull(id, groupVersion, epoch, next, epochAt(endLsn()), syncedLsn, epochAt(syncedLsn), accepted, lost, chainAt(syncedLsn)));
+        out.send(source, new Pull(id, groupVersion, epoch, next, epochAt(endLsn()), syncedLsn, epochAt(syncedLsn), accepted, lost(), chainAt(syncedLsn)));
     }
 
     /** The master while it can be reached; else a slave that still hears it. */
@@ -868,7 +915,8 @@
         long matched = -1;
         switch (m.kind()) {
             case FULL -> {
-                if (m.image().length == 0 || m.standing() == PullReply.SLAVE && !lost && !wantFull && endLsn() > 0 && accepted > 0) {
+                // why: a slave's log may lack what this member's counted for; whoever is mended takes the master's
+                if (m.image().length == 0 || m.standing() == PullReply.SLAVE && damaged || m.standing() == PullReply.SLAVE && !lost() && !wantFull && endLsn() > 0 && accepted > 0) {
                     return;
                 }
                 loadImage(m.image(), now);
@@ -901,7 +949,7 @@
         if (m.kind() != MISMATCH && matched >= 0) {
             accepted = Math.max(accepted, Math.min(m.accepted(), matched));
             inSync = matched >= m.accepted();
-            if (lost && m.standing() == PullReply.ACTING_MASTER && joinTarget < 0) {
+            if (lost() && m.standing() == PullReply.ACTING_MASTER && joinTarget < 0) {
                 joinTarget = m.accepted();
             }
             serveHeld(now);
@@ -980,6 +1028,10 @@
     }
 
     private void trim(final long now) {
+        if (now < nextTrim) {
+            return;
+        }
+        nextTrim = now + tempo.beat();
         int n = 0;
         while (n < recs.size() && recs.get(n).lsn() <= Math.min(accepted, syncedLsn) && now - recs.get(n).learnedAt() > live.keepMs(recs.get(n))) {
             n++;
@@ -1020,12 +1072,11 @@
         if (rec(lsn).whole()) {
             return true;
         }
-        if (!lost) {
-            lost = true;
+        if (!lost()) {
+            damaged = true;
             joinTarget = -1;
             wantFull = true;
             inSync = false;
-            out.write(entryOf(W_INIT).num(1).done());
             if (role == MASTER) {
                 stepDown("record " + lsn + " is damaged");
             }
--- a/coordination/src/main/java/brookpath/coordination/message/Msg.java
+++ b/coordination/src/main/java/brookpath/coordination/message/Msg.java
@@ -75,8 +75,14 @@
         public static final int BUSY = 4;
     }
 
-    /** A front reads accepted records of some topics after a position each; tail asks for the present position alone. */
-    record Fetch(long jobId, int group, boolean tail, boolean hold, List<TopicAt> topics) implements Msg {
+    /**
+     * A front reads accepted records of some topics after a position each; tail asks for the present position alone.
+     *
+     * @param hold answered when there is something, or after a while; then all topics are read from one position
+     * @param at that position
+     * @param edition of the topics of a held fetch: told once, and not again while they are the same
+     */
+    record Fetch(long jobId, int group, boolean tail, boolean hold, long at, long edition, List<TopicAt> topics) implements Msg {
     }
 
     record TopicAt(String topic, long from) {
@@ -85,13 +91,16 @@
     record FetchReply(long jobId, int group, int status, long scannedTo, List<String> gone, List<Rec> recs) implements Msg {
         public static final int OK = 0;
         public static final int NOT_HERE = 1;
+        /** The edition of the topics is not known here; they are to be told. */
+        public static final int UNTOLD = 2;
     }
 
     /** A data-plane process asks with the versions that it has. The relay mark: the control master that was named cannot be reached from here. */
-    record SpecPoll(long pollId, int node, int role, String zone, String address, long specVersion, long rosterVersion,
+    record SpecPoll(long pollId, int node, int role, String zone, String address, String name, long specVersion, long rosterVersion,
                     boolean drain, boolean relay, long wall) implements Msg {
         public static final int FRONT = 1;
         public static final int STORAGE = 2;
+        public static final int BAILIFF = 3;
     }
 
     /** For the node that polled, whoever carries it; wall is the fleet's clock, 0 while the control master does not know it yet. */
@@ -106,8 +115,12 @@
     record OpReply(long jobId, int status, int retryAfterMs, byte[] body) implements Msg {
     }
 
-    /** How many sessions of a front listen to each topic of a group; same: as told in that edition, which is not told again. */
-    record Listen(int group, long edition, boolean same, List<TopicCount> counts) implements Msg {
+    /**
+     * How many sessions of a front listen to each topic of a group.
+     *
+     * @param onto the edition that these counts change; 0 where they are all there are, the edition itself where nothing has changed
+     */
+    record Listen(int group, long edition, long onto, List<TopicCount> counts) implements Msg {
     }
 
     record TopicCount(String topic, int count) {
--- a/coordination/src/main/java/brookpath/coordination/node/BailiffNode.java
+++ b/coordination/src/main/java/brookpath/coordination/node/BailiffNode.java
@@ -25,6 +25,7 @@
 import brookpath.coordination.spec.Roster;
 import brookpath.coordination.spec.Roster.GroupInfo;
 import brookpath.coordination.spec.Roster.NodeInfo;
+import brookpath.coordination.spec.SpecClient;
 import brookpath.coordination.spec.SpecReader;
 import brookpath.state.record.Pack;
 import brookpath.state.record.Rec;
@@ -44,7 +45,10 @@
     /** The control group's number; topic groups count from 0. */
     public static final int CONTROL = 1_000_000;
 
-    /** @param storages groups are founded once this many storage machines have come */
+    /**
+     * @param groups how many; 0 for one per storage machine that has come
+     * @param storages groups are founded once this many storage machines have come, and where the number of groups is left open, no more come
+     */
     public record Founding(int groups, int copies, int storages, int toleratedLosses) {
     }
 
@@ -55,6 +59,8 @@
         long heldSince = -1;
         long leaseEnds = Long.MIN_VALUE;
         long heardAt;
+        /** It has been told the fleet's clock. */
+        boolean clockTold;
         /** Since when it has been heard without a break. */
         long since = -1;
     }
@@ -71,7 +77,11 @@
     private static final int MAX_CHANGES = 64;
 
     private final Founding founding;
-    private final List<Member> members;
+    /** Whom the settings name as the control group's founders; once the log tells of members, these count no more. */
+    private final List<Member> founders;
+    private final NodeInfo info;
+    /** How a bailiff that is not the control master hears of the roster, and the control master of it. */
+    private final SpecClient client;
     private long rollBytes;
     private final GroupMachine group;
     private final TreeMap<Integer, Poller> pollers = new TreeMap<>();
@@ -84,19 +94,35 @@
     /** Who told last that it masters a group. */
     private final TreeMap<Integer, Integer> masters = new TreeMap<>();
     private long dutySince = -1;
+    private long newcomerAt;
+    /** When each version that waits for its confirmation was first seen accepted. */
+    private final TreeMap<Long, Long> acceptedAt = new TreeMap<>();
+    private long retreat;
     private final FleetClock clock = new FleetClock();
     /** Polls that this node has carried to a control master, by who asked. */
     private final TreeMap<Integer, SpecPoll> carried = new TreeMap<>();
 
-    public BailiffNode(final int self, final List<Member> members, final Founding founding, final Tempo tempo, final long seed,
+    public BailiffNode(final int self, final List<Member> founders, final Founding founding, final Tempo tempo, final long seed,
                        final long firstId, final long rollBytes) {
-        super(self, tempo);
+        this(new NodeInfo(self, "", ""), founders, founders.stream().map(Member::node).toList(), founding, tempo, seed, firstId, rollBytes);
+    }
+
+    /**
+     * @param info this bailiff as others are told of it
+     * @param founders the control group's members at its founding; empty where the settings do not tell
+     * @param seeds bailiffs that may be asked, members or not
+     */
+    public BailiffNode(final NodeInfo info, final List<Member> founders, final List<Integer> seeds, final Founding founding, final Tempo tempo,
+                       final long seed, final long firstId, final long rollBytes) {
+        super(info.node(), tempo);
+        this.info = info;
         this.founding = founding;
         this.rollBytes = rollBytes;
-        this.members = members;
+        this.founders = founders;
         ids = firstId;
         group = new GroupMachine(CONTROL, self, tempo, founding.toleratedLosses, seed, ControlState::new, pledges, out);
-        usage = new UsageDesk(group, clock, tempo, () -> ++ids, out);
+        usage = new UsageDesk(self, group, clock, tempo, () -> ++ids, out);
+        client = new SpecClient(self, SpecPoll.BAILIFF, info.zone(), info.address(), info.name(), seeds, tempo, out);
     }
 
     public GroupMachine group() {
@@ -105,13 +131,33 @@
 
     /** After replay: a first start that was asked for by the operator, or an ordinary one. */
     public List<brookpath.coordination.action.Action> start(final boolean found, final Time time) {
+        group.bornAt(bornAt);
         if (found) {
             group.found();
         }
-        group.configure(members, 1, true, time.mono());
+        // why: one that no founder and no log names is no member; it carries jobs and polls, and a membership that names it may come later
+        if (founders.stream().anyMatch(m -> m.node() == self) || group.membership().holds(self)) {
+            group.configure(founders, 1, true, time.mono());
+        }
         return out.drain();
     }
 
+    /** The addresses of the other bailiffs, as far as they are known. */
+    public Map<Integer, String> addresses() {
+        final Map<Integer, String> map = new TreeMap<>();
+        for (final Roster r : List.of(roster(), client.roster())) {
+            r.bailiffs().forEach(n -> map.put(n.node(), n.address()));
+        }
+        map.remove(self);
+        return map;
+    }
+
+    /** The control master as this bailiff sees it, 0 for none. */
+    private int controlMaster(final long now) {
+        final int heard = group.masterHeard();
+        return heard != 0 ? heard == self ? 0 : heard : client.masterHeard(now);
+    }
+
     @Override
     public void replay(final byte[] entry, final Time time) {
         final Pack in = Pack.reader(entry);
@@ -142,6 +188,13 @@
         final long now = time.mono();
         group.tick(now, table);
         after(time);
+        if (group.role() != GroupMachine.MASTER) {
+            client.tick(time);
+        }
+        if (retreat != 0 && group.retreat(now)) {
+            out.respond(retreat, new Response(200, 0, "{}"));
+            retreat = 0;
+        }
         if (group.mayAct(now)) {
             place(time);
             move(time);
@@ -178,7 +231,11 @@
         if (msg instanceof SpecPoll m) {
             poll(from, m, time);
         } else if (msg instanceof SpecReply m) {
-            if (carried.remove(m.node()) != null) {
+            if (m.node() == self) {
+                if (client.onReply(m, time)) {
+                    join(now);
+                }
+            } else if (carried.remove(m.node()) != null) {
                 out.send(m.node(), m);
             }
         } else if (msg instanceof Op m) {
@@ -198,8 +255,19 @@
         }
     }
 
+    /** The roster may name this bailiff as a member, though its own log, if it has one, does not. */
+    private void join(final long now) {
+        final Membership control = client.roster().control();
+        if (control.holds(self) && !group.membership().holds(self)) {
+            group.configure(control, true, now);
+        }
+    }
+
     @Override
     protected void onUnsent(final int to, final Msg msg, final Time time) {
+        if (msg instanceof SpecPoll m && m.node() == self) {
+            client.unsent(to, time.mono());
+        }
         if (msg instanceof SpecPoll m && carried.remove(m.node()) != null) {
             notMaster(m.node(), m, 0);
         }
@@ -213,6 +281,8 @@
 
     @Override
     protected void onSessionLost(final int node, final Time time) {
+        client.unsent(node, time.mono());
+        group.sessionLost(node);
         if (isSibling(node)) {
             carried.forEach((from, m) -> notMaster(from, m, 0));
             carried.clear();
@@ -225,6 +295,13 @@
         });
     }
 
+    @Override
+    public long restMs(final Time time) {
+        final boolean busy = retreat != 0 || !waitlist.isEmpty() || !relayed.isEmpty();
+        // why: one that is no member of the control group has nothing under way but what it carries
+        return !busy && (group.calm() || !group.membership().holds(self)) ? tempo.beat() / 2 : tempo.tick();
+    }
+
     @Override
     protected void onJob(final Job job, final Time time) {
         final long now = time.mono();
@@ -235,7 +312,9 @@
         } else if (job instanceof Job.Status j) {
             out.respond(j.jobId(), new Response(200, 0, statusJson(time)));
         } else if (job instanceof Job.Ready j) {
-            out.respond(j.jobId(), Ready.response(group.masterHeard() != 0, false));
+            out.respond(j.jobId(), Ready.response(group.mayAct(now) || controlMaster(now) != 0, false));
+        } else if (job instanceof Job.Retreat j) {
+            retreat = j.jobId();
         } else if (job instanceof Job.Operate j) {
             if (group.mayAct(now)) {
                 operate(self, new Op(j.jobId(), j.kind(), j.body()), time);
@@ -246,13 +325,14 @@
     }
 
     private boolean isSibling(final int node) {
-        return Membership.find(members, node) != null;
+        return group.membership().holds(node) || roster().bailiffs().stream().anyMatch(b -> b.node() == node)
+                || client.roster().bailiffs().stream().anyMatch(b -> b.node() == node);
     }
 
     /** Hands a job on to the control master; false where none is heard. */
     private boolean carry(final int from, final Op op, final long now) {
-        final int master = group.masterHeard();
-        if (master == 0 || master == self || relayed.size() >= MAX_RELAYED) {
+        final int master = controlMaster(now);
+        if (master == 0 || relayed.size() >= MAX_RELAYED) {
             return false;
         }
         relayed.put(++ids, new Relayed(op.jobId(), from, master, op.kind(), now + tempo.opHorizon()));
@@ -265,7 +345,7 @@
     private void poll(final int from, final SpecPoll m, final Time time) {
         final long now = time.mono();
         if (!group.mayAct(now)) {
-            final int master = group.masterHeard() == self ? 0 : group.masterHeard();
+            final int master = controlMaster(now);
             if (m.relay() && from == m.node() && master != 0) {
                 // why: it cannot reach the master but this node can; without this a half cut-off master would pause all who do not hear it
                 carried.put(from, m);
@@ -276,6 +356,9 @@
             return;
         }
         clock.hear(m.node(), m.wall(), now);
+        if (!pollers.containsKey(m.node())) {
+            newcomerAt = now;
+        }
         final Poller p = pollers.computeIfAbsent(m.node(), k -> new Poller());
         p.via = from;
         p.last = m;
@@ -300,13 +383,15 @@
         final Roster roster = roster();
         final boolean news = p.last.specVersion() < spec.version() || p.last.rosterVersion() < roster.version();
         // why: a lease that a predecessor granted may be about to run out, so the first poll is never held
-        if (!news && p.leaseEnds != Long.MIN_VALUE && now - p.heldSince < tempo.specHold()) {
+        // why: until it knows the clock, a storage machine accepts nothing
+        if (!news && (p.clockTold || !clock.known()) && p.leaseEnds != Long.MIN_VALUE && now - p.heldSince < tempo.specHold()) {
             return;
         }
         p.heldSince = -1;
+        p.clockTold = clock.known();
         p.leaseEnds = now + tempo.specLease();
         out.send(p.via, new SpecReply(p.last.pollId(), true, self, group.epoch(), spec.version(),
-                p.last.specVersion() < spec.version() ? spec.doc() : new byte[0], roster.version(),
+                p.last.specVersion() < spec.version() ? spec.lean() : new byte[0], roster.version(),
                 p.last.rosterVersion() < roster.version() ? roster.save() : new byte[0], p.last.node(), clock.known() ? clock.wall(now) : 0));
     }
 
@@ -321,6 +406,7 @@
                 waitlist.clear();
                 usage.clear();
                 masters.clear();
+                acceptedAt.clear();
             }
             return;
         }
@@ -344,30 +430,43 @@
     // ---- duties of the master
 
     private void place(final Time time) {
+        if (!group.tellsMembers()) {
+            // why: from here on the log says who the members are, also to one that comes back with other seeds than the founders
+            group.change(new Membership(group.membership().version() + 1, group.membership().voters(), List.of()), time.mono(), time.wall());
+            return;
+        }
         final Roster roster = newestRoster();
         final List<NodeInfo> nodes = new ArrayList<>(roster.nodes());
-        boolean changed = false;
+        final List<NodeInfo> bailiffs = new ArrayList<>(roster.bailiffs());
+        boolean changed = take(bailiffs, info);
         for (final Poller p : pollers.values()) {
-            if (p.last.role() != SpecPoll.STORAGE) {
-                continue;
-            }
-            final NodeInfo info = new NodeInfo(p.last.node(), p.last.zone(), p.last.address());
-            if (!nodes.contains(info)) {
-                nodes.removeIf(n -> n.node() == info.node());
-                nodes.add(info);
-                changed = true;
+            final NodeInfo told = new NodeInfo(p.last.node(), p.last.zone(), p.last.address(), p.last.name());
+            if (p.last.role() != SpecPoll.FRONT) {
+                changed |= take(p.last.role() == SpecPoll.STORAGE ? nodes : bailiffs, told);
             }
         }
+        changed |= group.membershipSettled() && roster.control().version() < group.membership().version();
         List<GroupInfo> groups = roster.groups();
-        if (groups.isEmpty() && nodes.size() >= founding.storages) {
-            groups = Placement.found(nodes, founding.groups, founding.copies);
+        if (groups.isEmpty() && nodes.size() >= founding.storages && (founding.groups > 0 || time.mono() - newcomerAt >= tempo.changeMs() / 2)) {
+            groups = Placement.found(nodes, founding.groups > 0 ? founding.groups : nodes.size(), founding.copies);
             changed = true;
         }
         if (changed) {
-            appendRoster(new Roster(roster.version() + 1, List.copyOf(nodes), groups, roster.retiring()), time);
+            appendRoster(new Roster(roster.version() + 1, List.copyOf(nodes), groups, roster.retiring(), List.copyOf(bailiffs),
+                    group.membershipSettled() ? group.membership() : roster.control()), time);
         }
     }
 
+    /** True where the node is a new one, or is somewhere else now. */
+    private static boolean take(final List<NodeInfo> nodes, final NodeInfo info) {
+        if (nodes.contains(info)) {
+            return false;
+        }
+        nodes.removeIf(n -> n.node() == info.node());
+        nodes.add(info);
+        return true;
+    }
+
     private void appendRoster(final Roster roster, final Time time) {
         group.append(Rec.CONTROL, ControlState.rosterBody(roster), time.mono(), time.wall());
     }
@@ -411,6 +510,9 @@
                 respond(from, op.jobId(), o == null || o.lsn() > group.accepted() ? new Response(404, 0, "{\"outcome\":\"unknown\"}")
                         : outcome(o, o.status() != 200 || everywhere(o.version(), time.mono())));
             }
+            case "fronts" -> fronts(from, op, time.mono());
+            case "retireNamed" -> retireNamed(from, op, time);
+            case "retired" -> retired(from, op);
             case "windows" -> respond(from, op.jobId(), new Response(200, 0, usage.windowsJson()));
             case "nodes" -> respond(from, op.jobId(), new Response(200, 0, nodesJson(time.mono())));
             default -> respond(from, op.jobId(), new Response(404, 0, "{}"));
@@ -443,6 +545,39 @@
         respond(from, op.jobId(), new Response(202, 0, "{\"outcome\":\"" + (on ? "retiring" : "kept") + "\",\"node\":" + node + "}"));
     }
 
+    private NodeInfo named(final String name) {
+        return newestRoster().nodes().stream().filter(n -> n.name().equals(name)).findFirst().orElse(null);
+    }
+
+    private void retireNamed(final int from, final Op op, final Time time) {
+        final NodeInfo node = named(new String(op.body(), UTF_8));
+        if (node == null) {
+            respond(from, op.jobId(), new Response(404, 0, "{\"outcome\":\"unknown\"}"));
+        } else {
+            retire(from, new Op(op.jobId(), op.kind(), Pack.writer().num(node.node()).num(1).done()), time);
+        }
+    }
+
+    /** Whether a machine that was to be emptied holds nothing any more. */
+    private void retired(final int from, final Op op) {
+        final NodeInfo node = named(new String(op.body(), UTF_8));
+        if (node == null || !roster().retiring().contains(node.node())) {
+            respond(from, op.jobId(), new Response(404, 0, "{\"outcome\":\"unknown\"}"));
+            return;
+        }
+        final boolean empty = roster().groups().stream().noneMatch(g -> g.membership().holds(node.node()));
+        respond(from, op.jobId(), new Response(200, 0, "{\"empty\":" + empty + "}"));
+    }
+
+    /** The fronts that take sessions, for one that sends its own on. */
+    private void fronts(final int from, final Op op, final long now) {
+        final List<SpecPoll> fronts = pollers.values().stream()
+                .filter(p -> p.last.role() == SpecPoll.FRONT && !p.last.drain() && now - p.heardAt <= 2 * tempo.specHold()).map(p -> p.last).toList();
+        final Pack pack = Pack.writer().num(fronts.size());
+        fronts.forEach(m -> pack.num(m.node()).str(m.zone()).str(m.address()));
+        out.send(from, new OpReply(op.jobId(), 200, 0, pack.done()));
+    }
+
     /** Drives on the moves that the plan names, and hands masterships back to those that rank first. */
     private void move(final Time time) {
         final long now = time.mono();
@@ -524,7 +659,7 @@
         if (before == null) {
             final boolean stale = reading.spec().basedOn() != newest.version();
             final byte[] body = reading.findings().isEmpty() && !stale
-                    ? ControlState.specBody(changeId, crc.getValue(), newest.version() + 1, op.body())
+                    ? ControlState.specBody(changeId, crc.getValue(), reading.spec().version(), op.body())
                     : ControlState.refusalBody(changeId, crc.getValue(), reading.findings().isEmpty() ? 409 : 422, newest.version(),
                             reading.findings().isEmpty() ? "" : Finding.json(reading.findings()));
             group.append(Rec.CONTROL, body, now, time.wall());
@@ -536,11 +671,15 @@
     /** A change is confirmed when every live process has taken it, or its lease on what was before has run out. */
     private boolean everywhere(final long version, final long now) {
         // why: a predecessor may have granted leases that this master has not seen
-        if (dutySince < 0 || now - dutySince <= tempo.specLease()) {
+        if (dutySince < 0 || now - dutySince <= tempo.confirmWait()) {
             return false;
         }
+        if (tempo.leaseMs() > tempo.changeMs() && now - acceptedAt.getOrDefault(version, now) >= tempo.confirmWait()) {
+            // why: who has not taken it by now cannot be reached, and its lease ends no later than leaseMs from here
+            return true;
+        }
         for (final Poller p : pollers.values()) {
-            if (p.last.specVersion() < version && (now <= p.leaseEnds || p.heldSince >= 0)) {
+            if (p.last.role() != SpecPoll.BAILIFF && p.last.specVersion() < version && (now <= p.leaseEnds || p.heldSince >= 0)) {
                 return false;
             }
         }
@@ -550,11 +689,15 @@
     private void confirm(final long now) {
         waitlist.removeIf(w -> {
             final Outcome o = state().outcome(w.changeId);
+            if (o != null && o.lsn() <= group.accepted() && o.status() == 200) {
+                acceptedAt.putIfAbsent(o.version(), now);
+            }
             if (o != null && o.lsn() <= group.accepted() && (o.status() != 200 || everywhere(o.version(), now))) {
                 if (!group.mayAct(now)) {
                     return false;
                 }
                 respond(w.from, w.jobId, outcome(o, true));
+                acceptedAt.headMap(o.version()).clear();
                 return true;
             }
             if (now >= w.horizon) {
@@ -608,7 +751,7 @@
     private String nodesJson(final long now) {
         final JsonArrayBuilder arr = Json.createArrayBuilder();
         pollers.forEach((node, p) -> arr.add(Json.createObjectBuilder().add("node", node)
-                .add("role", p.last.role() == SpecPoll.STORAGE ? "storage" : "front").add("zone", p.last.zone())
+                .add("role", p.last.role() == SpecPoll.STORAGE ? "storage" : p.last.role() == SpecPoll.BAILIFF ? "bailiff" : "front").add("zone", p.last.zone())
                 .add("specVersion", p.last.specVersion()).add("rosterVersion", p.last.rosterVersion()).add("draining", p.last.drain())
                 .add("leaseLeftMs", Math.max(0, p.leaseEnds - now)).add("heardMsAgo", now - p.heardAt)));
         return Json.createObjectBuilder().add("controlMaster", self).add("epoch", group.epoch()).add("nodes", arr).build().toString();
@@ -618,13 +761,16 @@
 
     @Override
     public List<BeatEntry> entries(final Time time) {
-        return List.of(group.entry(time.mono()));
+        return group.membership().holds(self) ? List.of(group.entry(time.mono())) : List.of();
     }
 
     @Override
     public Set<Integer> beatSiblings() {
         final Set<Integer> nodes = new HashSet<>();
-        members.forEach(m -> nodes.add(m.node()));
+        if (group.membership().holds(self)) {
+            group.membership().voters().forEach(m -> nodes.add(m.node()));
+            group.membership().learners().forEach(m -> nodes.add(m.node()));
+        }
         nodes.remove(self);
         return nodes;
     }
--- a/coordination/src/main/java/brookpath/coordination/node/Cursor.java
+++ b/coordination/src/main/java/brookpath/coordination/node/Cursor.java
@@ -7,11 +7,24 @@
 import java.util.TreeMap;
 
 /** Where a subscription stands, per topic. Opaque to the callers. */
-final class Cursor {
+public final class Cursor {
     private Cursor() {
     }
 
-    static String write(final Map<String, Long> at) {
+    /** The cursor of a single topic: the place behind the record at the position. */
+    public static String one(final long position) {
+        return "c" + Long.toString(position, Character.MAX_RADIX);
+    }
+
+    /** The position that the cursor of a single topic names; -1 where the text is none. */
+    public static long readOne(final String text) {
+        if (!text.matches("c[0-9a-z]{1,12}")) {
+            return -1;
+        }
+        return Long.parseLong(text.substring(1), Character.MAX_RADIX);
+    }
+
+    public static String write(final Map<String, Long> at) {
         final StringBuilder sb = new StringBuilder();
         at.forEach((topic, pos) -> sb.append(sb.length() == 0 ? "" : ",").append(topic).append('@').append(pos));
         return Base64.getUrlEncoder().withoutPadding().encodeToString(sb.toString().getBytes(UTF_8));
--- a/coordination/src/main/java/brookpath/coordination/node/Job.java
+++ b/coordination/src/main/java/brookpath/coordination/node/Job.java
@@ -11,6 +11,17 @@
     record Subscribe(long jobId, String key, List<String> topics, String cursor) implements Job {
     }
 
+    /** A session that joins and leaves topics one by one, each with its own cursor; the job's ID is the session's. An empty key is none. */
+    record Open(long jobId, String key) implements Job {
+    }
+
+    /** The response's JSON is the cursor from which on the topic is listened to. @param cursor null for from now on */
+    record Join(long jobId, long sessionId, String topic, String cursor) implements Job {
+    }
+
+    record Leave(long jobId, long sessionId, String topic) implements Job {
+    }
+
     record Unsubscribe(long sessionId) implements Job {
     }
 
@@ -30,6 +41,10 @@
     record Drain(long jobId, boolean on) implements Job {
     }
 
+    /** The process is to end: whatever others can take over is handed over, and then there is a response. */
+    record Retreat(long jobId) implements Job {
+    }
+
     /** What became of a post to the platform; status 0 where there was no response. */
     record Posted(long jobId, int status) implements Job {
     }
--- a/coordination/src/main/java/brookpath/coordination/node/Node.java
+++ b/coordination/src/main/java/brookpath/coordination/node/Node.java
@@ -18,11 +18,14 @@
  * simulator's time and under the state thread's.
  */
 public abstract class Node {
+    private static final long UNKNOWN = Long.MIN_VALUE;
+
     protected final int self;
     protected final Tempo tempo;
     protected final Actions out = new Actions();
     protected BeatTable table = BeatTable.EMPTY;
     protected final Pledges pledges;
+    protected long bornAt = UNKNOWN;
 
     protected Node(final int self, final Tempo tempo) {
         this.self = self;
@@ -30,6 +33,11 @@
         pledges = new Pledges(tempo.down());
     }
 
+    /** When this process began, where that is known: what its former life promised, it promised before. */
+    public final void bornAt(final long mono) {
+        bornAt = mono;
+    }
+
     /** Shared with the listener thread, and safe to. */
     public final Pledges pledges() {
         return pledges;
@@ -105,6 +113,16 @@
         // why: as above
     }
 
+    /** Between two sharing-beats to each sibling. */
+    public long beatPeriod() {
+        return tempo.beat();
+    }
+
+    /** How long this process may be left alone while nothing happens, in milliseconds: wakeups cost, and most of them would find nothing to do. */
+    public long restMs(final Time time) {
+        return tempo.tick();
+    }
+
     /** Replays one entry of the log before the first event. */
     public abstract void replay(byte[] entry, Time time);
 
--- a/coordination/src/main/java/brookpath/coordination/node/StorageNode.java
+++ b/coordination/src/main/java/brookpath/coordination/node/StorageNode.java
@@ -57,6 +57,10 @@
     private record HeldFetch(int from, Fetch fetch, long horizon) {
     }
 
+    /** The topics that a front reads of a group, as it told them. */
+    private record Interest(long edition, Set<String> topics) {
+    }
+
     private record Listeners(long heardAt, long edition, Map<String, Integer> counts) {
     }
 
@@ -68,18 +72,21 @@
     private final TreeMap<Integer, List<Waiting>> waitlists = new TreeMap<>();
     private final TreeMap<Integer, TreeMap<Integer, HeldFetch>> held = new TreeMap<>();
     private final TreeMap<Integer, TreeMap<Integer, Listeners>> listeners = new TreeMap<>();
+    private final TreeMap<Integer, TreeMap<Integer, Interest>> interests = new TreeMap<>();
+    private long retreat;
     private final TreeMap<Integer, Long> toldFounded = new TreeMap<>();
     private final TreeMap<Integer, Long> toldMembers = new TreeMap<>();
     private final TreeMap<Integer, Long> toldUsage = new TreeMap<>();
     private final TreeMap<Integer, Long> counted = new TreeMap<>();
 
-    public StorageNode(final int self, final String zone, final String address, final List<Integer> seeds, final Tempo tempo,
+    /** @param name what operators call this machine; may be empty */
+    public StorageNode(final int self, final String zone, final String address, final String name, final List<Integer> seeds, final Tempo tempo,
                        final int toleratedLosses, final long seed, final long rollBytes) {
         super(self, tempo);
         this.toleratedLosses = toleratedLosses;
         this.seed = seed;
         this.rollBytes = rollBytes;
-        client = new SpecClient(self, SpecPoll.STORAGE, zone, address, seeds, tempo, out);
+        client = new SpecClient(self, SpecPoll.STORAGE, zone, address, name, seeds, tempo, out);
     }
 
     public SpecClient client() {
@@ -91,15 +98,18 @@
     }
 
     private GroupMachine open(final int id) {
-        return groups.computeIfAbsent(id, k -> new GroupMachine(id, self, tempo, toleratedLosses, seed,
-                () -> new TopicState(this::keepMs, tempo.windowMs()), pledges, out));
+        return groups.computeIfAbsent(id, k -> {
+            final GroupMachine g = new GroupMachine(id, self, tempo, toleratedLosses, seed, () -> new TopicState(this::keepMs, tempo.windowMs()), pledges, out);
+            g.bornAt(bornAt);
+            return g;
+        });
     }
 
     private long keepMs(final String topic) {
         if (topic.isEmpty()) {
             return 0;
         }
-        final Spec.Space space = client.spec().spaces().get(Spec.spaceOf(topic));
+        final Spec.Space space = client.spec().spaceOf(topic);
         // why: before the first spec nobody knows how long a space keeps, so nothing goes
         return client.spec().version() == 0 ? Long.MAX_VALUE : space == null ? tempo.keepMargin() : space.keepingMs() + tempo.keepMargin();
     }
@@ -127,6 +137,16 @@
             closeWindow(g, time);
             tellUsage(g, now);
         }
+        if (retreat != 0) {
+            boolean done = true;
+            for (final GroupMachine g : groups.values()) {
+                done &= g.retreat(now);
+            }
+            if (done) {
+                out.respond(retreat, new Response(200, 0, "{}"));
+                retreat = 0;
+            }
+        }
         if (out.bytesSinceRoll() > rollBytes) {
             roll();
         }
@@ -266,12 +286,10 @@
         } else if (msg instanceof Listen m) {
             final TreeMap<Integer, Listeners> told = listeners.computeIfAbsent(m.group(), k -> new TreeMap<>());
             final Listeners before = told.get(from);
-            if (!m.same()) {
-                final Map<String, Integer> counts = new HashMap<>();
+            if (m.onto() == 0 || before != null && before.edition == m.onto()) {
+                final Map<String, Integer> counts = m.onto() == 0 || m.counts().isEmpty() ? new HashMap<>() : new HashMap<>(before.counts);
                 m.counts().forEach(c -> counts.put(c.topic(), c.count()));
-                told.put(from, new Listeners(now, m.edition(), counts));
-            } else if (before != null && before.edition == m.edition()) {
-                told.put(from, new Listeners(now, m.edition(), before.counts));
+                told.put(from, new Listeners(now, m.edition(), m.onto() != 0 && m.counts().isEmpty() ? before.counts : counts));
             }
         } else if (msg instanceof CountAsk m) {
             count(from, m, now);
@@ -295,6 +313,7 @@
                 groups.remove(info.id());
                 waitlists.remove(info.id());
                 held.remove(info.id());
+                interests.remove(info.id());
                 out.write(Pack.writer().num(info.id()).num(DROP).done());
                 out.note("group " + info.id() + ": left, in group version " + info.version());
             }
@@ -319,7 +338,7 @@
             return;
         }
         final GroupInfo info = info(m.group());
-        final Spec.Space space = client.spec().spaces().get(Spec.spaceOf(m.topic()));
+        final Spec.Space space = client.spec().spaceOf(m.topic());
         final String busy = !client.leased(now) ? "spec lease has run out"
                 : client.spec().version() < m.specVersion() || space == null ? "spec is older than the front's"
                 : !g.mayAct(now) ? "master has no lease yet"
@@ -395,8 +414,20 @@
             out.send(from, new FetchReply(m.jobId(), m.group(), FetchReply.NOT_HERE, 0, List.of(), List.of()));
             return;
         }
+        if (m.hold()) {
+            final TreeMap<Integer, Interest> told = interests.computeIfAbsent(m.group(), k -> new TreeMap<>());
+            if (!m.topics().isEmpty()) {
+                final Set<String> topics = new HashSet<>();
+                m.topics().forEach(t -> topics.add(t.topic()));
+                told.put(from, new Interest(m.edition(), topics));
+            }
+            if (!told.containsKey(from) || told.get(from).edition != m.edition()) {
+                out.send(from, new FetchReply(m.jobId(), m.group(), FetchReply.UNTOLD, 0, List.of(), List.of()));
+                return;
+            }
+        }
         if (!serve(from, m, g, !m.hold(), now)) {
-            held.computeIfAbsent(g.id(), k -> new TreeMap<>()).put(from, new HeldFetch(from, m, now + 4 * tempo.pullHold()));
+            held.computeIfAbsent(g.id(), k -> new TreeMap<>()).put(from, new HeldFetch(from, m, now + tempo.fetchHold()));
         }
     }
 
@@ -406,16 +437,25 @@
             return true;
         }
         final TopicState state = (TopicState) g.live();
-        final Map<String, Long> wanted = new HashMap<>();
-        final List<String> gone = new ArrayList<>();
-        long first = Long.MAX_VALUE;
-        for (final TopicAt t : m.topics()) {
-            wanted.put(t.topic(), t.from());
-            first = Math.min(first, t.from());
-            if (state.gone(t.topic()) > t.from()) {
-                gone.add(t.topic());
+        final Interest interest = m.hold() ? interests.get(g.id()).get(to) : null;
+        final Map<String, Long> from = new HashMap<>();
+        long first = m.hold() ? m.at() : Long.MAX_VALUE;
+        if (!m.hold()) {
+            for (final TopicAt t : m.topics()) {
+                from.put(t.topic(), t.from());
+                first = Math.min(first, t.from());
             }
         }
+        final List<String> gone = new ArrayList<>();
+        if (first < g.baseLsn()) {
+            // why: only what lies before the oldest record can be gone, and looking for it costs a walk over all topics
+            final long at = first;
+            (m.hold() ? interest.topics : from.keySet()).forEach(t -> {
+                if (state.gone(t) > from.getOrDefault(t, at)) {
+                    gone.add(t);
+                }
+            });
+        }
         final List<Rec> found = new ArrayList<>();
         long lsn = Math.max(first, g.baseLsn());
         int bytes = 0;
@@ -426,8 +466,7 @@
                 out.send(to, new FetchReply(m.jobId(), g.id(), FetchReply.NOT_HERE, 0, List.of(), List.of()));
                 return true;
             }
-            final Long from = rec.kind() == Rec.PUBLISH ? wanted.get(rec.topic()) : null;
-            if (from != null && lsn > from) {
+            if (rec.kind() == Rec.PUBLISH && (m.hold() ? interest.topics.contains(rec.topic()) : lsn > from.getOrDefault(rec.topic(), Long.MAX_VALUE))) {
                 found.add(rec);
                 bytes += rec.bytes().length;
             }
@@ -453,7 +492,7 @@
         int n = 0;
         for (final Listeners l : listeners.getOrDefault(m.group(), new TreeMap<>()).values()) {
             // why: soft state lapses with the beat of the front that told it
-            n += now - l.heardAt <= 2 * tempo.down() ? l.counts.getOrDefault(m.topic(), 0) : 0;
+            n += now - l.heardAt <= tempo.listenLapse() ? l.counts.getOrDefault(m.topic(), 0) : 0;
         }
         out.send(from, new CountReply(m.jobId(), CountReply.OK, n));
     }
@@ -492,12 +531,20 @@
     @Override
     protected void onSessionLost(final int node, final Time time) {
         client.unsent(node, time.mono());
+        groups.values().forEach(g -> g.sessionLost(node));
+    }
+
+    @Override
+    public long restMs(final Time time) {
+        return retreat == 0 && client.leased(time.mono()) && groups.values().stream().allMatch(GroupMachine::calm) ? tempo.beat() / 2 : tempo.tick();
     }
 
     @Override
     protected void onJob(final Job job, final Time time) {
         if (job instanceof Job.Adopt j) {
             rollBytes = j.rollBytes();
+        } else if (job instanceof Job.Retreat j) {
+            retreat = j.jobId();
         } else if (job instanceof Job.Status j) {
             out.respond(j.jobId(), new Response(200, 0, statusJson(time)));
         } else if (job instanceof Job.Ready j) {
--- a/coordination/src/main/java/brookpath/coordination/node/usage/UsageDesk.java
+++ b/coordination/src/main/java/brookpath/coordination/node/usage/UsageDesk.java
@@ -31,20 +31,17 @@
     }
 
     private static final class Post {
-        final long window;
-        final ControlState.Used used;
+        final ControlState.Window window;
         int goes;
         long nextAt;
         boolean underWay;
-        boolean done;
-        boolean ok;
 
-        Post(final long window, final ControlState.Used used) {
+        Post(final ControlState.Window window) {
             this.window = window;
-            this.used = used;
         }
     }
 
+    private final int self;
     private final GroupMachine group;
     private final FleetClock clock;
     private final Tempo tempo;
@@ -54,7 +51,8 @@
     private final TreeMap<Long, Post> posts = new TreeMap<>();
 
     /** @param ids of posts, never the same twice */
-    public UsageDesk(final GroupMachine group, final FleetClock clock, final Tempo tempo, final LongSupplier ids, final Actions out) {
+    public UsageDesk(final int self, final GroupMachine group, final FleetClock clock, final Tempo tempo, final LongSupplier ids, final Actions out) {
+        this.self = self;
         this.group = group;
         this.clock = clock;
         this.tempo = tempo;
@@ -131,27 +129,31 @@
     public void report(final Time time) {
         final long now = time.mono();
         for (final ControlState.Window w : state().untold(group.accepted())) {
-            if (posts.values().stream().noneMatch(p -> p.window == w.window())) {
-                w.used().forEach(u -> posts.put(ids.getAsLong(), new Post(w.window(), u)));
-                if (w.used().isEmpty()) {
-                    group.append(Rec.CONTROL, ControlState.deliveredBody(w.window(), true), now, time.wall());
-                }
+            if (posts.values().stream().noneMatch(p -> p.window.window() == w.window())) {
+                posts.put(ids.getAsLong(), new Post(w));
             }
         }
         int underWay = (int) posts.values().stream().filter(p -> p.underWay).count();
         for (final java.util.Map.Entry<Long, Post> e : posts.entrySet()) {
             final Post p = e.getValue();
-            if (underWay < POSTS_AT_ONCE && !p.underWay && !p.done && now >= p.nextAt) {
+            if (underWay < POSTS_AT_ONCE && !p.underWay && now >= p.nextAt) {
                 underWay++;
                 p.underWay = true;
                 p.goes++;
-                out.post(e.getKey(), p.used.tenant() + "/" + p.window, Json.createObjectBuilder().add("tenant", p.used.tenant())
-                        .add("windowStartMs", p.window * tempo.windowMs()).add("windowEndMs", (p.window + 1) * tempo.windowMs())
-                        .add("publishes", p.used.publishes()).add("bytes", p.used.bytes()).add("late", p.used.late()).build().toString());
+                out.post(e.getKey(), String.valueOf(p.window.window()), json(p.window));
             }
         }
     }
 
+    /** One report for a window: who reports, in which epoch of the duty, and every tenant's counts. */
+    private String json(final ControlState.Window w) {
+        final JsonArrayBuilder tenants = Json.createArrayBuilder();
+        w.used().forEach(u -> tenants.add(Json.createObjectBuilder().add("tenant", u.tenant()).add("publishes", u.publishes())
+                .add("bytes", u.bytes()).add("late", u.late())));
+        return Json.createObjectBuilder().add("reporter", self).add("epoch", group.epoch()).add("windowStartMs", w.window() * tempo.windowMs())
+                .add("windowEndMs", (w.window() + 1) * tempo.windowMs()).add("tenants", tenants).build().toString();
+    }
+
     /** What became of a post. */
     public void posted(final Job.Posted j, final Time time) {
         final Post p = posts.get(j.jobId());
@@ -159,13 +161,11 @@
             return;
         }
         p.underWay = false;
-        p.ok = j.status() / 100 == 2 || j.status() == 409;
-        p.done = p.ok || p.goes >= MAX_GOES;
+        final boolean ok = j.status() / 100 == 2;
         p.nextAt = time.mono() + Math.min(tempo.recoverMs() / 4, tempo.down() << Math.min(p.goes, 6));
-        final List<Post> same = posts.values().stream().filter(q -> q.window == p.window).toList();
-        if (same.stream().allMatch(q -> q.done)) {
-            posts.values().removeAll(same);
-            group.append(Rec.CONTROL, ControlState.deliveredBody(p.window, same.stream().allMatch(q -> q.ok)), time.mono(), time.wall());
+        if (ok || p.goes >= MAX_GOES) {
+            posts.remove(j.jobId());
+            group.append(Rec.CONTROL, ControlState.deliveredBody(p.window.window(), ok), time.mono(), time.wall());
         }
     }
 
--- a/coordination/src/main/java/brookpath/coordination/path/Path.java
+++ b/coordination/src/main/java/brookpath/coordination/path/Path.java
@@ -7,6 +7,6 @@
     static Path refused(final int status, final int retryAfterMs, final String code, final String because) {
         final String json = jakarta.json.Json.createObjectBuilder().add("outcome", "refused").add("code", code).add("why", because)
                 .build().toString();
-        return new Path(new Response(status, retryAfterMs, json), "", -1, 0, because);
+        return new Path(new Response(status, retryAfterMs, json, code), "", -1, 0, because);
     }
 }
--- a/coordination/src/main/java/brookpath/coordination/path/PathFinder.java
+++ b/coordination/src/main/java/brookpath/coordination/path/PathFinder.java
@@ -11,10 +11,13 @@
 import brookpath.coordination.spec.Roster;
 import brookpath.coordination.spec.Roster.GroupInfo;
 import brookpath.coordination.spec.Spec;
+import java.util.function.IntPredicate;
 
 /** The decision object: asked where a job goes, from immutable tables alone. The executor obeys. */
 public final class PathFinder {
-    private static final String NAME = "[A-Za-z0-9._-]{1,64}";
+    /** The refusal's code where no space has such a topic; callers over HTTP are not told it by status from a space that is not theirs. */
+    public static final String UNKNOWN_SPACE = "space";
+    private static final String TOPIC = "[!-~]{1,200}";
 
     private final Spec spec;
     private final Roster roster;
@@ -34,27 +37,30 @@
 
     /** May the key use the topic, and which group holds it? The node is left open. */
     public Path admit(final String key, final String topic) {
-        final int slash = topic.indexOf('/');
-        if (slash < 0 || !topic.substring(0, slash).matches(NAME) || !topic.substring(slash + 1).matches(NAME)) {
-            return refused(400, 0, "topic", "a topic is space/name, each of 1 to 64 letters, digits or ._-");
+        if (!topic.matches(TOPIC)) {
+            return refused(400, 0, "topic", "a topic is 1 to 200 printable characters without a space");
         }
         if (!leased) {
             // why: the key may have been removed since; safety comes first
             return refused(503, tempo.retryAfterMs(), "spec", "this node has not heard from the control plane lately");
         }
         final Spec.Tenant tenant = spec.tenantOf(key);
-        if (tenant == null) {
-            return refused(401, 0, "key", "unknown key");
+        final Spec.Space space = spec.spaceOf(topic);
+        // why: the key is judged first; who has none learns nothing of the spaces but whether one is open
+        if (tenant == null && (!key.isEmpty() || space != null && !space.open())) {
+            return refused(401, 0, "key", key.isEmpty() ? "a key is needed" : "unknown key");
         }
-        final String space = Spec.spaceOf(topic);
-        if (!tenant.spaces().contains(space)) {
-            return refused(403, 0, "topic", "space \"" + space + "\" is not among the tenant's");
+        if (space == null) {
+            return refused(403, 0, UNKNOWN_SPACE, "no space has a topic of this name");
+        }
+        if (tenant != null && !tenant.uses(space.name())) {
+            return refused(403, 0, "topic", "space \"" + space.name() + "\" is not among the tenant's");
         }
         if (roster.groups().isEmpty()) {
             return refused(503, tempo.retryAfterMs(), "placement", "no groups are placed yet");
         }
-        final int group = Placement.groupOf(topic, spec.spaces().get(space), roster.groups().size());
-        return new Path(null, tenant.name(), group, 0, "spec " + spec.version() + " puts " + topic + " into group " + group);
+        final int group = Placement.groupOf(topic, space, roster.groups().size());
+        return new Path(null, tenant == null ? "" : tenant.name(), group, 0, "spec " + spec.version() + " puts " + topic + " into group " + group);
     }
 
     /** Publishes go to the group's master, as the roles in the beats tell it. */
@@ -63,25 +69,38 @@
         return path.refusal() != null ? path : toMaster(path, now);
     }
 
-    public Path toMaster(final Path path, final long now) {
-        int master = 0;
-        long epoch = -1;
-        for (final Member m : groupOf(path.group()).members()) {
-            final BeatEntry e = table.fresh(m.node(), path.group(), now);
+    /** @param node 0 for none */
+    public record Master(int node, long epoch) {
+        public static final Master NONE = new Master(0, -1);
+    }
+
+    /** Who masters the group, as the roles in the beats tell it. */
+    public Master master(final int group, final long now) {
+        Master master = Master.NONE;
+        for (final Member m : groupOf(group).members()) {
+            final BeatEntry e = table.fresh(m.node(), group, now);
             // why: two may call themselves master for a moment; the later epoch is the true one
-            if (e != null && e.role() == GroupMachine.MASTER && e.epoch() > epoch && table.up(m.node())) {
-                epoch = e.epoch();
-                master = m.node();
+            if (e != null && e.role() == GroupMachine.MASTER && e.epoch() > master.epoch && table.up(m.node())) {
+                master = new Master(m.node(), e.epoch());
             }
         }
-        if (master == 0) {
+        return master;
+    }
+
+    public Path toMaster(final Path path, final long now) {
+        final Master master = master(path.group(), now);
+        if (master.node == 0) {
             return refused(503, tempo.retryAfterMs(), "master", "group " + path.group() + " has no master just now");
         }
-        return new Path(null, path.tenant(), path.group(), master, path.because() + "; node " + master + " masters it in epoch " + epoch);
+        return new Path(null, path.tenant(), path.group(), master.node, path.because() + "; node " + master.node + " masters it in epoch " + master.epoch);
     }
 
-    /** History is read from the nearest member that is in sync: same zone first, slaves before the master. 0 for none. */
-    public int nearest(final int group, final int not, final long now) {
+    /**
+     * History is read from the nearest member that is in sync: same zone first, slaves before the master. 0 for none.
+     *
+     * @param shunned those that have not responded lately are asked last
+     */
+    public int nearest(final int group, final IntPredicate shunned, final long now) {
         int best = 0;
         int bestScore = Integer.MAX_VALUE;
         for (final Member m : groupOf(group).members()) {
@@ -89,7 +108,7 @@
             if (e == null || !table.up(m.node()) || e.sync() != GroupMachine.SYNC_PEER) {
                 continue;
             }
-            final int score = (m.zone().equals(zone) ? 0 : 4) + (e.role() == GroupMachine.MASTER ? 1 : 0) + (m.node() == not ? 8 : 0);
+            final int score = (m.zone().equals(zone) ? 0 : 4) + (e.role() == GroupMachine.MASTER ? 1 : 0) + (shunned.test(m.node()) ? 8 : 0);
             if (score < bestScore) {
                 bestScore = score;
                 best = m.node();
--- /dev/null
+++ b/coordination/src/main/java/brookpath/coordination/spec/Prefixes.java
@@ -0,0 +1,29 @@
+package brookpath.coordination.spec;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Map;
+
+/** Spaces by the beginnings of their topics' names; the longest that fits wins. Immutable. */
+final class Prefixes {
+    static final Prefixes NONE = new Prefixes(java.util.List.of());
+
+    private final Map<String, Spec.Space> byPrefix = new HashMap<>();
+    /** Longest first, so that the first hit is the one that wins. */
+    private final int[] lengths;
+
+    Prefixes(final Collection<Spec.Space> spaces) {
+        spaces.forEach(s -> byPrefix.put(s.prefix(), s));
+        lengths = spaces.stream().mapToInt(s -> s.prefix().length()).distinct().map(n -> -n).sorted().map(n -> -n).toArray();
+    }
+
+    Spec.Space of(final String topic) {
+        for (final int len : lengths) {
+            final Spec.Space space = topic.length() < len ? null : byPrefix.get(topic.substring(0, len));
+            if (space != null) {
+                return space;
+            }
+        }
+        return null;
+    }
+}
--- /dev/null
+++ b/programs/src/main/java/brookpath/programs/boot/Assembly.java
@@ -0,0 +1,113 @@
+package brookpath.programs.boot;
+
+import brookpath.coordination.Tempo;
+import brookpath.coordination.action.Action;
+import brookpath.coordination.group.Member;
+import brookpath.coordination.node.BailiffNode;
+import brookpath.coordination.node.FrontNode;
+import brookpath.coordination.node.Node;
+import brookpath.coordination.node.Node.Time;
+import brookpath.coordination.node.StorageNode;
+import brookpath.coordination.spec.Roster;
+import brookpath.coordination.spec.Roster.NodeInfo;
+import brookpath.coordination.spec.SpecClient;
+import brookpath.state.disk.FolderDisk;
+import brookpath.state.spool.Spool;
+import brookpath.transport.loop.Host;
+import java.nio.file.Path;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.tinylog.Logger;
+
+/** A process's state, disk and sessions with siblings put together; whatever serves callers or operators is added by the program. */
+public final class Assembly {
+    public enum Role { FRONT, STORAGE, BAILIFF }
+
+    /**
+     * @param info this process as others are told of it
+     * @param founders the control group's members at its founding; for a bailiff alone
+     * @param seeds bailiffs that may be asked, with the addresses where siblings reach them
+     * @param found whether this bailiff founds the control group, on an empty folder
+     * @param data the data folder; empty where the machine has no disk
+     * @param rollBytes a new segment after so much
+     * @param threads that carry traffic
+     * @param bornAt when the process began, by its monotonic clock, in milliseconds
+     */
+    public record Plan(Role role, NodeInfo info, List<Member> founders, Map<Integer, String> seeds, Tempo tempo, BailiffNode.Founding founding,
+                       boolean found, String data, long rollBytes, int threads, long bornAt) {
+    }
+
+    private final Plan plan;
+    private final Node node;
+    private final Host host;
+    private final List<Action> first;
+
+    private Assembly(final Plan plan, final Node node, final Host host, final List<Action> first) {
+        this.plan = plan;
+        this.node = node;
+        this.host = host;
+        this.first = first;
+    }
+
+    /** Throws IllegalStateException where the folder forbids what the plan says. */
+    public static Assembly of(final Plan plan, final Host.Poster poster) {
+        final Time time = Host.time();
+        final Spool.Recovery recovered = plan.data.isEmpty() ? null : Spool.recover(new FolderDisk(Path.of(plan.data)));
+        final List<byte[]> entries = recovered == null ? List.of() : recovered.replayed();
+        if (recovered != null) {
+            recovered.findings().forEach(f -> Logger.error("data folder: {}", f));
+        }
+        final Node node = node(plan, time);
+        node.bornAt(plan.bornAt);
+        entries.forEach(e -> node.replay(e, time));
+        if (plan.found && !entries.isEmpty()) {
+            throw new IllegalStateException("the data folder already holds a control log, and the control group is founded only once");
+        }
+        final List<Action> first = node instanceof BailiffNode b ? b.start(plan.found, time) : List.of();
+        final SpecClient client = node instanceof FrontNode f ? f.client() : node instanceof StorageNode n ? n.client() : null;
+        final Host host = new Host(node, plan.info.node(), plan.tempo, recovered == null ? null : recovered.spool(), n -> addresses(plan, n),
+                () -> client == null ? Long.MAX_VALUE : client.leaseUntil(), poster, plan.threads, () -> Runtime.getRuntime().halt(1));
+        return new Assembly(plan, node, host, first);
+    }
+
+    private static Node node(final Plan plan, final Time time) {
+        final NodeInfo me = plan.info;
+        final List<Integer> seeds = List.copyOf(plan.seeds.keySet());
+        // why: jobs of a former life must not be taken for this one's
+        final long firstId = time.wall() << 16;
+        final long seed = System.nanoTime();
+        return switch (plan.role) {
+            case FRONT -> new FrontNode(me.node(), me.zone(), me.address(), me.name(), seeds, plan.tempo, firstId);
+            case STORAGE -> new StorageNode(me.node(), me.zone(), me.address(), me.name(), seeds, plan.tempo, plan.founding.toleratedLosses(), seed,
+                    plan.rollBytes);
+            case BAILIFF -> new BailiffNode(me, plan.founders, seeds, plan.founding, plan.tempo, seed, firstId, plan.rollBytes);
+        };
+    }
+
+    /** Whom the process keeps sessions with: the bailiffs, and from the roster the storage machines. */
+    private static Map<Integer, String> addresses(final Plan plan, final Node node) {
+        final Map<Integer, String> map = new LinkedHashMap<>(plan.seeds);
+        if (node instanceof BailiffNode b) {
+            map.putAll(b.addresses());
+        } else {
+            final Roster roster = node instanceof FrontNode f ? f.client().roster() : ((StorageNode) node).client().roster();
+            roster.bailiffs().forEach(n -> map.put(n.node(), n.address()));
+            roster.nodes().forEach(n -> map.put(n.node(), n.address()));
+        }
+        map.remove(plan.info.node());
+        return map;
+    }
+
+    public Host host() {
+        return host;
+    }
+
+    public Node node() {
+        return node;
+    }
+
+    public void start() {
+        host.start(first);
+    }
+}
--- a/programs/src/main/java/brookpath/programs/settings/Settings.java
+++ b/programs/src/main/java/brookpath/programs/settings/Settings.java
@@ -19,10 +19,4 @@
     public static int port(final String address) {
         return Integer.parseInt(address.substring(address.lastIndexOf(':') + 1));
     }
-
-    public Map<Integer, String> seedsOtherThanSelf() {
-        final Map<Integer, String> others = new LinkedHashMap<>(seeds);
-        others.remove(node);
-        return others;
-    }
 }
--- a/protocol/src/main/java/brookpath/protocol/frame/FrameCodec.java
+++ b/protocol/src/main/java/brookpath/protocol/frame/FrameCodec.java
@@ -110,7 +110,7 @@
                     .position(m.position()).masterHint(m.masterHint()).epoch(m.epoch()).putWhy(why, 0, why.length).encodedLength();
         } else if (msg instanceof Msg.Fetch m) {
             final FetchFrameEncoder e = new FetchFrameEncoder().wrapAndApplyHeader(out, 0, headEnc).jobId(m.jobId()).group(m.group())
-                    .tail(bit(m.tail())).hold(bit(m.hold()));
+                    .tail(bit(m.tail())).hold(bit(m.hold())).at(m.at()).edition(m.edition());
             final FetchFrameEncoder.TopicsEncoder g = e.topicsCount(m.topics().size());
             m.topics().forEach(t -> g.next().from(t.from()).putTopic(utf(t.topic()), 0, utf(t.topic()).length));
             return e.encodedLength();
@@ -125,10 +125,11 @@
         } else if (msg instanceof Msg.SpecPoll m) {
             final byte[] zone = utf(m.zone());
             final byte[] address = utf(m.address());
+            final byte[] name = utf(m.name());
             return new SpecPollFrameEncoder().wrapAndApplyHeader(out, 0, headEnc).pollId(m.pollId()).node(m.node()).role((short) m.role())
                     .specVersion(m.specVersion()).rosterVersion(m.rosterVersion()).drain(bit(m.drain())).relay(bit(m.relay())).wall(m.wall())
                     .putZone(zone, 0, zone.length)
-                    .putAddress(address, 0, address.length).encodedLength();
+                    .putAddress(address, 0, address.length).putName(name, 0, name.length).encodedLength();
         } else if (msg instanceof Msg.SpecReply m) {
             return new SpecReplyFrameEncoder().wrapAndApplyHeader(out, 0, headEnc).pollId(m.pollId()).master(bit(m.master()))
                     .masterHint(m.masterHint()).epoch(m.epoch()).specVersion(m.specVersion()).rosterVersion(m.rosterVersion()).node(m.node()).wall(m.wall())
@@ -142,7 +143,7 @@
                     .putBody(m.body(), 0, m.body().length).encodedLength();
         } else if (msg instanceof Msg.Listen m) {
             final ListenFrameEncoder e = new ListenFrameEncoder().wrapAndApplyHeader(out, 0, headEnc).group(m.group())
-                    .edition(m.edition()).same(bit(m.same()));
+                    .edition(m.edition()).onto(m.onto());
             final ListenFrameEncoder.CountsEncoder g = e.countsCount(m.counts().size());
             m.counts().forEach(c -> g.next().sessions(c.count()).putTopic(utf(c.topic()), 0, utf(c.topic()).length));
             return e.encodedLength();
@@ -216,7 +217,7 @@
                 for (final FetchFrameDecoder.TopicsDecoder g : d.topics()) {
                     topics.add(new Msg.TopicAt(str(data(g.topicLength(), g::getTopic)), g.from()));
                 }
-                return new Msg.Fetch(d.jobId(), d.group(), d.tail() == 1, d.hold() == 1, topics);
+                return new Msg.Fetch(d.jobId(), d.group(), d.tail() == 1, d.hold() == 1, d.at(), d.edition(), topics);
             }
             case FetchReplyFrameDecoder.TEMPLATE_ID -> {
                 final FetchReplyFrameDecoder d = new FetchReplyFrameDecoder().wrapAndApplyHeader(in, 0, headDec);
@@ -233,7 +234,7 @@
             case SpecPollFrameDecoder.TEMPLATE_ID -> {
                 final SpecPollFrameDecoder d = new SpecPollFrameDecoder().wrapAndApplyHeader(in, 0, headDec);
                 return new Msg.SpecPoll(d.pollId(), d.node(), d.role(), str(data(d.zoneLength(), d::getZone)),
-                        str(data(d.addressLength(), d::getAddress)), d.specVersion(), d.rosterVersion(), d.drain() == 1, d.relay() == 1, d.wall());
+                        str(data(d.addressLength(), d::getAddress)), str(data(d.nameLength(), d::getName)), d.specVersion(), d.rosterVersion(), d.drain() == 1, d.relay() == 1, d.wall());
             }
             case SpecReplyFrameDecoder.TEMPLATE_ID -> {
                 final SpecReplyFrameDecoder d = new SpecReplyFrameDecoder().wrapAndApplyHeader(in, 0, headDec);
@@ -254,7 +255,7 @@
                 for (final ListenFrameDecoder.CountsDecoder g : d.counts()) {
                     counts.add(new Msg.TopicCount(str(data(g.topicLength(), g::getTopic)), g.sessions()));
                 }
-                return new Msg.Listen(d.group(), d.edition(), d.same() == 1, counts);
+                return new Msg.Listen(d.group(), d.edition(), d.onto(), counts);
             }
             case CountAskFrameDecoder.TEMPLATE_ID -> {
                 final CountAskFrameDecoder d = new CountAskFrameDecoder().wrapAndApplyHeader(in, 0, headDec);
--- a/transport/src/main/java/brookpath/transport/http/Lines.java
+++ b/transport/src/main/java/brookpath/transport/http/Lines.java
@@ -3,6 +3,7 @@
 import static java.nio.charset.StandardCharsets.UTF_8;
 import static java.util.concurrent.TimeUnit.MILLISECONDS;
 
+import brookpath.coordination.action.Action;
 import brookpath.transport.loop.Host;
 import jakarta.json.Json;
 import jakarta.ws.rs.core.StreamingOutput;
@@ -27,8 +28,8 @@
     }
 
     @Override
-    public boolean offer(final byte[] line) {
-        return waitlist.offer(line);
+    public boolean offer(final Action.ToSession what) {
+        return waitlist.offer(((Action.Deliver) what).line());
     }
 
     @Override
--- a/transport/src/main/java/brookpath/transport/log/RingWriter.java
+++ b/transport/src/main/java/brookpath/transport/log/RingWriter.java
@@ -17,6 +17,8 @@
 /** tinylog's writer here: a ring in memory, written out when something goes wrong, and little else. */
 public final class RingWriter implements Writer {
     private static final int LINES = 4096;
+    /** For looking closely at a trial: each line is written out at once as well. */
+    private static final boolean ECHO = Boolean.getBoolean("brookpath.echo");
     private static final ArrayDeque<String> RING = new ArrayDeque<>();
     private static volatile Path file;
 
@@ -48,6 +50,9 @@
                 line.append("\n    at ").append(el);
             }
         }
+        if (ECHO) {
+            System.err.println(line);
+        }
         synchronized (RingWriter.class) {
             RING.addLast(line.toString());
             if (RING.size() > LINES) {
--- a/transport/src/main/java/brookpath/transport/loop/Host.java
+++ b/transport/src/main/java/brookpath/transport/loop/Host.java
@@ -47,6 +47,11 @@
     private record Heard(int from, Msg.Beat beat) {
     }
 
+    /** Nothing was heard, but a round of beats is wanted. */
+    private static final Heard NONE = new Heard(0, null);
+    /** The table says something new. */
+    private static final Event TICK = (n, time) -> List.of();
+
     private interface Event {
         List<Action> on(Node node, Time time);
     }
@@ -58,8 +63,8 @@
 
     /** A listening session's end on the traffic side. */
     public interface Sink {
-        /** False when its waitlist is full. */
-        boolean offer(byte[] line);
+        /** False when its waitlist is full: the session is ended, its cursors good. */
+        boolean offer(Action.ToSession what);
 
         void close(String why);
     }
@@ -89,16 +94,16 @@
     private volatile Map<Integer, String> zones = Map.of();
     private long nextZones;
     private volatile boolean closed;
-    private BeatTable seen = BeatTable.EMPTY;
     private Map<Integer, String> dialled = Map.of();
 
     /**
      * @param spool null where the machine has no disk
      * @param addresses whom the node wants sessions with
      * @param leaseUntil until when lines may be delivered
+     * @param threads that carry the traffic between siblings
      */
     public Host(final Node node, final int self, final Tempo tempo, final Spool spool, final Function<Node, Map<Integer, String>> addresses,
-                final LongSupplier leaseUntil, final Poster poster, final Runnable fatal) {
+                final LongSupplier leaseUntil, final Poster poster, final int threads, final Runnable fatal) {
         this.node = node;
         this.tempo = tempo;
         this.spool = spool;
@@ -108,7 +113,7 @@
         this.poster = poster;
         // why: never the same as in a former life of this process
         jobIds = new AtomicLong(System.currentTimeMillis() << 16);
-        wire = new Wire(self, this, tempo.beat() / 2);
+        wire = new Wire(self, this, tempo.beat() / 2, 3 * tempo.deliverMs() / 2, threads);
     }
 
     /** Bytes per zone of the other side; "?" for siblings whose zone this process does not know. */
@@ -217,6 +222,18 @@
         }
     }
 
+    @Override
+    public void sessionUp(final int node) {
+        // why: whoever was away is heard at once, and hears at once, rather than with the next period
+        wantBeat();
+    }
+
+    private void wantBeat() {
+        if (beatWanted.compareAndSet(false, true)) {
+            beatInbox.add(NONE);
+        }
+    }
+
     @Override
     public void sessionLost(final int lost) {
         events.add((n, time) -> n.sessionLost(lost, time));
@@ -232,14 +249,18 @@
                 final Event ev = wait <= 0 ? events.poll() : events.poll(wait, MILLISECONDS);
                 final BeatTable newest = table;
                 final Time time = time();
-                if (newest != seen || time.mono() >= nextTick) {
+                if (ev == TICK) {
+                    tickQueued.set(false);
+                }
+                if (ev == TICK || time.mono() >= nextTick) {
                     // why: the table that a vote looks at is the newest there is
-                    seen = newest;
-                    nextTick = time.mono() + tempo.tick();
                     obey(node.tick(time, newest));
+                    look();
+                    nextTick = time.mono() + node.restMs(time);
                 }
-                if (ev != null) {
+                if (ev != null && ev != TICK) {
                     obey(ev.on(node, time()));
+                    nextTick = Math.min(nextTick, time.mono() + node.restMs(time));
                 }
             } catch (final InterruptedException ex) {
                 return;
@@ -247,13 +268,26 @@
         }
     }
 
-    private void obey(final List<Action> actions) {
-        entries = node.entries(time());
-        leaseSnapshot = leaseUntil.getAsLong();
+    /** Whom the node wants to hear of; looked at with each wakeup, not with each event. */
+    private void look() {
         if (time().mono() >= nextZones) {
             nextZones = time().mono() + tempo.keepAlive();
             zones = node.zones();
         }
+        final Map<Integer, String> wanted = addresses.apply(node);
+        if (!wanted.equals(dialled)) {
+            dialled = wanted;
+            wanted.forEach(wire::dial);
+        }
+        final Set<Integer> newSiblings = node.beatSiblings();
+        if (!newSiblings.equals(siblings)) {
+            siblings = newSiblings;
+        }
+    }
+
+    private void obey(final List<Action> actions) {
+        entries = node.entries(time());
+        leaseSnapshot = leaseUntil.getAsLong();
         for (final Action action : actions) {
             if (action instanceof Action.Send a) {
                 if (!wire.send(a.node(), a.msg())) {
@@ -262,18 +296,12 @@
             } else if (action instanceof Action.Write || action instanceof Action.Roll) {
                 writes.add(action);
             } else if (action instanceof Action.BeatNow) {
-                beatWanted.set(true);
+                wantBeat();
             } else if (action instanceof Action.Respond a) {
                 final CompletableFuture<Response> response = jobs.remove(a.jobId());
                 if (response != null) {
                     response.complete(a.response());
                 }
-            } else if (action instanceof Action.Deliver a) {
-                final Sink sink = sinks.get(a.sessionId());
-                if (sink != null && !sink.offer(a.line())) {
-                    sink.close("too slow: the waitlist is full");
-                    unsubscribe(a.sessionId());
-                }
             } else if (action instanceof Action.Post a) {
                 poster.accept(a).whenComplete((status, ex) ->
                         events.add((n, time) -> n.job(new Job.Posted(a.jobId(), ex == null ? status : 0), time)));
@@ -282,6 +310,12 @@
                 if (sink != null) {
                     sink.close(a.why());
                 }
+            } else if (action instanceof Action.ToSession a) {
+                final Sink sink = sinks.get(a.sessionId());
+                if (sink != null && !sink.offer(a)) {
+                    sink.close("too slow: the waitlist is full");
+                    unsubscribe(a.sessionId());
+                }
             } else if (action instanceof Action.Note a) {
                 if (a.grave()) {
                     Logger.error(a.text());
@@ -290,36 +324,29 @@
                 }
             }
         }
-        final Map<Integer, String> wanted = addresses.apply(node);
-        if (!wanted.equals(dialled)) {
-            dialled = wanted;
-            wanted.forEach(wire::dial);
-        }
-        final Set<Integer> newSiblings = node.beatSiblings();
-        if (!newSiblings.equals(siblings)) {
-            siblings = newSiblings;
-        }
     }
 
     private void beatLoop() {
-        final BeatMachine machine = new BeatMachine(tempo, node.pledges());
+        final BeatMachine machine = new BeatMachine(tempo, node.beatPeriod(), node.pledges());
         final Actions out = new Actions();
         Set<Integer> known = Set.of();
         while (!closed) {
             try {
-                final Heard heard = beatInbox.poll(beatWanted.get() ? 0 : tempo.tick(), MILLISECONDS);
+                final long wait = machine.nextRound() - time().mono();
+                final Heard heard = wait <= 0 ? beatInbox.poll() : beatInbox.poll(wait, MILLISECONDS);
                 final long now = time().mono();
+                boolean news = false;
                 if (siblings != known) {
                     known = siblings;
                     machine.siblings(known);
                 }
                 machine.own(entries);
-                if (heard != null) {
-                    machine.onBeat(heard.from, heard.beat, now, out);
+                if (heard != null && heard != NONE) {
+                    news = machine.onBeat(heard.from, heard.beat, now, out);
                     // why: the state thread must see a beat before its sender is told that it was heard
                     table = machine.table();
                 }
-                machine.tick(now, out);
+                news |= machine.tick(now, out);
                 if (beatWanted.compareAndSet(true, false)) {
                     machine.beatNow(now, out);
                 }
@@ -329,11 +356,8 @@
                         wire.send(s.node(), s.msg());
                     }
                 });
-                if (heard != null && tickQueued.compareAndSet(false, true)) {
-                    events.add((n, time) -> {
-                        tickQueued.set(false);
-                        return List.of();
-                    });
+                if (news && tickQueued.compareAndSet(false, true)) {
+                    events.add(TICK);
                 }
             } catch (final InterruptedException ex) {
                 return;
--- a/transport/src/main/java/brookpath/transport/wire/Wire.java
+++ b/transport/src/main/java/brookpath/transport/wire/Wire.java
@@ -9,10 +9,12 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
@@ -24,6 +26,7 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.LongAdder;
+import jdk.net.ExtendedSocketOptions;
 
 /** Sessions between our own processes: frames with a length field, each saying who sent it. */
 public final class Wire implements AutoCloseable {
@@ -32,15 +35,27 @@
         void frame(int from, Msg msg);
 
         void sessionLost(int node);
+
+        /** There is a session with the node that was not there before. */
+        void sessionUp(int node);
     }
 
     /** A session with this much unsent takes no more; one large frame may still go on top. */
     private static final int HIGH_WATER = 4 << 20;
+    /** A machine without power says nothing; probes, a second apart, find that out where nothing is sent. */
+    private static final ChannelOption<Integer> KEEP_IDLE = NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE);
+    private static final ChannelOption<Integer> KEEP_EVERY = NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL);
+    private static final ChannelOption<Integer> KEEP_COUNT = NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT);
+    private static final int KEEPS = 3;
+    /** An opening packet that was lost goes again after a second; another go is sooner. */
+    private static final int CONNECT_MS = 400;
 
     private final int self;
     private final Inbox inbox;
     private final long redialMs;
-    private final MultiThreadIoEventLoopGroup loops = new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
+    private final long deadMs;
+    private final Map<Integer, Long> unanswered = new ConcurrentHashMap<>();
+    private final MultiThreadIoEventLoopGroup loops;
     private final Map<Integer, String> addresses = new ConcurrentHashMap<>();
     private final Map<Integer, Channel> dialled = new ConcurrentHashMap<>();
     private final Map<Integer, Channel> accepted = new ConcurrentHashMap<>();
@@ -51,18 +66,31 @@
     private volatile boolean closed;
     private Channel server;
 
-    public Wire(final int self, final Inbox inbox, final long redialMs) {
+    /**
+     * @param redialMs about how long after a session ended another is tried
+     * @param deadMs the sessions with a node from which nothing came for so long though something was sent are ended: it may have lost power
+     * @param threads that carry the traffic
+     */
+    public Wire(final int self, final Inbox inbox, final long redialMs, final long deadMs, final int threads) {
         this.self = self;
+        this.deadMs = deadMs;
+        loops = new MultiThreadIoEventLoopGroup(threads, NioIoHandler.newFactory());
         this.inbox = inbox;
         this.redialMs = redialMs;
     }
 
     public int listen(final String host, final int port) throws InterruptedException {
         server = new ServerBootstrap().group(loops).channel(NioServerSocketChannel.class)
-                .childOption(ChannelOption.TCP_NODELAY, true).childHandler(pipeline(0)).bind(host, port).sync().channel();
+                .childOption(ChannelOption.TCP_NODELAY, true).childOption(ChannelOption.SO_KEEPALIVE, true)
+                .childOption(KEEP_IDLE, 1).childOption(KEEP_EVERY, 1).childOption(KEEP_COUNT, KEEPS).childHandler(pipeline(0)).bind(host, port).sync().channel();
         return ((InetSocketAddress) server.localAddress()).getPort();
     }
 
+    /** The threads that carry the traffic, for whoever else serves here. */
+    public EventLoopGroup loops() {
+        return loops;
+    }
+
     public long malformed() {
         return malformed.sum();
     }
@@ -103,11 +131,13 @@
         }
         final int sep = address.lastIndexOf(':');
         new Bootstrap().group(loops).channel(NioSocketChannel.class).option(ChannelOption.TCP_NODELAY, true)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) (redialMs * 8)).handler(pipeline(node))
+                .option(ChannelOption.SO_KEEPALIVE, true).option(KEEP_IDLE, 1).option(KEEP_EVERY, 1).option(KEEP_COUNT, KEEPS)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS).handler(pipeline(node))
                 .connect(address.substring(0, sep), Integer.parseInt(address.substring(sep + 1)))
                 .addListener((io.netty.channel.ChannelFuture f) -> {
                     if (f.isSuccess()) {
                         dialled.put(node, f.channel());
+                        inbox.sessionUp(node);
                         f.channel().closeFuture().addListener(c -> redial(node, address));
                     } else {
                         redial(node, address);
@@ -118,7 +148,7 @@
     private void redial(final int node, final String address) {
         if (!closed && !loops.isShuttingDown()) {
             // why: spread, so that a node that comes back is not met by all at the same instant
-            final long delay = redialMs / 2 + ThreadLocalRandom.current().nextLong(redialMs);
+            final long delay = redialMs / 8 + ThreadLocalRandom.current().nextLong(redialMs / 2);
             loops.schedule(() -> connect(node, address), delay, TimeUnit.MILLISECONDS);
         }
     }
@@ -133,6 +163,14 @@
                 && ch.unsafe().outboundBuffer().totalPendingWriteBytes() > HIGH_WATER) {
             return false;
         }
+        final long now = System.nanoTime() / 1_000_000;
+        final Long since = unanswered.putIfAbsent(node, now);
+        if (since != null && now - since > deadMs) {
+            // why: by node, not by session: of the two sessions that two nodes may have, one may carry all that goes one way
+            unanswered.remove(node);
+            hangUp(node);
+            return false;
+        }
         final byte[] frame = codecs.get().encode(msg);
         final ByteBuf buf = ch.alloc().buffer(4 + frame.length).writeInt(self).writeBytes(frame);
         bytesOut.computeIfAbsent(node, k -> new LongAdder()).add(8 + frame.length);
@@ -161,6 +199,7 @@
         @Override
         protected void channelRead0(final ChannelHandlerContext ctx, final ByteBuf buf) {
             final int from = buf.readInt();
+            unanswered.remove(from);
             final byte[] bytes = new byte[buf.readableBytes()];
             buf.readBytes(bytes);
             final Msg msg = codec.decode(bytes, 0, bytes.length);
--- a/trial/src/main/java/brookpath/trial/fleet/FleetDay.java
+++ b/trial/src/main/java/brookpath/trial/fleet/FleetDay.java
@@ -80,8 +80,9 @@
                 final History history = load.history();
                 synchronized (history) {
                     reports++;
-                    history.usage.reported(load.clock(), obj.getString("tenant"), obj.getJsonNumber("windowEndMs").longValue() - born,
-                            obj.getJsonNumber("publishes").longValue(), obj.getJsonNumber("bytes").longValue(), obj.getBoolean("late"));
+                    obj.getJsonArray("tenants").getValuesAs(JsonObject.class).forEach(t -> history.usage.reported(load.clock(), t.getString("tenant"),
+                            obj.getJsonNumber("windowEndMs").longValue() - born, t.getJsonNumber("publishes").longValue(),
+                            t.getJsonNumber("bytes").longValue(), t.getBoolean("late")));
                 }
             }
         }
--- a/trial/src/main/java/brookpath/trial/fleet/FleetMain.java
+++ b/trial/src/main/java/brookpath/trial/fleet/FleetMain.java
@@ -2,6 +2,7 @@
 
 import brookpath.coordination.spec.Placement;
 import brookpath.coordination.spec.Spec;
+import brookpath.trial.sim.Callers;
 import brookpath.trial.fleet.Load.Profile;
 import brookpath.trial.oracle.History;
 import brookpath.trial.relay.Relay;
@@ -247,7 +248,7 @@
         final List<Long> gaps = new ArrayList<>();
         for (final int g : groups) {
             gaps.add(load.gapAfter(at, topic -> {
-                final Spec.Space space = new Spec.Space(Spec.spaceOf(topic), 0, topic.startsWith("clues/"), 2);
+                final Spec.Space space = new Spec.Space(Callers.spaceOf(topic), 0, topic.startsWith("clues/"), 2);
                 return Placement.groupOf(topic, space, 16) == g;
             }));
         }
--- a/trial/src/main/java/brookpath/trial/sim/Callers.java
+++ b/trial/src/main/java/brookpath/trial/sim/Callers.java
@@ -60,6 +60,11 @@
         return topic.startsWith("clues/");
     }
 
+    /** The space's name, which is the beginning of its topics' names where the document says nothing else. */
+    public static String spaceOf(final String topic) {
+        return topic.substring(0, topic.indexOf('/'));
+    }
+
     static String topic(final int i) {
         return SPACES[i % SPACES.length] + "/t" + i;
     }
@@ -88,7 +93,7 @@
     }
 
     int groupOf(final String topic) {
-        return Placement.groupOf(topic, new Spec.Space(Spec.spaceOf(topic), 0, oneOrder(topic), 0), world.groups);
+        return Placement.groupOf(topic, new Spec.Space(spaceOf(topic), 0, oneOrder(topic), 0), world.groups);
     }
 
     private final Map<Integer, String> topicIn = new HashMap<>();
--- a/trial/src/main/java/brookpath/trial/sim/GroupFuzz.java
+++ b/trial/src/main/java/brookpath/trial/sim/GroupFuzz.java
@@ -66,7 +66,7 @@
             out = new Actions();
             beatOut = new Actions();
             final Pledges pledges = new Pledges(tempo.down());
-            beats = new BeatMachine(tempo, pledges);
+            beats = new BeatMachine(tempo, tempo.beat(), pledges);
             final java.util.TreeSet<Integer> others = new java.util.TreeSet<>();
             members.forEach(m -> others.add(m.node()));
             others.remove(id);
--- a/trial/src/main/java/brookpath/trial/sim/Proc.java
+++ b/trial/src/main/java/brookpath/trial/sim/Proc.java
@@ -101,7 +101,7 @@
             world.count(rec.damaged() ? "damaged folders" : "recoveries");
         }
         node = maker.apply(this, entries);
-        beats = new BeatMachine(world.tempo, node.pledges());
+        beats = new BeatMachine(world.tempo, node.beatPeriod(), node.pledges());
         if (node instanceof BailiffNode b) {
             obey(b.start(foundOnStart, time()));
             foundOnStart = false;
