--- a/coordination/src/main/java/brookpath/coordination/node/front/Feed.java
+++ b/coordination/src/main/java/brookpath/coordination/node/front/Feed.java
@@ -31,6 +31,9 @@
     int countsToldTo;
     long countsToldAt;
     Map<String, Integer> countsTold = Map.of();
+    long countsToldChanges;
+    /** How often a listener has come or gone. */
+    long changes;
 
     Feed(final int group) {
         this.group = group;
@@ -42,11 +45,13 @@
 
     /** True where the topic is a new one, so that a fetch under way does not look for it. */
     boolean add(final String topic) {
+        changes++;
         return interests.computeIfAbsent(topic, k -> new Interest()).sessions++ == 0;
     }
 
     /** True where nobody listens to the topic any more. */
     boolean remove(final String topic, final long session) {
+        changes++;
         final Interest i = interests.get(topic);
         i.live.remove(session);
         if (--i.sessions == 0) {
--- a/coordination/src/main/java/brookpath/coordination/node/front/Ferries.java
+++ b/coordination/src/main/java/brookpath/coordination/node/front/Ferries.java
@@ -61,6 +61,7 @@
     private final Map<Long, Integer> groupOf = new HashMap<>();
     /** Since when groups have had no master that this front knows of. */
     private final Map<Integer, Long> masterlessSince = new HashMap<>();
+    private long nextWatch = Long.MIN_VALUE;
 
     /** @param ids never the same twice, and rising */
     public Ferries(final Tempo tempo, final LongFunction<PathFinder> paths, final LongSupplier ids, final Actions out) {
@@ -98,6 +99,10 @@
 
     /** Looks which groups have a master: one that has been without for longer than an election takes is not waited for. */
     public void watch(final int groups, final long now) {
+        if (now < nextWatch) {
+            return;
+        }
+        nextWatch = now + tempo.beat() / 2;
         final PathFinder finder = paths.apply(now);
         for (int g = 0; g < groups; g++) {
             if (finder.master(g, now).node() == 0) {
--- a/coordination/src/main/java/brookpath/coordination/node/front/Subscriptions.java
+++ b/coordination/src/main/java/brookpath/coordination/node/front/Subscriptions.java
@@ -588,11 +588,11 @@
         final PathFinder finder = paths.apply(now);
         for (final Feed f : feeds.values()) {
             final int master = finder.master(f.group, now).node();
-            final Map<String, Integer> counts = f.counts();
-            final boolean same = f.countsToldTo == master && f.countsTold.equals(counts);
+            final boolean same = f.countsToldTo == master && f.countsToldChanges == f.changes;
             if (master == 0 || same && now - f.countsToldAt < tempo.listenRefresh()) {
                 continue;
             }
+            final Map<String, Integer> counts = same ? f.countsTold : f.counts();
             final List<TopicCount> list = new ArrayList<>();
             final long onto = f.countsToldTo == master ? f.countsEdition : 0;
             if (!same) {
@@ -606,6 +606,7 @@
                 f.countsEdition = ids.getAsLong();
                 f.countsToldTo = master;
                 f.countsTold = counts;
+                f.countsToldChanges = f.changes;
             }
             f.countsToldAt = now;
             out.send(master, new Listen(f.group, f.countsEdition, onto, list));
--- a/coordination/src/main/java/brookpath/coordination/topic/TopicState.java
+++ b/coordination/src/main/java/brookpath/coordination/topic/TopicState.java
@@ -18,7 +18,7 @@
     /** Looks up say so when a repeat is too old to know its position. */
     public static final long NEW = 0;
     public static final long TOO_LOW = -1;
-    private static final int REMEMBERED = 64;
+    private static final int REMEMBERED = 256;
 
     /** A sender is forgotten this long after its last message, by the log's own time. A repeat that is older was given up long before. */
     private static final long FORGET_MS = 3_600_000;
