--- a/trial/src/main/java/brookpath/trial/sim/Day.java
+++ b/trial/src/main/java/brookpath/trial/sim/Day.java
@@ -89,7 +89,15 @@
         return new Day(plan).live();
     }
 
-    private Outcome live() {
+    /** A calm day's world after its people have been about for the plan's length, for measurements. */
+    static World calm(final Plan plan) {
+        final Day day = new Day(plan);
+        day.begin();
+        day.world.run(day.world.now() + plan.lengthMs);
+        return day.world;
+    }
+
+    private void begin() {
         world.run(4_000);
         world.callers.change(world.callers.document(0, "first", true), "first", r -> {
             if (r.status() != 200) {
@@ -99,6 +107,10 @@
         world.run(8_000);
         people();
         world.run(11_000);
+    }
+
+    private Outcome live() {
+        begin();
         world.callers.operators(2_000);
         long next = world.now() + plan.faultEveryMs;
         final List<Fault> faults = new ArrayList<>(plan.faults);
--- a/trial/src/main/java/brookpath/trial/sim/Net.java
+++ b/trial/src/main/java/brookpath/trial/sim/Net.java
@@ -55,6 +55,9 @@
             // why: eight more bytes go on each frame, its length and its sender
             crossZoneBytes.merge(msg.getClass().getSimpleName(), frame.length + 8L, Long::sum);
         }
+        from.sentMessages++;
+        from.sentBytes += frame.length + 8L;
+        target.gotBytes += frame.length + 8L;
         final long link = link(from.id, to);
         // why: virtual time has whole milliseconds, so half of one is one by turns
         final int zones = from.zone.equals(target.zone) ? 0 : (world.shape.halfMillis() + world.rnd.nextInt(2)) / 2;
--- a/trial/src/main/java/brookpath/trial/sim/Proc.java
+++ b/trial/src/main/java/brookpath/trial/sim/Proc.java
@@ -45,6 +45,11 @@
     long skew;
     private long monoBase;
     boolean foundOnStart;
+    /** For measurements: what this process sent and got, and how long its decisions took on the machine that runs the trial. */
+    long sentMessages;
+    long sentBytes;
+    long gotBytes;
+    long busyNanos;
     private final ArrayDeque<Function<Proc, List<Action>>> backlog = new ArrayDeque<>();
 
     Proc(final World world, final int id, final String zone, final boolean hasDisk, final BiFunction<Proc, List<byte[]>, Node> maker) {
@@ -154,7 +159,9 @@
         beats.tick(mono(), beatOut);
         look();
         final long before = world.armed == CrashPoint.ACCEPT ? CrashPoint.accepted(node, world.groups) : 0;
+        final long began = System.nanoTime();
         final List<Action> actions = event.apply(this);
+        busyNanos += System.nanoTime() - began;
         if (world.armed == CrashPoint.ACCEPT && before > 0 && CrashPoint.accepted(node, world.groups) > before && world.crashes(this)) {
             return;
         }
--- /dev/null
+++ b/trial/src/main/java/brookpath/trial/sim/Slopes.java
@@ -0,0 +1,56 @@
+package brookpath.trial.sim;
+
+import java.util.EnumSet;
+import java.util.List;
+import java.util.Locale;
+
+/**
+ * What a process of each role sends, gets and takes of a processor as the fleet grows: {@code bin/slopes}. Hollow nodes share this process; bytes and messages are
+ * the same every time, times are this machine's.
+ */
+public final class Slopes {
+    private static final long WARM_MS = 10_000;
+    private static final long MEASURED_MS = 10_000;
+
+    private Slopes() {
+    }
+
+    public static void main(final String[] args) {
+        for (final Shape shape : List.of(new Shape(4, 11, 450, 400, 8, 95, 3), new Shape(16, 11, 450, 400, 8, 95, 3), new Shape(64, 11, 450, 400, 8, 95, 3),
+                new Shape(16, 44, 450, 400, 8, 95, 3), new Shape(16, 176, 450, 400, 8, 95, 3), new Shape(16, 11, 450, 1_600, 8, 95, 3),
+                new Shape(16, 11, 450, 400, 8, 380, 3))) {
+            final World world = Day.calm(Day.Plan.of(1, EnumSet.noneOf(Day.Fault.class)).sized(shape).lasting(WARM_MS));
+            for (final Proc p : world.procs.values()) {
+                p.sentMessages = 0;
+                p.sentBytes = 0;
+                p.gotBytes = 0;
+                p.busyNanos = 0;
+            }
+            final int accepted = world.history.accepted();
+            final int delivered = world.history.delivered();
+            world.run(world.now() + MEASURED_MS);
+            System.out.printf(Locale.ROOT, "groups %d, fronts %d, sessions %d: %d accepted/s, %d delivered/s%n", shape.groups(), shape.fronts(), shape.sessions(),
+                    (world.history.accepted() - accepted) * 1_000 / MEASURED_MS, (world.history.delivered() - delivered) * 1_000 / MEASURED_MS);
+            tell("front", world, world.fronts);
+            tell("storage", world, world.storages);
+            tell("bailiff", world, world.bailiffs);
+        }
+    }
+
+    private static void tell(final String role, final World world, final List<Integer> ids) {
+        long messages = 0;
+        long out = 0;
+        long in = 0;
+        long busy = 0;
+        for (final int id : ids) {
+            final Proc p = world.procs.get(id);
+            messages += p.sentMessages;
+            out += p.sentBytes;
+            in += p.gotBytes;
+            busy += p.busyNanos;
+        }
+        final double per = ids.size() * MEASURED_MS / 1_000.0;
+        System.out.printf(Locale.ROOT, "  %-8s %7.1f messages/s, %8.0f bytes/s out, %8.0f in, %6.2f ms/s of a core%n", role, messages / per, out / per, in / per,
+                busy / 1e6 / per);
+    }
+}
