--- a/trial/src/main/java/brookpath/trial/sim/Slopes.java
+++ b/trial/src/main/java/brookpath/trial/sim/Slopes.java
@@ -1,5 +1,6 @@
 package brookpath.trial.sim;
 
+import brookpath.coordination.node.Job;
 import java.util.EnumSet;
 import java.util.List;
 import java.util.Locale;
@@ -16,6 +17,7 @@
     }
 
     public static void main(final String[] args) {
+        memory();
         for (final Shape shape : List.of(new Shape(4, 11, 450, 400, 8, 95, 3), new Shape(16, 11, 450, 400, 8, 95, 3), new Shape(64, 11, 450, 400, 8, 95, 3),
                 new Shape(16, 44, 450, 400, 8, 95, 3), new Shape(16, 176, 450, 400, 8, 95, 3), new Shape(16, 11, 450, 1_600, 8, 95, 3),
                 new Shape(16, 11, 450, 400, 8, 380, 3))) {
@@ -37,6 +39,34 @@
         }
     }
 
+    /** Heap of one front per session that listens to two topics of 1,000. */
+    private static void memory() {
+        final World world = Day.calm(Day.Plan.of(1, EnumSet.noneOf(Day.Fault.class)).lasting(WARM_MS));
+        world.callers.quiet = true;
+        world.run(world.now() + 5_000);
+        final Proc front = world.procs.get(world.fronts.get(0));
+        final long before = used();
+        final int sessions = 4_000;
+        for (int i = 0; i < sessions; i++) {
+            final int n = i;
+            world.callers.asked(front, id -> {
+                for (int t = 0; t < 2; t++) {
+                    final String topic = "permits/m" + (2 * n + t) % 1_000;
+                    world.callers.asked(front, join -> new Job.Join(join, id, topic, null), r -> world.count("joined " + r.status()));
+                }
+                return new Job.Open(id, "key-members");
+            }, r -> world.count("opened " + r.status()));
+        }
+        world.run(world.now() + 5_000);
+        System.out.printf(Locale.ROOT, "%d sessions opened, %d topics joined at one front: %d bytes of heap a session%n", world.counted("opened 200"),
+                world.counted("joined 200"), (used() - before) / sessions);
+    }
+
+    private static long used() {
+        System.gc();
+        return Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory();
+    }
+
     private static void tell(final String role, final World world, final List<Integer> ids) {
         long messages = 0;
         long out = 0;
