--- a/trial/src/main/java/brookpath/trial/sim/World.java
+++ b/trial/src/main/java/brookpath/trial/sim/World.java
@@ -89,6 +89,19 @@
         at(1_000, platform::watch);
     }
 
+    /** A small world whose first document is confirmed, and whose groups have masters. */
+    static World serving(final long seed) {
+        final World world = new World(seed, Shape.SMALL, EnumSet.noneOf(Mutation.class));
+        world.run(4_000);
+        world.callers.change(world.callers.document(0, "first", true), "first", r -> {
+            if (r.status() != 200) {
+                throw new IllegalStateException("the first change was not confirmed: " + r);
+            }
+        });
+        world.run(8_000);
+        return world;
+    }
+
     public long now() {
         return now;
     }
--- a/trial/src/test/java/brookpath/trial/sim/JoinedSessionsTest.java
+++ b/trial/src/test/java/brookpath/trial/sim/JoinedSessionsTest.java
@@ -17,7 +17,6 @@
 import brookpath.coordination.spec.Roster.NodeInfo;
 import brookpath.coordination.spec.Spec;
 import java.util.ArrayList;
-import java.util.EnumSet;
 import java.util.List;
 import java.util.function.LongFunction;
 import org.testng.annotations.Test;
@@ -29,10 +28,7 @@
     private World world;
 
     private void begin(final long seed) {
-        world = new World(seed, Shape.SMALL, EnumSet.noneOf(Mutation.class));
-        world.run(4_000);
-        world.callers.change(world.callers.document(0, "first", true), "first", r -> assertEquals(r.status(), 200, r.toString()));
-        world.run(8_000);
+        world = World.serving(seed);
     }
 
     private Response ask(final int node, final LongFunction<Job> job) {
--- a/trial/src/test/java/brookpath/trial/sim/ScenesTest.java
+++ b/trial/src/test/java/brookpath/trial/sim/ScenesTest.java
@@ -21,7 +21,6 @@
 import brookpath.state.record.Pack;
 import brookpath.state.record.Rec;
 import java.util.ArrayList;
-import java.util.EnumSet;
 import java.util.List;
 import org.testng.annotations.Test;
 
@@ -32,10 +31,7 @@
     private World world;
 
     private void begin(final long seed) {
-        world = new World(seed, Shape.SMALL, EnumSet.noneOf(Mutation.class));
-        world.run(4_000);
-        world.callers.change(world.callers.document(0, "first", true), "first", r -> assertEquals(r.status(), 200, r.toString()));
-        world.run(8_000);
+        world = World.serving(seed);
     }
 
     private void callers() {
