A member that may be read from again says so at once to those who only watch

Change: a round of beats goes out when a master's first record is accepted and when a slave is in sync again. Ruled out: the fetch's own patience (750 ms, then another member is asked).

--- a/coordination/src/main/java/brookpath/coordination/group/GroupMachine.java
+++ b/coordination/src/main/java/brookpath/coordination/group/GroupMachine.java
@@ -948,6 +948,9 @@
         }
         if (m.kind() != MISMATCH && matched >= 0) {
             accepted = Math.max(accepted, Math.min(m.accepted(), matched));
+            if (!inSync && matched >= m.accepted()) {
+                out.beatNow();
+            }
             inSync = matched >= m.accepted();
             if (lost() && m.standing() == PullReply.ACTING_MASTER && joinTarget < 0) {
                 joinTarget = m.accepted();
@@ -1022,6 +1025,10 @@
         Arrays.sort(synced);
         final long lsn = synced[synced.length - floor()];
         if (lsn > accepted && lsn >= openLsn && epochAt(lsn) == epoch) {
+            if (accepted < openLsn) {
+                // why: whoever only watches is told at once that it may be read from, and not with its own next beat
+                out.beatNow();
+            }
             accepted = lsn;
             serveHeld(now);
         }
