Read once more: one refusal for now in the front, an unused look-up gone

Found in the last read of the change: three pieces built the same 503 (FrontNode, Ferries, Subscriptions); Ferries.busy serves all. Subscriptions.keyOf was called by nobody. Behaviour is as before.

--- a/coordination/src/main/java/brookpath/coordination/node/FrontNode.java
+++ b/coordination/src/main/java/brookpath/coordination/node/FrontNode.java
@@ -347,7 +347,7 @@
     }
 
     private void busy(final long jobId, final String code, final String why) {
-        out.respond(jobId, new Response(503, tempo.retryAfterMs(), "{\"outcome\":\"refused\",\"code\":\"" + code + "\",\"why\":\"" + why + "\"}", code));
+        out.respond(jobId, Ferries.busy(tempo, code, why));
     }
 
     // ---- for the listener thread and the status page
--- a/coordination/src/main/java/brookpath/coordination/node/front/Ferries.java
+++ b/coordination/src/main/java/brookpath/coordination/node/front/Ferries.java
@@ -251,7 +251,7 @@
 
     private void refused(final Job.Publish job, final String code, final String why) {
         note(job, why);
-        out.respond(job.jobId(), new Response(503, tempo.retryAfterMs(), outcome("refused", code, why), code));
+        out.respond(job.jobId(), busy(tempo, code, why));
     }
 
     private void unsettled(final Job.Publish job, final String why) {
@@ -264,6 +264,11 @@
         out.note("publish " + j.topic() + " " + j.sender() + "/" + j.seq() + ": " + how);
     }
 
+    /** Certainly not done; come back after the time that it names. */
+    public static Response busy(final Tempo tempo, final String code, final String why) {
+        return new Response(503, tempo.retryAfterMs(), outcome("refused", code, why), code);
+    }
+
     static String outcome(final String outcome, final String code, final String why) {
         return Json.createObjectBuilder().add("outcome", outcome).add("code", code).add("why", why).build().toString();
     }
--- a/coordination/src/main/java/brookpath/coordination/node/front/Subscriptions.java
+++ b/coordination/src/main/java/brookpath/coordination/node/front/Subscriptions.java
@@ -74,12 +74,6 @@
         return s != null && s.part(topic) != null;
     }
 
-    /** The key that the session was opened with, null where there is none such. */
-    public String keyOf(final long sessionId) {
-        final Session s = sessions.get(sessionId);
-        return s == null ? null : s.key;
-    }
-
     // ---- sessions
 
     public void open(final Job.Open j, final long now) {
@@ -542,7 +536,7 @@
     }
 
     private void busy(final long jobId, final String code, final String why) {
-        out.respond(jobId, new Response(503, tempo.retryAfterMs(), Ferries.outcome("refused", code, why), code));
+        out.respond(jobId, Ferries.busy(tempo, code, why));
     }
 
     // ---- sessions with siblings
