--- a/coordination/src/main/java/brookpath/coordination/Tempo.java
+++ b/coordination/src/main/java/brookpath/coordination/Tempo.java
@@ -7,8 +7,9 @@
  * @param recoverMs never mostly down for longer than this
  * @param changeMs a confirmed change is everywhere within this
  * @param windowMs the length of a usage window
- * @param leaseMs a process that does not hear from the control plane serves no longer than this; where it is more than changeMs, a change is
- *     confirmed before the leases of processes that cannot be reached have run out, and holds there leaseMs after its confirmation at the latest
+ * @param leaseMs a process that does not hear from the control plane serves no longer than this; where it is more than
+ *     changeMs, a change is confirmed before the leases of processes that cannot be reached have run out, and holds
+ *     there leaseMs after its confirmation at the latest
  */
 public record Tempo(long deliverMs, long recoverMs, long changeMs, long windowMs, long leaseMs) {
     public static final Tempo DEFAULT = new Tempo(2_000, 12_000, 3_000, 10_000);
--- a/coordination/src/main/java/brookpath/coordination/beat/BeatMachine.java
+++ b/coordination/src/main/java/brookpath/coordination/beat/BeatMachine.java
@@ -15,8 +15,7 @@
 public final class BeatMachine {
     private static final int OUTSTANDING = 8;
 
-    private record Sent(long at, Map<Integer, BeatEntry> own) {
-    }
+    private record Sent(long at, Map<Integer, BeatEntry> own) {}
 
     private static final class Sibling {
         final LinkedHashMap<Long, Sent> sent = new LinkedHashMap<>();
@@ -32,6 +31,7 @@
 
     /** A visitor that has not asked for so many beats is gone. */
     private static final int VISIT = 16;
+
     private static final int MAX_VISITORS = 4_096;
 
     private final Tempo tempo;
@@ -39,6 +39,7 @@
     private final Pledges pledges;
     /** Who asks without being asked: until when it is told of changes at once. */
     private final TreeMap<Integer, Long> visitors = new TreeMap<>();
+
     private final TreeMap<Integer, Sibling> siblings = new TreeMap<>();
     private List<BeatEntry> own = List.of();
     private Map<Integer, BeatEntry> ownById = Map.of();
@@ -46,7 +47,10 @@
     private long nextId;
     private long nextRound = Long.MIN_VALUE / 2;
 
-    /** @param period between two beats: the tempo's for members of groups; who only watches them is told of changes besides and may ask less often */
+    /**
+     * @param period between two beats: the tempo's for members of groups; who only watches them is told of changes
+     *     besides and may ask less often
+     */
     public BeatMachine(final Tempo tempo, final long period, final Pledges pledges) {
         this.tempo = tempo;
         this.period = period;
@@ -112,7 +116,10 @@
         return siblings.values().stream().filter(sib -> sib.missed < 2).count() != up;
     }
 
-    /** True where it says something that matters at once: who is what has changed, or a master's beat is answered, on which its lease stands. */
+    /**
+     * True where it says something that matters at once: who is what has changed, or a master's beat is answered, on
+     * which its lease stands.
+     */
     public boolean onBeat(final int from, final Beat beat, final long now, final Actions out) {
         final Sibling sib = siblings.get(from);
         boolean news = false;
@@ -123,9 +130,11 @@
             } else if (visitors.size() < MAX_VISITORS) {
                 visitors.put(from, now + VISIT * tempo.beat());
             }
-            // why: the pledge comes before the answer, for a vote given after the answer must know of it however late the table is seen
+            // why: the pledge comes before the answer, for a vote given after the answer must know of it however late
+            // the table is seen
             final List<BeatEntry> answer = pledges.answer(from, beat, own, now);
-            // why: who is what is all that an answer must tell, for positions come with this member's own beats; where that is as it was, a few bytes say so
+            // why: who is what is all that an answer must tell, for positions come with this member's own beats; where
+            // that is as it was, a few bytes say so
             final boolean same = beat.known() == BeatEntry.digest(answer);
             out.send(from, new Beat(true, beat.id(), beat.stamp(), 0, same, same ? List.of() : answer));
             return news;
@@ -160,8 +169,10 @@
 
     private void swap() {
         final TreeMap<Integer, BeatTable.Row> rows = new TreeMap<>();
-        siblings.forEach((node, sib) -> rows.put(node,
-                new BeatTable.Row(node, sib.missed < 2, sib.answeredSentAt, sib.answeredOwn, sib.heardAt, sib.entries)));
+        siblings.forEach((node, sib) -> rows.put(
+                node,
+                new BeatTable.Row(
+                        node, sib.missed < 2, sib.answeredSentAt, sib.answeredOwn, sib.heardAt, sib.entries)));
         table = new BeatTable(rows, period <= tempo.beat() ? tempo.down() : 5 * period / 2);
     }
 
--- a/coordination/src/main/java/brookpath/coordination/beat/BeatTable.java
+++ b/coordination/src/main/java/brookpath/coordination/beat/BeatTable.java
@@ -15,9 +15,13 @@
      * @param answeredOwn the own entries that this beat carried
      * @param heardAt when anything was heard last
      */
-    public record Row(int node, boolean up, long answeredSentAt, Map<Integer, BeatEntry> answeredOwn, long heardAt,
-                      Map<Integer, BeatEntry> entries) {
-    }
+    public record Row(
+            int node,
+            boolean up,
+            long answeredSentAt,
+            Map<Integer, BeatEntry> answeredOwn,
+            long heardAt,
+            Map<Integer, BeatEntry> entries) {}
 
     private final TreeMap<Integer, Row> rows;
     private final long staleAfter;
--- a/coordination/src/main/java/brookpath/coordination/beat/Pledges.java
+++ b/coordination/src/main/java/brookpath/coordination/beat/Pledges.java
@@ -8,8 +8,9 @@
 import java.util.Map;
 
 /**
- * What answering a master's beat binds this member to: for the detection time it helps nobody else into that mastership. The listener thread pledges
- * before the answer leaves, the state thread raises the epoch before it votes, and each sees what the other did first; nothing else is shared by the two.
+ * What answering a master's beat binds this member to: for the detection time it helps nobody else into that
+ * mastership. The listener thread pledges before the answer leaves, the state thread raises the epoch before it votes,
+ * and each sees what the other did first; nothing else is shared by the two.
  */
 public final class Pledges {
     private static final class Pledge {
@@ -30,7 +31,10 @@
         return groups.computeIfAbsent(group, k -> new Pledge());
     }
 
-    /** The listener's part: pledges to the masters that the beat tells of, and gives back the entries that the answer may carry. */
+    /**
+     * The listener's part: pledges to the masters that the beat tells of, and gives back the entries that the answer
+     * may carry.
+     */
     synchronized List<BeatEntry> answer(final int from, final Beat beat, final List<BeatEntry> own, final long now) {
         for (final BeatEntry e : beat.entries()) {
             final Pledge p = of(e.group());
@@ -53,7 +57,8 @@
     }
 
     /** The voter's part, right before it votes or stands: false where this member is still bound to another master. */
-    public synchronized boolean raise(final int group, final long epoch, final int candidate, final boolean manual, final long now) {
+    public synchronized boolean raise(
+            final int group, final long epoch, final int candidate, final boolean manual, final long now) {
         final Pledge p = of(group);
         // why: in a manual switchover the old master has said itself that it acts no more
         if (!manual && p.master != 0 && p.master != candidate && now - p.heardAt <= down) {
--- a/coordination/src/main/java/brookpath/coordination/beat/StatusHandoff.java
+++ b/coordination/src/main/java/brookpath/coordination/beat/StatusHandoff.java
@@ -5,8 +5,9 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 
 /**
- * Hands the state thread's newest entries, and its wish that they are told at once, to the replication listener thread. The state thread publishes before
- * it wishes; the listener takes the wish before it reads the entries. So a wish is never spent on entries that are older than it.
+ * Hands the state thread's newest entries, and its wish that they are told at once, to the replication listener thread.
+ * The state thread publishes before it wishes; the listener takes the wish before it reads the entries. So a wish is
+ * never spent on entries that are older than it.
  */
 public final class StatusHandoff {
     private final AtomicBoolean wished = new AtomicBoolean();
@@ -17,7 +18,10 @@
         entries = newest;
     }
 
-    /** Any thread: a beat is to go out without waiting for its period. True where no wish was pending, so that the listener has to be woken. */
+    /**
+     * Any thread: a beat is to go out without waiting for its period. True where no wish was pending, so that the
+     * listener has to be woken.
+     */
     public boolean wish() {
         return wished.compareAndSet(false, true);
     }
--- a/coordination/src/main/java/brookpath/coordination/group/Copies.java
+++ b/coordination/src/main/java/brookpath/coordination/group/Copies.java
@@ -2,8 +2,7 @@
 
 /** How many copies a record needs. */
 public final class Copies {
-    private Copies() {
-    }
+    private Copies() {}
 
     public static int majority(final int members) {
         return members / 2 + 1;
--- a/coordination/src/main/java/brookpath/coordination/group/GroupMachine.java
+++ b/coordination/src/main/java/brookpath/coordination/group/GroupMachine.java
@@ -49,11 +49,9 @@
     private static final int DEFERENCE = 3;
     private static final int SWEPT_AT_ONCE = 16;
 
-    private record Waiting(long write, int node, Msg msg) {
-    }
+    private record Waiting(long write, int node, Msg msg) {}
 
-    private record Unsynced(long write, long lsn) {
-    }
+    private record Unsynced(long write, long lsn) {}
 
     private final int id;
     private final Pledges pledges;
@@ -66,6 +64,7 @@
 
     /** The newest in the log counts as soon as it is there; without one, what the group was founded with. */
     private Membership founding = Membership.NONE;
+
     private Membership baseMembership;
     private Membership membership = Membership.NONE;
     private long membershipLsn;
@@ -79,8 +78,12 @@
 
     private boolean initialised;
     private boolean lost;
-    /** A record here is not as it was made. What was voted and how far the log goes is still known, so this member may vote; its copy is none. */
+    /**
+     * A record here is not as it was made. What was voted and how far the log goes is still known, so this member may
+     * vote; its copy is none.
+     */
     private boolean damaged;
+
     private long epoch;
     private int votedFor;
     private long epochSeen;
@@ -92,6 +95,7 @@
     private final ArrayList<Rec> recs = new ArrayList<>();
     /** Per record, a digest of the whole log up to it: equal here and there means equal all the way. */
     private final ArrayList<Long> chain = new ArrayList<>();
+
     private long baseChain;
     private long swept;
     private long syncedLsn;
@@ -124,8 +128,15 @@
     private boolean inSync;
     private long behindSince = Long.MAX_VALUE;
 
-    public GroupMachine(final int id, final int self, final Tempo tempo, final int toleratedLosses, final long seed,
-                        final Supplier<LogState> states, final Pledges pledges, final Actions out) {
+    public GroupMachine(
+            final int id,
+            final int self,
+            final Tempo tempo,
+            final int toleratedLosses,
+            final long seed,
+            final Supplier<LogState> states,
+            final Pledges pledges,
+            final Actions out) {
         this.pledges = pledges;
         this.id = id;
         this.self = self;
@@ -265,7 +276,8 @@
     /** Has a slave the accepted position of a master that it hears? */
     public boolean inSync(final long now) {
         // why: a slave that hears its master but is not heard gets no more of the log, and would not know
-        return role == MASTER ? mayAct(now)
+        return role == MASTER
+                ? mayAct(now)
                 : inSync && !lost() && masterHeard != 0 && table.up(masterHeard) && now - behindSince <= tempo.down();
     }
 
@@ -281,8 +293,18 @@
 
     public BeatEntry entry(final long now) {
         final int sync = lost ? SYNC_LOST : inSync(now) ? SYNC_PEER : SYNC_CATCH_UP;
-        return new BeatEntry(id, groupVersion, epoch, role, sync, baseLsn + 1, syncedLsn, epochAt(syncedLsn), accepted,
-                masterHeard, weight(self));
+        return new BeatEntry(
+                id,
+                groupVersion,
+                epoch,
+                role,
+                sync,
+                baseLsn + 1,
+                syncedLsn,
+                epochAt(syncedLsn),
+                accepted,
+                masterHeard,
+                weight(self));
     }
 
     // ---- set-up and recovery
@@ -333,7 +355,9 @@
         }
     }
 
-    /** Since when the process runs that this member is part of: the pledges that a former one gave were given before. */
+    /**
+     * Since when the process runs that this member is part of: the pledges that a former one gave were given before.
+     */
     public void bornAt(final long mono) {
         startedAt = mono;
     }
@@ -377,11 +401,15 @@
     /** One step of a membership change, as a record; the caller has asked mayAct and membershipSettled. */
     public void change(final Membership next, final long now, final long wall) {
         append(Rec.MEMBERS, next.save(), now, wall);
-        why = "group version " + next.version() + " with voters " + next.voters().stream().map(Member::node).toList();
+        why = "group version " + next.version() + " with voters "
+                + next.voters().stream().map(Member::node).toList();
         out.note("group " + id + ": " + why);
     }
 
-    /** This member is about to leave: it stands no more, and hands over to whoever has everything. True once it masters nothing. */
+    /**
+     * This member is about to leave: it stands no more, and hands over to whoever has everything. True once it masters
+     * nothing.
+     */
     public boolean retreat(final long now) {
         retreats = true;
         if (role == MASTER && now >= handingOverUntil) {
@@ -475,7 +503,8 @@
             }
         }
         if (damaged && !lost && !wantFull && unsynced.isEmpty()) {
-            // why: it has forgotten no vote, so the master's log, whole and synced, makes it the copy that any other slave is
+            // why: it has forgotten no vote, so the master's log, whole and synced, makes it the copy that any other
+            // slave is
             damaged = false;
             why = "copy mended up to " + syncedLsn;
         }
@@ -558,7 +587,8 @@
             if (e.masterHeard() != 0 && e.masterHeard() != self) {
                 return "node " + m.node() + " hears master " + e.masterHeard();
             }
-            // why: one that is heard but does not answer is down; waiting for its longer log would wait for ever, and the
+            // why: one that is heard but does not answer is down; waiting for its longer log would wait for ever, and
+            // the
             // voters' own logs decide anyway
             if (table.up(m.node())) {
                 if (newer(e.endEpoch(), e.endLsn(), epochAt(syncedLsn), syncedLsn)) {
@@ -605,9 +635,20 @@
         why = "stands for epoch " + epoch;
         final long write = out.write(entryOf(W_VOTE).num(epoch).num(self).done());
         for (final Member m : members) {
-            afterSync.add(new Waiting(write, m.node(), m.node() == self
-                    ? new VoteReply(id, epoch, true, epoch, "own vote")
-                    : new VoteAsk(id, groupVersion, epoch, syncedLsn, epochAt(syncedLsn), weight(self), lostGoes, manual)));
+            afterSync.add(new Waiting(
+                    write,
+                    m.node(),
+                    m.node() == self
+                            ? new VoteReply(id, epoch, true, epoch, "own vote")
+                            : new VoteAsk(
+                                    id,
+                                    groupVersion,
+                                    epoch,
+                                    syncedLsn,
+                                    epochAt(syncedLsn),
+                                    weight(self),
+                                    lostGoes,
+                                    manual)));
         }
     }
 
@@ -645,7 +686,7 @@
         if (m.groupVersion() < groupVersion && m.endEpoch() <= epochAt(syncedLsn)) {
             return "older group version";
         }
-        if (m.epoch() < epoch || m.epoch() == epoch && votedFor != from) {
+        if (m.epoch() < epoch || (m.epoch() == epoch && votedFor != from)) {
             return "epoch " + epoch + " is taken";
         }
         if (role == MASTER && (!m.manual() || now >= handingOverUntil)) {
@@ -655,8 +696,12 @@
         if (newer(epochAt(syncedLsn), syncedLsn, m.endEpoch(), m.endLsn())) {
             return "own log is newer";
         }
-        if (m.endLsn() == syncedLsn && m.endEpoch() == epochAt(syncedLsn) && outranks(self, from) && m.goes() < DEFERENCE
-                && !m.manual() && mayStand(now)) {
+        if (m.endLsn() == syncedLsn
+                && m.endEpoch() == epochAt(syncedLsn)
+                && outranks(self, from)
+                && m.goes() < DEFERENCE
+                && !m.manual()
+                && mayStand(now)) {
             nextGo = now;
             return "ranks higher and stands itself";
         }
@@ -721,7 +766,11 @@
     private boolean majorityAnswers(final long now) {
         int n = 1;
         for (final Member m : members) {
-            n += m.node() != self && table.up(m.node()) && now - table.row(m.node()).answeredSentAt() <= 2 * tempo.down() ? 1 : 0;
+            n += m.node() != self
+                            && table.up(m.node())
+                            && now - table.row(m.node()).answeredSentAt() <= 2 * tempo.down()
+                    ? 1
+                    : 0;
         }
         return n >= majority(members.size());
     }
@@ -735,8 +784,13 @@
             }
             final BeatEntry told = row.answeredOwn().get(id);
             final BeatEntry theirs = row.entries().get(id);
-            // why: only a beat that told of this mastership binds the one who answered it, and only a voter can be bound
-            if (told != null && told.role() == MASTER && told.epoch() == epoch && theirs != null && theirs.sync() != SYNC_LOST
+            // why: only a beat that told of this mastership binds the one who answered it, and only a voter can be
+            // bound
+            if (told != null
+                    && told.role() == MASTER
+                    && told.epoch() == epoch
+                    && theirs != null
+                    && theirs.sync() != SYNC_LOST
                     && theirs.epoch() <= epoch) {
                 n++;
             }
@@ -750,13 +804,13 @@
     }
 
     private static boolean newer(final long epochA, final long lsnA, final long epochB, final long lsnB) {
-        return epochA > epochB || epochA == epochB && lsnA > lsnB;
+        return epochA > epochB || (epochA == epochB && lsnA > lsnB);
     }
 
     private boolean outranks(final int a, final int b) {
         final int wa = weight(a);
         final int wb = weight(b);
-        return wa > wb || wa == wb && a > b;
+        return wa > wb || (wa == wb && a > b);
     }
 
     private int weight(final int node) {
@@ -779,7 +833,7 @@
             return;
         }
         final int source = source(now);
-        if (source == 0 || pulling && source == pullSource && now - pullSentAt < tempo.pullHorizon()) {
+        if (source == 0 || (pulling && source == pullSource && now - pullSentAt < tempo.pullHorizon())) {
             return;
         }
         sendPull(source, now);
@@ -790,7 +844,19 @@
         pullSource = source;
         pullSentAt = now;
         final long next = wantFull ? -1 : endLsn() + 1;
-        out.send(source, new Pull(id, groupVersion, epoch, next, epochAt(endLsn()), syncedLsn, epochAt(syncedLsn), accepted, lost(), chainAt(syncedLsn)));
+        out.send(
+                source,
+                new Pull(
+                        id,
+                        groupVersion,
+                        epoch,
+                        next,
+                        epochAt(endLsn()),
+                        syncedLsn,
+                        epochAt(syncedLsn),
+                        accepted,
+                        lost(),
+                        chainAt(syncedLsn)));
     }
 
     /** The master while it can be reached; else a slave that still hears it. */
@@ -800,7 +866,11 @@
         }
         for (final Member m : members) {
             final BeatEntry e = m.node() == self ? null : table.fresh(m.node(), id, now);
-            if (e != null && table.up(m.node()) && e.masterHeard() != 0 && e.masterHeard() != self && e.sync() == SYNC_PEER
+            if (e != null
+                    && table.up(m.node())
+                    && e.masterHeard() != 0
+                    && e.masterHeard() != self
+                    && e.sync() == SYNC_PEER
                     && e.epoch() >= epoch) {
                 return m.node();
             }
@@ -816,12 +886,17 @@
             }
             return;
         }
-        if (role == MASTER && !m.lost() && epochAt(m.syncedLsn()) == m.syncedEpoch() && chainAt(m.syncedLsn()) != m.chain()) {
-            // why: the same (epoch, LSN) must mean the same log; where it does not, the copy is no copy and is sent whole
+        if (role == MASTER
+                && !m.lost()
+                && epochAt(m.syncedLsn()) == m.syncedEpoch()
+                && chainAt(m.syncedLsn()) != m.chain()) {
+            // why: the same (epoch, LSN) must mean the same log; where it does not, the copy is no copy and is sent
+            // whole
             copies.remove(from);
             learnt.remove(from);
             held.remove(from);
-            out.note("group " + id + ": the copy of node " + from + " differs at or before " + m.syncedLsn() + " and is sent whole");
+            out.note("group " + id + ": the copy of node " + from + " differs at or before " + m.syncedLsn()
+                    + " and is sent whole");
             sendWhole(from, m, mayAct(now) ? PullReply.ACTING_MASTER : PullReply.MASTER);
             return;
         }
@@ -831,9 +906,12 @@
                 learnt.put(from, !m.lost() && epochAt(m.syncedLsn()) == m.syncedEpoch() ? m.syncedLsn() : -1);
             } else if (m.lost()) {
                 copies.remove(from);
-            } else if (m.epoch() == epoch && m.syncedLsn() > baseLsn && m.syncedLsn() <= endLsn()
+            } else if (m.epoch() == epoch
+                    && m.syncedLsn() > baseLsn
+                    && m.syncedLsn() <= endLsn()
                     && epochAt(m.syncedLsn()) == m.syncedEpoch()) {
-                // why: the same (epoch, LSN) means the same log up to there, so this copy holds everything before it too
+                // why: the same (epoch, LSN) means the same log up to there, so this copy holds everything before it
+                // too
                 copies.merge(from, m.syncedLsn(), Math::max);
                 advance(now);
             }
@@ -859,7 +937,20 @@
             while (tryLsn > baseLsn && epochAt(tryLsn) > m.prevEpoch()) {
                 tryLsn--;
             }
-            out.send(to, new PullReply(id, groupVersion, epoch, MISMATCH, lead, accepted, prev, m.prevEpoch(), tryLsn, new byte[0], List.of()));
+            out.send(
+                    to,
+                    new PullReply(
+                            id,
+                            groupVersion,
+                            epoch,
+                            MISMATCH,
+                            lead,
+                            accepted,
+                            prev,
+                            m.prevEpoch(),
+                            tryLsn,
+                            new byte[0],
+                            List.of()));
             return true;
         }
         final List<Rec> part = new ArrayList<>();
@@ -874,7 +965,10 @@
         if (part.isEmpty() && m.accepted() >= accepted && m.epoch() == epoch) {
             return false;
         }
-        out.send(to, new PullReply(id, groupVersion, epoch, RECORDS, lead, accepted, prev, m.prevEpoch(), 0, new byte[0], part));
+        out.send(
+                to,
+                new PullReply(
+                        id, groupVersion, epoch, RECORDS, lead, accepted, prev, m.prevEpoch(), 0, new byte[0], part));
         return true;
     }
 
@@ -884,7 +978,20 @@
                 return;
             }
         }
-        out.send(to, new PullReply(id, groupVersion, epoch, FULL, lead, accepted, m.nextLsn() - 1, m.prevEpoch(), 0, image(), List.of()));
+        out.send(
+                to,
+                new PullReply(
+                        id,
+                        groupVersion,
+                        epoch,
+                        FULL,
+                        lead,
+                        accepted,
+                        m.nextLsn() - 1,
+                        m.prevEpoch(),
+                        0,
+                        image(),
+                        List.of()));
     }
 
     private void serveHeld(final long now) {
@@ -893,7 +1000,10 @@
 
     private void onPullReply(final int from, final PullReply m, final long now) {
         // why: the fence: whoever acts for an older epoch or an older group is not obeyed, however late it wakes
-        if (m.epoch() < epoch || m.epoch() == epoch && m.groupVersion() < groupVersion || role == MASTER || from != pullSource) {
+        if (m.epoch() < epoch
+                || (m.epoch() == epoch && m.groupVersion() < groupVersion)
+                || role == MASTER
+                || from != pullSource) {
             return;
         }
         if (m.epoch() > epoch) {
@@ -906,8 +1016,10 @@
             out.write(entryOf(W_VOTE).num(epoch).num(0).done());
         }
         pulling = false;
-        // why: a late reply speaks of a log that may have grown since; cutting by it would take back acknowledged records
-        final boolean ofThisLog = wantFull ? m.askedLsn() < 0 : m.askedLsn() == endLsn() && m.askedEpoch() == epochAt(endLsn());
+        // why: a late reply speaks of a log that may have grown since; cutting by it would take back acknowledged
+        // records
+        final boolean ofThisLog =
+                wantFull ? m.askedLsn() < 0 : m.askedLsn() == endLsn() && m.askedEpoch() == epochAt(endLsn());
         if (m.kind() != RECORDS && !ofThisLog) {
             pull(now);
             return;
@@ -916,7 +1028,9 @@
         switch (m.kind()) {
             case FULL -> {
                 // why: a slave's log may lack what this member's counted for; whoever is mended takes the master's
-                if (m.image().length == 0 || m.standing() == PullReply.SLAVE && damaged || m.standing() == PullReply.SLAVE && !lost() && !wantFull && endLsn() > 0 && accepted > 0) {
+                if (m.image().length == 0
+                        || (m.standing() == PullReply.SLAVE && damaged)
+                        || (m.standing() == PullReply.SLAVE && !lost() && !wantFull && endLsn() > 0 && accepted > 0)) {
                     return;
                 }
                 loadImage(m.image(), now);
@@ -924,7 +1038,8 @@
                 unsynced.clear();
                 wantFull = false;
                 matched = endLsn();
-                unsynced.add(new Unsynced(out.write(entryOf(W_IMAGE).bytes(m.image()).done()), endLsn()));
+                unsynced.add(
+                        new Unsynced(out.write(entryOf(W_IMAGE).bytes(m.image()).done()), endLsn()));
                 why = "full sync from " + from + " up to " + endLsn();
                 out.note("group " + id + ": " + why);
             }
@@ -932,7 +1047,7 @@
                 if (m.standing() == PullReply.SLAVE) {
                     return;
                 }
-                if (m.tryLsn() < accepted && m.tryLsn() < baseLsn || m.tryLsn() <= baseLsn && endLsn() == baseLsn) {
+                if ((m.tryLsn() < accepted && m.tryLsn() < baseLsn) || (m.tryLsn() <= baseLsn && endLsn() == baseLsn)) {
                     wantFull = true;
                 } else if (m.tryLsn() < accepted) {
                     out.grave("group " + id + ": master " + from + " lacks accepted records after " + m.tryLsn());
@@ -965,13 +1080,14 @@
 
     /** Appends what follows; returns up to where this log is the source's, or -1 where the reply fits another log. */
     private long take(final PullReply m, final long now) {
-        // why: a late reply may belong to a log that was cut since; what came after the cut must not be called accepted by it
+        // why: a late reply may belong to a log that was cut since; what came after the cut must not be called accepted
+        // by it
         if (m.askedLsn() < baseLsn || m.askedLsn() > endLsn() || epochAt(m.askedLsn()) != m.askedEpoch()) {
             return -1;
         }
         long matched = m.askedLsn();
         for (final Rec rec : m.recs()) {
-            if (rec.lsn() != matched + 1 || rec.lsn() <= endLsn() && epochAt(rec.lsn()) != rec.epoch()) {
+            if (rec.lsn() != matched + 1 || (rec.lsn() <= endLsn() && epochAt(rec.lsn()) != rec.epoch())) {
                 break;
             }
             if (rec.lsn() > endLsn()) {
@@ -1040,7 +1156,9 @@
         }
         nextTrim = now + tempo.beat();
         int n = 0;
-        while (n < recs.size() && recs.get(n).lsn() <= Math.min(accepted, syncedLsn) && now - recs.get(n).learnedAt() > live.keepMs(recs.get(n))) {
+        while (n < recs.size()
+                && recs.get(n).lsn() <= Math.min(accepted, syncedLsn)
+                && now - recs.get(n).learnedAt() > live.keepMs(recs.get(n))) {
             n++;
         }
         // why: in steps, so that the list is not shifted for each record
@@ -1074,7 +1192,10 @@
 
     // ---- repair
 
-    /** Whether the record is as it was made. Where not, this copy is out and is mended from another, and nothing of it is served. */
+    /**
+     * Whether the record is as it was made. Where not, this copy is out and is mended from another, and nothing of it
+     * is served.
+     */
     public boolean whole(final long lsn) {
         if (rec(lsn).whole()) {
             return true;
@@ -1107,7 +1228,12 @@
     }
 
     private byte[] image() {
-        final Pack pack = Pack.writer().num(baseLsn).num(baseEpoch).num(baseChain).bytes(base.save()).num(recs.size());
+        final Pack pack = Pack.writer()
+                .num(baseLsn)
+                .num(baseEpoch)
+                .num(baseChain)
+                .bytes(base.save())
+                .num(recs.size());
         recs.forEach(r -> pack.bytes(r.bytes()));
         if (baseMembership != null) {
             pack.bytes(baseMembership.save());
--- a/coordination/src/main/java/brookpath/coordination/group/Membership.java
+++ b/coordination/src/main/java/brookpath/coordination/group/Membership.java
@@ -59,7 +59,8 @@
         if (!holds(to.node())) {
             return new Membership(version + 1, voters, with(learners, to));
         }
-        return find(learners, to.node()) != null ? new Membership(version + 1, with(voters, to), without(learners, to.node()))
+        return find(learners, to.node()) != null
+                ? new Membership(version + 1, with(voters, to), without(learners, to.node()))
                 : new Membership(version + 1, without(voters, from), learners);
     }
 }
--- a/coordination/src/main/java/brookpath/coordination/message/Msg.java
+++ b/coordination/src/main/java/brookpath/coordination/message/Msg.java
@@ -10,11 +10,21 @@
      * @param known what the sender has of the receiver's entries ({@link BeatEntry#digest})
      * @param same in a reply: the entries are left out, for what matters of them is what the asker has
      */
-    record Beat(boolean reply, long id, long stamp, long known, boolean same, List<BeatEntry> entries) implements Msg {
-    }
-
-    record BeatEntry(int group, int groupVersion, long epoch, int role, int sync, long startLsn, long endLsn, long endEpoch,
-                     long accepted, int masterHeard, int weight) {
+    record Beat(boolean reply, long id, long stamp, long known, boolean same, List<BeatEntry> entries) implements Msg {}
+
+    /** The state of one group at the sender: its role, epoch, sync state and the ends of its log. */
+    record BeatEntry(
+            int group,
+            int groupVersion,
+            long epoch,
+            int role,
+            int sync,
+            long startLsn,
+            long endLsn,
+            long endEpoch,
+            long accepted,
+            int masterHeard,
+            int weight) {
         public static final int SLAVE = 0;
         public static final int CANDIDATE = 1;
         public static final int MASTER = 2;
@@ -23,7 +33,8 @@
         public static long digest(final List<BeatEntry> entries) {
             long d = 17;
             for (final BeatEntry e : entries) {
-                for (final long part : new long[] {e.group, e.groupVersion, e.epoch, e.role, e.sync, e.masterHeard, e.weight}) {
+                for (final long part :
+                        new long[] {e.group, e.groupVersion, e.epoch, e.role, e.sync, e.masterHeard, e.weight}) {
                     d = (d ^ part) * 0x9E3779B97F4A7C15L;
                     d ^= d >>> 29;
                 }
@@ -33,28 +44,56 @@
 
         /** The same member after it has voted in a later epoch, in which it masters nothing yet. */
         public BeatEntry raised(final long later) {
-            return new BeatEntry(group, groupVersion, later, SLAVE, sync, startLsn, endLsn, endEpoch, accepted, 0, weight);
+            return new BeatEntry(
+                    group, groupVersion, later, SLAVE, sync, startLsn, endLsn, endEpoch, accepted, 0, weight);
         }
     }
 
-    record VoteAsk(int group, int groupVersion, long epoch, long endLsn, long endEpoch, int weight, int goes, boolean manual) implements Msg {
-    }
+    /** A candidate's request for a vote, with the end of its log. */
+    record VoteAsk(
+            int group, int groupVersion, long epoch, long endLsn, long endEpoch, int weight, int goes, boolean manual)
+            implements Msg {}
 
-    record VoteReply(int group, long epoch, boolean granted, long epochSeen, String why) implements Msg {
-    }
+    /** A vote, or why it was refused. */
+    record VoteReply(int group, long epoch, boolean granted, long epochSeen, String why) implements Msg {}
 
     /** The master asks a slave that has its whole log to stand at once: a manual switchover. */
-    record StandNow(int group, long epoch) implements Msg {
-    }
+    record StandNow(int group, long epoch) implements Msg {}
 
-    /** A slave asks its source for the log; what it has synced is its copy's acknowledgement, and the chain tells whether it is the same log. */
-    record Pull(int group, int groupVersion, long epoch, long nextLsn, long prevEpoch, long syncedLsn, long syncedEpoch,
-                long accepted, boolean lost, long chain) implements Msg {
-    }
+    /**
+     * A slave asks its source for the log; what it has synced is its copy's acknowledgement, and the chain tells
+     * whether it is the same log.
+     */
+    record Pull(
+            int group,
+            int groupVersion,
+            long epoch,
+            long nextLsn,
+            long prevEpoch,
+            long syncedLsn,
+            long syncedEpoch,
+            long accepted,
+            boolean lost,
+            long chain)
+            implements Msg {}
 
-    /** The asked LSN and epoch are the end of the log that the pull told of; only to that log do a cut and a full sync apply. */
-    record PullReply(int group, int groupVersion, long epoch, int kind, int standing, long accepted, long askedLsn, long askedEpoch, long tryLsn,
-                     byte[] image, List<Rec> recs) implements Msg {
+    /**
+     * The asked LSN and epoch are the end of the log that the pull told of; only to that log do a cut and a full sync
+     * apply.
+     */
+    record PullReply(
+            int group,
+            int groupVersion,
+            long epoch,
+            int kind,
+            int standing,
+            long accepted,
+            long askedLsn,
+            long askedEpoch,
+            long tryLsn,
+            byte[] image,
+            List<Rec> recs)
+            implements Msg {
         public static final int RECORDS = 0;
         public static final int MISMATCH = 1;
         public static final int FULL = 2;
@@ -63,10 +102,12 @@
         public static final int ACTING_MASTER = 2;
     }
 
-    record Publish(long jobId, int group, long specVersion, long seq, String tenant, String topic, String sender, String text)
-            implements Msg {
-    }
+    /** A gateway hands a caller's publish to the master of the topic's group; jobId ties the reply to it. */
+    record Publish(
+            long jobId, int group, long specVersion, long seq, String tenant, String topic, String sender, String text)
+            implements Msg {}
 
+    /** The end of a publish as the master knows it; the position is set where it was accepted. */
     record PublishReply(long jobId, int outcome, long position, int masterHint, long epoch, String why) implements Msg {
         public static final int ACCEPTED = 0;
         public static final int NOT_MASTER = 1;
@@ -82,53 +123,81 @@
      * @param at that position
      * @param edition of the topics of a held fetch: told once, and not again while they are the same
      */
-    record Fetch(long jobId, int group, boolean tail, boolean hold, long at, long edition, List<TopicAt> topics) implements Msg {
-    }
+    record Fetch(long jobId, int group, boolean tail, boolean hold, long at, long edition, List<TopicAt> topics)
+            implements Msg {}
 
-    record TopicAt(String topic, long from) {
-    }
+    /** A topic and the position after which its records are wanted. */
+    record TopicAt(String topic, long from) {}
 
-    record FetchReply(long jobId, int group, int status, long scannedTo, List<String> gone, List<Rec> recs) implements Msg {
+    /** Accepted records up to the position that was looked through, and the topics of which older records are gone. */
+    record FetchReply(long jobId, int group, int status, long scannedTo, List<String> gone, List<Rec> recs)
+            implements Msg {
         public static final int OK = 0;
         public static final int NOT_HERE = 1;
         /** The edition of the topics is not known here; they are to be told. */
         public static final int UNTOLD = 2;
     }
 
-    /** A data-plane process asks with the versions that it has. The relay mark: the control master that was named cannot be reached from here. */
-    record SpecPoll(long pollId, int node, int role, String zone, String address, String name, long specVersion, long rosterVersion,
-                    boolean drain, boolean relay, long wall) implements Msg {
+    /**
+     * A data-plane process asks with the versions that it has. The relay mark: the control master that was named cannot
+     * be reached from here.
+     */
+    record SpecPoll(
+            long pollId,
+            int node,
+            int role,
+            String zone,
+            String address,
+            String name,
+            long specVersion,
+            long rosterVersion,
+            boolean drain,
+            boolean relay,
+            long wall)
+            implements Msg {
         public static final int FRONT = 1;
         public static final int STORAGE = 2;
         public static final int BAILIFF = 3;
     }
 
-    /** For the node that polled, whoever carries it; wall is the fleet's clock, 0 while the control master does not know it yet. */
-    record SpecReply(long pollId, boolean master, int masterHint, long epoch, long specVersion, byte[] spec, long rosterVersion,
-                     byte[] roster, int node, long wall) implements Msg {
-    }
+    /**
+     * For the node that polled, whoever carries it; wall is the fleet's clock, 0 while the control master does not know
+     * it yet.
+     */
+    record SpecReply(
+            long pollId,
+            boolean master,
+            int masterHint,
+            long epoch,
+            long specVersion,
+            byte[] spec,
+            long rosterVersion,
+            byte[] roster,
+            int node,
+            long wall)
+            implements Msg {}
 
     /** An operator's or another process's job for the control master. */
-    record Op(long jobId, String kind, byte[] body) implements Msg {
-    }
+    record Op(long jobId, String kind, byte[] body) implements Msg {}
 
-    record OpReply(long jobId, int status, int retryAfterMs, byte[] body) implements Msg {
-    }
+    /** The answer to an operation; the status is an HTTP status. */
+    record OpReply(long jobId, int status, int retryAfterMs, byte[] body) implements Msg {}
 
     /**
      * How many sessions of a front listen to each topic of a group.
      *
-     * @param onto the edition that these counts change; 0 where they are all there are, the edition itself where nothing has changed
+     * @param onto the edition that these counts change; 0 where they are all there are, the edition itself where
+     *     nothing has changed
      */
-    record Listen(int group, long edition, long onto, List<TopicCount> counts) implements Msg {
-    }
+    record Listen(int group, long edition, long onto, List<TopicCount> counts) implements Msg {}
 
-    record TopicCount(String topic, int count) {
-    }
+    /** A topic and how many sessions listen to it. */
+    record TopicCount(String topic, int count) {}
 
-    record CountAsk(long jobId, int group, String topic) implements Msg {
-    }
+    /** Asks a group's master how many sessions listen to a topic. */
+    record CountAsk(long jobId, int group, String topic) implements Msg {}
 
+    /** How many sessions listen to a topic. */
     record CountReply(long jobId, int status, int count) implements Msg {
         public static final int OK = 0;
         public static final int NOT_HERE = 1;
--- a/coordination/src/main/java/brookpath/coordination/node/BailiffNode.java
+++ b/coordination/src/main/java/brookpath/coordination/node/BailiffNode.java
@@ -47,15 +47,16 @@
 
     /**
      * @param groups how many; 0 for one per storage machine that has come
-     * @param storages groups are founded once this many storage machines have come, and where the number of groups is left open, no more come
+     * @param storages groups are founded once this many storage machines have come, and where the number of groups is
+     *     left open, no more come
      */
-    public record Founding(int groups, int copies, int storages, int toleratedLosses) {
-    }
+    public record Founding(int groups, int copies, int storages, int toleratedLosses) {}
 
     private static final class Poller {
         SpecPoll last;
         /** Whom its replies go to: itself, or the bailiff that carries its polls. */
         int via;
+
         long heldSince = -1;
         long leaseEnds = Long.MIN_VALUE;
         long heardAt;
@@ -66,12 +67,10 @@
     }
 
     /** A change on its way: its responders wait until it is everywhere. */
-    private record Waiting(int from, long jobId, String changeId, long horizon) {
-    }
+    private record Waiting(int from, long jobId, String changeId, long horizon) {}
 
     /** A job carried to the control master for another process, or for a caller of this one. */
-    private record Relayed(long jobId, int from, int node, String kind, long horizon) {
-    }
+    private record Relayed(long jobId, int from, int node, String kind, long horizon) {}
 
     private static final int MAX_RELAYED = 1_024;
     private static final int MAX_CHANGES = 64;
@@ -79,9 +78,11 @@
     private final Founding founding;
     /** Whom the settings name as the control group's founders; once the log tells of members, these count no more. */
     private final List<Member> founders;
+
     private final NodeInfo info;
     /** How a bailiff that is not the control master hears of the roster, and the control master of it. */
     private final SpecClient client;
+
     private long rollBytes;
     private final GroupMachine group;
     private final TreeMap<Integer, Poller> pollers = new TreeMap<>();
@@ -93,18 +94,34 @@
     private long nextSwitchover = Long.MIN_VALUE / 2;
     /** Who told last that it masters a group. */
     private final TreeMap<Integer, Integer> masters = new TreeMap<>();
+
     private long dutySince = -1;
     private long newcomerAt;
     /** When each version that waits for its confirmation was first seen accepted. */
     private final TreeMap<Long, Long> acceptedAt = new TreeMap<>();
+
     private long retreat;
     private final FleetClock clock = new FleetClock();
     /** Polls that this node has carried to a control master, by who asked. */
     private final TreeMap<Integer, SpecPoll> carried = new TreeMap<>();
 
-    public BailiffNode(final int self, final List<Member> founders, final Founding founding, final Tempo tempo, final long seed,
-                       final long firstId, final long rollBytes) {
-        this(new NodeInfo(self, "", ""), founders, founders.stream().map(Member::node).toList(), founding, tempo, seed, firstId, rollBytes);
+    public BailiffNode(
+            final int self,
+            final List<Member> founders,
+            final Founding founding,
+            final Tempo tempo,
+            final long seed,
+            final long firstId,
+            final long rollBytes) {
+        this(
+                new NodeInfo(self, "", ""),
+                founders,
+                founders.stream().map(Member::node).toList(),
+                founding,
+                tempo,
+                seed,
+                firstId,
+                rollBytes);
     }
 
     /**
@@ -112,8 +129,15 @@
      * @param founders the control group's members at its founding; empty where the settings do not tell
      * @param seeds bailiffs that may be asked, members or not
      */
-    public BailiffNode(final NodeInfo info, final List<Member> founders, final List<Integer> seeds, final Founding founding, final Tempo tempo,
-                       final long seed, final long firstId, final long rollBytes) {
+    public BailiffNode(
+            final NodeInfo info,
+            final List<Member> founders,
+            final List<Integer> seeds,
+            final Founding founding,
+            final Tempo tempo,
+            final long seed,
+            final long firstId,
+            final long rollBytes) {
         super(info.node(), tempo);
         this.info = info;
         this.founding = founding;
@@ -135,8 +159,10 @@
         if (found) {
             group.found();
         }
-        // why: one that no founder and no log names is no member; it carries jobs and polls, and a membership that names it may come later
-        if (founders.stream().anyMatch(m -> m.node() == self) || group.membership().holds(self)) {
+        // why: one that no founder and no log names is no member; it carries jobs and polls, and a membership that
+        // names it may come later
+        if (founders.stream().anyMatch(m -> m.node() == self)
+                || group.membership().holds(self)) {
             group.configure(founders, 1, true, time.mono());
         }
         return out.drain();
@@ -325,7 +351,8 @@
     }
 
     private boolean isSibling(final int node) {
-        return group.membership().holds(node) || roster().bailiffs().stream().anyMatch(b -> b.node() == node)
+        return group.membership().holds(node)
+                || roster().bailiffs().stream().anyMatch(b -> b.node() == node)
                 || client.roster().bailiffs().stream().anyMatch(b -> b.node() == node);
     }
 
@@ -347,7 +374,8 @@
         if (!group.mayAct(now)) {
             final int master = controlMaster(now);
             if (m.relay() && from == m.node() && master != 0) {
-                // why: it cannot reach the master but this node can; without this a half cut-off master would pause all who do not hear it
+                // why: it cannot reach the master but this node can; without this a half cut-off master would pause all
+                // who do not hear it
                 carried.put(from, m);
                 out.send(master, m);
             } else {
@@ -374,7 +402,8 @@
     }
 
     private void notMaster(final int to, final SpecPoll m, final int hint) {
-        out.send(to, new SpecReply(m.pollId(), false, hint, group.epoch(), 0, new byte[0], 0, new byte[0], m.node(), 0));
+        out.send(
+                to, new SpecReply(m.pollId(), false, hint, group.epoch(), 0, new byte[0], 0, new byte[0], m.node(), 0));
     }
 
     /** Answers when there is news, or when the poll has been held long enough. */
@@ -384,15 +413,28 @@
         final boolean news = p.last.specVersion() < spec.version() || p.last.rosterVersion() < roster.version();
         // why: a lease that a predecessor granted may be about to run out, so the first poll is never held
         // why: until it knows the clock, a storage machine accepts nothing
-        if (!news && (p.clockTold || !clock.known()) && p.leaseEnds != Long.MIN_VALUE && now - p.heldSince < tempo.specHold()) {
+        if (!news
+                && (p.clockTold || !clock.known())
+                && p.leaseEnds != Long.MIN_VALUE
+                && now - p.heldSince < tempo.specHold()) {
             return;
         }
         p.heldSince = -1;
         p.clockTold = clock.known();
         p.leaseEnds = now + tempo.specLease();
-        out.send(p.via, new SpecReply(p.last.pollId(), true, self, group.epoch(), spec.version(),
-                p.last.specVersion() < spec.version() ? spec.lean() : new byte[0], roster.version(),
-                p.last.rosterVersion() < roster.version() ? roster.save() : new byte[0], p.last.node(), clock.known() ? clock.wall(now) : 0));
+        out.send(
+                p.via,
+                new SpecReply(
+                        p.last.pollId(),
+                        true,
+                        self,
+                        group.epoch(),
+                        spec.version(),
+                        p.last.specVersion() < spec.version() ? spec.lean() : new byte[0],
+                        roster.version(),
+                        p.last.rosterVersion() < roster.version() ? roster.save() : new byte[0],
+                        p.last.node(),
+                        clock.known() ? clock.wall(now) : 0));
     }
 
     private void after(final Time time) {
@@ -402,7 +444,8 @@
                 dutySince = -1;
                 pollers.clear();
                 clock.clear();
-                waitlist.forEach(w -> respond(w.from, w.jobId, lostResponse("change", "the control master stepped down")));
+                waitlist.forEach(
+                        w -> respond(w.from, w.jobId, lostResponse("change", "the control master stepped down")));
                 waitlist.clear();
                 usage.clear();
                 masters.clear();
@@ -431,8 +474,13 @@
 
     private void place(final Time time) {
         if (!group.tellsMembers()) {
-            // why: from here on the log says who the members are, also to one that comes back with other seeds than the founders
-            group.change(new Membership(group.membership().version() + 1, group.membership().voters(), List.of()), time.mono(), time.wall());
+            // why: from here on the log says who the members are, also to one that comes back with other seeds than the
+            // founders
+            group.change(
+                    new Membership(
+                            group.membership().version() + 1, group.membership().voters(), List.of()),
+                    time.mono(),
+                    time.wall());
             return;
         }
         final Roster roster = newestRoster();
@@ -445,15 +493,25 @@
                 changed |= take(p.last.role() == SpecPoll.STORAGE ? nodes : bailiffs, told);
             }
         }
-        changed |= group.membershipSettled() && roster.control().version() < group.membership().version();
+        changed |= group.membershipSettled()
+                && roster.control().version() < group.membership().version();
         List<GroupInfo> groups = roster.groups();
-        if (groups.isEmpty() && nodes.size() >= founding.storages && (founding.groups > 0 || time.mono() - newcomerAt >= tempo.changeMs() / 2)) {
+        if (groups.isEmpty()
+                && nodes.size() >= founding.storages
+                && (founding.groups > 0 || time.mono() - newcomerAt >= tempo.changeMs() / 2)) {
             groups = Placement.found(nodes, founding.groups > 0 ? founding.groups : nodes.size(), founding.copies);
             changed = true;
         }
         if (changed) {
-            appendRoster(new Roster(roster.version() + 1, List.copyOf(nodes), groups, roster.retiring(), List.copyOf(bailiffs),
-                    group.membershipSettled() ? group.membership() : roster.control()), time);
+            appendRoster(
+                    new Roster(
+                            roster.version() + 1,
+                            List.copyOf(nodes),
+                            groups,
+                            roster.retiring(),
+                            List.copyOf(bailiffs),
+                            group.membershipSettled() ? group.membership() : roster.control()),
+                    time);
         }
     }
 
@@ -494,21 +552,40 @@
                 final int id = (int) in.num();
                 final boolean known = id >= 0 && id < roster().groups().size();
                 if (known) {
-                    roster().groups().get(id).members().forEach(m -> out.send(m.node(), new Op(0, "handover", op.body())));
+                    roster().groups()
+                            .get(id)
+                            .members()
+                            .forEach(m -> out.send(m.node(), new Op(0, "handover", op.body())));
                 }
-                respond(from, op.jobId(), new Response(known ? 202 : 404, 0, "{\"outcome\":\"" + (known ? "asked" : "no such group") + "\"}"));
+                respond(
+                        from,
+                        op.jobId(),
+                        new Response(
+                                known ? 202 : 404, 0, "{\"outcome\":\"" + (known ? "asked" : "no such group") + "\"}"));
             }
             case "usage" -> usage(from, op);
             case "change" -> change(from, op, time);
             case "spec" -> {
                 final SpecAt at = spec();
-                respond(from, op.jobId(), at.version() == 0 ? new Response(404, 0, "{\"version\":0}")
-                        : new Response(200, 0, "{\"version\":" + at.version() + ",\"document\":" + new String(at.doc(), UTF_8) + "}"));
+                respond(
+                        from,
+                        op.jobId(),
+                        at.version() == 0
+                                ? new Response(404, 0, "{\"version\":0}")
+                                : new Response(
+                                        200,
+                                        0,
+                                        "{\"version\":" + at.version() + ",\"document\":" + new String(at.doc(), UTF_8)
+                                                + "}"));
             }
             case "outcome" -> {
                 final Outcome o = state().outcome(new String(op.body(), UTF_8));
-                respond(from, op.jobId(), o == null || o.lsn() > group.accepted() ? new Response(404, 0, "{\"outcome\":\"unknown\"}")
-                        : outcome(o, o.status() != 200 || everywhere(o.version(), time.mono())));
+                respond(
+                        from,
+                        op.jobId(),
+                        o == null || o.lsn() > group.accepted()
+                                ? new Response(404, 0, "{\"outcome\":\"unknown\"}")
+                                : outcome(o, o.status() != 200 || everywhere(o.version(), time.mono())));
             }
             case "fronts" -> fronts(from, op, time.mono());
             case "retireNamed" -> retireNamed(from, op, time);
@@ -542,11 +619,17 @@
             return;
         }
         appendRoster(r.then(), time);
-        respond(from, op.jobId(), new Response(202, 0, "{\"outcome\":\"" + (on ? "retiring" : "kept") + "\",\"node\":" + node + "}"));
+        respond(
+                from,
+                op.jobId(),
+                new Response(202, 0, "{\"outcome\":\"" + (on ? "retiring" : "kept") + "\",\"node\":" + node + "}"));
     }
 
     private NodeInfo named(final String name) {
-        return newestRoster().nodes().stream().filter(n -> n.name().equals(name)).findFirst().orElse(null);
+        return newestRoster().nodes().stream()
+                .filter(n -> n.name().equals(name))
+                .findFirst()
+                .orElse(null);
     }
 
     private void retireNamed(final int from, final Op op, final Time time) {
@@ -554,7 +637,13 @@
         if (node == null) {
             respond(from, op.jobId(), new Response(404, 0, "{\"outcome\":\"unknown\"}"));
         } else {
-            retire(from, new Op(op.jobId(), op.kind(), Pack.writer().num(node.node()).num(1).done()), time);
+            retire(
+                    from,
+                    new Op(
+                            op.jobId(),
+                            op.kind(),
+                            Pack.writer().num(node.node()).num(1).done()),
+                    time);
         }
     }
 
@@ -565,14 +654,18 @@
             respond(from, op.jobId(), new Response(404, 0, "{\"outcome\":\"unknown\"}"));
             return;
         }
-        final boolean empty = roster().groups().stream().noneMatch(g -> g.membership().holds(node.node()));
+        final boolean empty =
+                roster().groups().stream().noneMatch(g -> g.membership().holds(node.node()));
         respond(from, op.jobId(), new Response(200, 0, "{\"empty\":" + empty + "}"));
     }
 
     /** The fronts that take sessions, for one that sends its own on. */
     private void fronts(final int from, final Op op, final long now) {
         final List<SpecPoll> fronts = pollers.values().stream()
-                .filter(p -> p.last.role() == SpecPoll.FRONT && !p.last.drain() && now - p.heardAt <= 2 * tempo.specHold()).map(p -> p.last).toList();
+                .filter(p ->
+                        p.last.role() == SpecPoll.FRONT && !p.last.drain() && now - p.heardAt <= 2 * tempo.specHold())
+                .map(p -> p.last)
+                .toList();
         final Pack pack = Pack.writer().num(fronts.size());
         fronts.forEach(m -> pack.num(m.node()).str(m.zone()).str(m.address()));
         out.send(from, new OpReply(op.jobId(), 200, 0, pack.done()));
@@ -587,7 +680,12 @@
         nextMove = now + tempo.beat();
         final Roster roster = roster();
         for (final MovePlan.Move m : MovePlan.next(roster, aliveStorages(now), steadyStorages(now), founding.copies)) {
-            final byte[] body = Pack.writer().num(m.group()).num(m.from()).num(m.to().node()).str(m.to().zone()).done();
+            final byte[] body = Pack.writer()
+                    .num(m.group())
+                    .num(m.from())
+                    .num(m.to().node())
+                    .str(m.to().zone())
+                    .done();
             roster.groups().get(m.group()).members().forEach(to -> out.send(to.node(), new Op(0, "move", body)));
         }
         if (now >= nextSwitchover) {
@@ -596,8 +694,14 @@
                 // why: one at a time, each with time to settle; a handing over that fails costs its group a moment
                 nextSwitchover = now + tempo.recoverMs() / 2;
                 masters.remove(s.group());
-                out.note("group " + s.group() + ": asks node " + s.from() + " to hand over to node " + s.to() + ", which ranks first");
-                out.send(s.from(), new Op(0, "handover", Pack.writer().num(s.group()).num(s.to()).done()));
+                out.note("group " + s.group() + ": asks node " + s.from() + " to hand over to node " + s.to()
+                        + ", which ranks first");
+                out.send(
+                        s.from(),
+                        new Op(
+                                0,
+                                "handover",
+                                Pack.writer().num(s.group()).num(s.to()).done()));
             }
         }
     }
@@ -626,24 +730,40 @@
         if (roster().node(from) != null) {
             masters.put(id, from);
         }
-        respond(from, op.jobId(), new Response(200, 0, ""), Pack.writer().num(usage.tell(op)).done());
+        respond(
+                from,
+                op.jobId(),
+                new Response(200, 0, ""),
+                Pack.writer().num(usage.tell(op)).done());
     }
 
     private void change(final int from, final Op op, final Time time) {
         final long now = time.mono();
         if (op.body().length > SpecReader.MAX_BYTES) {
-            respond(from, op.jobId(), new Response(413, 0, findings(List.of(new Finding("/", "larger than " + SpecReader.MAX_BYTES + " bytes")))));
+            respond(
+                    from,
+                    op.jobId(),
+                    new Response(
+                            413,
+                            0,
+                            findings(List.of(new Finding("/", "larger than " + SpecReader.MAX_BYTES + " bytes")))));
             return;
         }
         if (waitlist.size() >= MAX_CHANGES) {
             respond(from, op.jobId(), masterless("too many changes are under way"));
             return;
         }
-        // why: compared with the newest appended, not the newest accepted, so that of two racing changes one loses for certain
+        // why: compared with the newest appended, not the newest accepted, so that of two racing changes one loses for
+        // certain
         final SpecAt newest = state().specAt(Long.MAX_VALUE);
-        final SpecReader.Reading reading = SpecReader.read(op.body(), newest.version() + 1,
-                new SpecReader.Limits(founding.copies, Copies.floor(founding.copies, founding.toleratedLosses)), newest.spec());
-        if (!reading.json() || reading.spec() == null || reading.spec().changeId().isEmpty()) {
+        final SpecReader.Reading reading = SpecReader.read(
+                op.body(),
+                newest.version() + 1,
+                new SpecReader.Limits(founding.copies, Copies.floor(founding.copies, founding.toleratedLosses)),
+                newest.spec());
+        if (!reading.json()
+                || reading.spec() == null
+                || reading.spec().changeId().isEmpty()) {
             respond(from, op.jobId(), new Response(reading.json() ? 422 : 400, 0, findings(reading.findings())));
             return;
         }
@@ -652,15 +772,26 @@
         crc.update(op.body());
         final Outcome before = state().outcome(changeId);
         if (before != null && before.sum() != crc.getValue()) {
-            respond(from, op.jobId(), new Response(409, 0, "{\"outcome\":\"refused\",\"changeId\":\"" + changeId
-                    + "\",\"why\":\"the change ID was used for another document\"}"));
+            respond(
+                    from,
+                    op.jobId(),
+                    new Response(
+                            409,
+                            0,
+                            "{\"outcome\":\"refused\",\"changeId\":\"" + changeId
+                                    + "\",\"why\":\"the change ID was used for another document\"}"));
             return;
         }
         if (before == null) {
             final boolean stale = reading.spec().basedOn() != newest.version();
             final byte[] body = reading.findings().isEmpty() && !stale
-                    ? ControlState.specBody(changeId, crc.getValue(), reading.spec().version(), op.body())
-                    : ControlState.refusalBody(changeId, crc.getValue(), reading.findings().isEmpty() ? 409 : 422, newest.version(),
+                    ? ControlState.specBody(
+                            changeId, crc.getValue(), reading.spec().version(), op.body())
+                    : ControlState.refusalBody(
+                            changeId,
+                            crc.getValue(),
+                            reading.findings().isEmpty() ? 409 : 422,
+                            newest.version(),
                             reading.findings().isEmpty() ? "" : Finding.json(reading.findings()));
             group.append(Rec.CONTROL, body, now, time.wall());
         }
@@ -679,7 +810,9 @@
             return true;
         }
         for (final Poller p : pollers.values()) {
-            if (p.last.role() != SpecPoll.BAILIFF && p.last.specVersion() < version && (now <= p.leaseEnds || p.heldSince >= 0)) {
+            if (p.last.role() != SpecPoll.BAILIFF
+                    && p.last.specVersion() < version
+                    && (now <= p.leaseEnds || p.heldSince >= 0)) {
                 return false;
             }
         }
@@ -718,18 +851,30 @@
         if (from == self) {
             out.respond(jobId, r);
         } else if (jobId != 0) {
-            out.send(from, new OpReply(jobId, r.status(), r.retryAfterMs(), r.json().getBytes(UTF_8)));
+            out.send(
+                    from,
+                    new OpReply(jobId, r.status(), r.retryAfterMs(), r.json().getBytes(UTF_8)));
         }
     }
 
     private Response outcome(final Outcome o, final boolean confirmed) {
         final String id = "\"changeId\":\"" + o.changeId() + "\"";
         return switch (o.status()) {
-            case 200 -> confirmed ? new Response(200, 0, "{\"outcome\":\"confirmed\"," + id + ",\"version\":" + o.version() + "}")
-                    : new Response(202, tempo.retryAfterMs(), "{\"outcome\":\"spreading\"," + id + ",\"version\":" + o.version() + "}");
-            case 409 -> new Response(409, 0, "{\"outcome\":\"refused\"," + id + ",\"why\":\"basedOn is not the present version\",\"version\":"
-                    + o.version() + "}");
-            default -> new Response(o.status(), 0, "{\"outcome\":\"refused\"," + id + ",\"findings\":" + o.body() + "}");
+            case 200 ->
+                confirmed
+                        ? new Response(200, 0, "{\"outcome\":\"confirmed\"," + id + ",\"version\":" + o.version() + "}")
+                        : new Response(
+                                202,
+                                tempo.retryAfterMs(),
+                                "{\"outcome\":\"spreading\"," + id + ",\"version\":" + o.version() + "}");
+            case 409 ->
+                new Response(
+                        409,
+                        0,
+                        "{\"outcome\":\"refused\"," + id
+                                + ",\"why\":\"basedOn is not the present version\",\"version\":" + o.version() + "}");
+            default ->
+                new Response(o.status(), 0, "{\"outcome\":\"refused\"," + id + ",\"findings\":" + o.body() + "}");
         };
     }
 
@@ -745,16 +890,33 @@
         if (!kind.equals("change")) {
             return masterless(why);
         }
-        return new Response(504, tempo.retryAfterMs(), "{\"outcome\":\"unsettled\",\"why\":\"" + why + "; send it again with the same changeId\"}");
+        return new Response(
+                504,
+                tempo.retryAfterMs(),
+                "{\"outcome\":\"unsettled\",\"why\":\"" + why + "; send it again with the same changeId\"}");
     }
 
     private String nodesJson(final long now) {
         final JsonArrayBuilder arr = Json.createArrayBuilder();
-        pollers.forEach((node, p) -> arr.add(Json.createObjectBuilder().add("node", node)
-                .add("role", p.last.role() == SpecPoll.STORAGE ? "storage" : p.last.role() == SpecPoll.BAILIFF ? "bailiff" : "front").add("zone", p.last.zone())
-                .add("specVersion", p.last.specVersion()).add("rosterVersion", p.last.rosterVersion()).add("draining", p.last.drain())
-                .add("leaseLeftMs", Math.max(0, p.leaseEnds - now)).add("heardMsAgo", now - p.heardAt)));
-        return Json.createObjectBuilder().add("controlMaster", self).add("epoch", group.epoch()).add("nodes", arr).build().toString();
+        pollers.forEach((node, p) -> arr.add(Json.createObjectBuilder()
+                .add("node", node)
+                .add(
+                        "role",
+                        p.last.role() == SpecPoll.STORAGE
+                                ? "storage"
+                                : p.last.role() == SpecPoll.BAILIFF ? "bailiff" : "front")
+                .add("zone", p.last.zone())
+                .add("specVersion", p.last.specVersion())
+                .add("rosterVersion", p.last.rosterVersion())
+                .add("draining", p.last.drain())
+                .add("leaseLeftMs", Math.max(0, p.leaseEnds - now))
+                .add("heardMsAgo", now - p.heardAt)));
+        return Json.createObjectBuilder()
+                .add("controlMaster", self)
+                .add("epoch", group.epoch())
+                .add("nodes", arr)
+                .build()
+                .toString();
     }
 
     // ---- for the listener thread and the status page
@@ -788,15 +950,37 @@
         final Roster roster = roster();
         for (final GroupInfo g : roster.groups()) {
             final JsonArrayBuilder ms = Json.createArrayBuilder();
-            g.members().forEach(m -> ms.add(Json.createObjectBuilder().add("node", m.node()).add("zone", m.zone()).add("weight", m.weight())));
-            placed.add(Json.createObjectBuilder().add("group", g.id()).add("groupVersion", g.version()).add("founded", g.founded()).add("members", ms)
-                    .add("learners", Json.createArrayBuilder(g.membership().learners().stream().map(Member::node).toList())));
+            g.members()
+                    .forEach(m -> ms.add(Json.createObjectBuilder()
+                            .add("node", m.node())
+                            .add("zone", m.zone())
+                            .add("weight", m.weight())));
+            placed.add(Json.createObjectBuilder()
+                    .add("group", g.id())
+                    .add("groupVersion", g.version())
+                    .add("founded", g.founded())
+                    .add("members", ms)
+                    .add(
+                            "learners",
+                            Json.createArrayBuilder(g.membership().learners().stream()
+                                    .map(Member::node)
+                                    .toList())));
         }
         final JsonArrayBuilder storages = Json.createArrayBuilder();
-        roster.nodes().forEach(n -> storages.add(Json.createObjectBuilder().add("node", n.node()).add("zone", n.zone()).add("address", n.address())));
-        final JsonObjectBuilder obj = Json.createObjectBuilder().add("node", self).add("role", "bailiff").add("specVersion", spec().version())
-                .add("rosterVersion", roster.version()).add("control", GroupStatus.json(group, table, time.mono())).add("placement", placed)
-                .add("copies", founding.copies).add("storages", storages)
+        roster.nodes()
+                .forEach(n -> storages.add(Json.createObjectBuilder()
+                        .add("node", n.node())
+                        .add("zone", n.zone())
+                        .add("address", n.address())));
+        final JsonObjectBuilder obj = Json.createObjectBuilder()
+                .add("node", self)
+                .add("role", "bailiff")
+                .add("specVersion", spec().version())
+                .add("rosterVersion", roster.version())
+                .add("control", GroupStatus.json(group, table, time.mono()))
+                .add("placement", placed)
+                .add("copies", founding.copies)
+                .add("storages", storages)
                 .add("retiring", Json.createArrayBuilder(roster.retiring()));
         return obj.build().toString();
     }
--- a/coordination/src/main/java/brookpath/coordination/node/Cursor.java
+++ b/coordination/src/main/java/brookpath/coordination/node/Cursor.java
@@ -8,8 +8,7 @@
 
 /** Where a subscription stands, per topic. Opaque to the callers. */
 public final class Cursor {
-    private Cursor() {
-    }
+    private Cursor() {}
 
     /** The cursor of a single topic: the place behind the record at the position. */
     public static String one(final long position) {
@@ -26,8 +25,11 @@
 
     public static String write(final Map<String, Long> at) {
         final StringBuilder sb = new StringBuilder();
-        at.forEach((topic, pos) -> sb.append(sb.length() == 0 ? "" : ",").append(topic).append('@').append(pos));
-        return Base64.getUrlEncoder().withoutPadding().encodeToString(sb.toString().getBytes(UTF_8));
+        at.forEach((topic, pos) ->
+                sb.append(sb.length() == 0 ? "" : ",").append(topic).append('@').append(pos));
+        return Base64.getUrlEncoder()
+                .withoutPadding()
+                .encodeToString(sb.toString().getBytes(UTF_8));
     }
 
     /** Null where the text is no cursor. */
--- a/coordination/src/main/java/brookpath/coordination/node/FrontNode.java
+++ b/coordination/src/main/java/brookpath/coordination/node/FrontNode.java
@@ -40,11 +40,9 @@
     /** Beats of a front, which only watches: changes of masterships are told to it at once besides. */
     private static final int BEATS = 4;
 
-    private record CountJob(long jobId, int node, long horizon, boolean leaveOut) {
-    }
+    private record CountJob(long jobId, int node, long horizon, boolean leaveOut) {}
 
-    private record Arrival(Job job, long horizon) {
-    }
+    private record Arrival(Job job, long horizon) {}
 
     private final String zone;
     private final SpecClient client;
@@ -53,24 +51,35 @@
     private final TreeMap<Long, CountJob> counts = new TreeMap<>();
     /** Jobs that wait for the lease. */
     private final ArrayDeque<Arrival> anteroom = new ArrayDeque<>();
+
     private long leaselessSince = Long.MAX_VALUE / 2;
     private long ids;
     private long nextListen;
-    /** The job that asked for a retreat, and until when other fronts' addresses are waited for; 0 while this node stays. */
+    /**
+     * The job that asked for a retreat, and until when other fronts' addresses are waited for; 0 while this node stays.
+     */
     private long retreat;
+
     private long addressesUntil;
     private List<String> elsewhere;
 
     /** @param address where callers reach this front, for those who are sent on to it; may be empty */
-    public FrontNode(final int self, final String zone, final String address, final String name, final List<Integer> seeds, final Tempo tempo,
-                     final long firstId) {
+    public FrontNode(
+            final int self,
+            final String zone,
+            final String address,
+            final String name,
+            final List<Integer> seeds,
+            final Tempo tempo,
+            final long firstId) {
         super(self, tempo);
         this.zone = zone;
         // why: a reply meant for a former life of this process must not match a job of this one
         ids = firstId;
         client = new SpecClient(self, SpecPoll.FRONT, zone, address, name, seeds, tempo, out);
         ferries = new Ferries(tempo, this::paths, () -> ++ids, out);
-        subscriptions = new Subscriptions(self, () -> client.spec().topicsPerSession(), tempo, this::paths, () -> ++ids, out);
+        subscriptions =
+                new Subscriptions(self, () -> client.spec().topicsPerSession(), tempo, this::paths, () -> ++ids, out);
     }
 
     public SpecClient client() {
@@ -84,7 +93,9 @@
 
     @Override
     public long restMs(final Time time) {
-        return ferries.restless() || subscriptions.restless() || client.draining() || !client.leased(time.mono()) ? tempo.tick() : tempo.beat();
+        return ferries.restless() || subscriptions.restless() || client.draining() || !client.leased(time.mono())
+                ? tempo.tick()
+                : tempo.beat();
     }
 
     private PathFinder paths(final long now) {
@@ -180,7 +191,9 @@
 
     /** What cannot be judged without a lease waits a moment for it, in its order, where one may be expected soon. */
     private boolean waits(final Job job, final long now) {
-        if (client.leased(now) && client.spec().version() > 0 || now - leaselessSince > tempo.deliverMs() || anteroom.size() >= MAX_COUNTS) {
+        if ((client.leased(now) && client.spec().version() > 0)
+                || now - leaselessSince > tempo.deliverMs()
+                || anteroom.size() >= MAX_COUNTS) {
             return false;
         }
         anteroom.add(new Arrival(job, now + tempo.deliverMs() / 2));
@@ -195,7 +208,8 @@
         } else if (leaselessSince > now) {
             leaselessSince = now;
         }
-        while (!anteroom.isEmpty() && (serves || now >= anteroom.peek().horizon || now - leaselessSince > tempo.deliverMs())) {
+        while (!anteroom.isEmpty()
+                && (serves || now >= anteroom.peek().horizon || now - leaselessSince > tempo.deliverMs())) {
             take(anteroom.poll().job, now);
         }
     }
@@ -215,7 +229,10 @@
     @Override
     protected void onJob(final Job job, final Time time) {
         final long now = time.mono();
-        if (job instanceof Job.Publish || job instanceof Job.Open || job instanceof Job.Join || job instanceof Job.Count) {
+        if (job instanceof Job.Publish
+                || job instanceof Job.Open
+                || job instanceof Job.Join
+                || job instanceof Job.Count) {
             if (!waits(job, now)) {
                 take(job, now);
             }
@@ -228,15 +245,18 @@
         } else if (job instanceof Job.Leave j) {
             subscriptions.leave(j, now);
         } else if (job instanceof Job.Unsubscribe j) {
-            anteroom.removeIf(a -> a.job instanceof Job.Open o && o.jobId() == j.sessionId() || a.job instanceof Job.Join i && i.sessionId() == j.sessionId());
+            anteroom.removeIf(a -> (a.job instanceof Job.Open o && o.jobId() == j.sessionId())
+                    || (a.job instanceof Job.Join i && i.sessionId() == j.sessionId()));
             subscriptions.end(j.sessionId());
         } else if (job instanceof Job.Explain j) {
             out.respond(j.jobId(), new Response(200, 0, explain(j, now)));
         } else if (job instanceof Job.Ready j) {
             final Response ready = Ready.response(client.leased(now), client.draining());
             // why: it is ready before it has anything to serve, and says so by a code for those who would rather wait
-            final boolean empty = client.spec().version() == 0 || client.roster().groups().isEmpty();
-            out.respond(j.jobId(), new Response(ready.status(), ready.retryAfterMs(), ready.json(), empty ? "empty" : ""));
+            final boolean empty =
+                    client.spec().version() == 0 || client.roster().groups().isEmpty();
+            out.respond(
+                    j.jobId(), new Response(ready.status(), ready.retryAfterMs(), ready.json(), empty ? "empty" : ""));
         } else if (job instanceof Job.Drain j) {
             drain(j.on(), tempo.recoverMs() / 2, now);
             out.respond(j.jobId(), new Response(200, 0, "{\"draining\":" + j.on() + "}"));
@@ -252,13 +272,23 @@
         final PathFinder paths = paths(now);
         final Path path = paths.publish(j.key(), j.topic(), now);
         final Path admitted = paths.admit(j.key(), j.topic());
-        final var obj = Json.createObjectBuilder().add("node", self).add("topic", j.topic()).add("specVersion", client.spec().version())
-                .add("specLeaseLeftMs", Math.max(0, client.leaseUntil() - now)).add("because", path.because())
-                .add("status", path.refusal() == null ? 200 : path.refusal().status()).add("group", admitted.group()).add("master", path.node());
+        final var obj = Json.createObjectBuilder()
+                .add("node", self)
+                .add("topic", j.topic())
+                .add("specVersion", client.spec().version())
+                .add("specLeaseLeftMs", Math.max(0, client.leaseUntil() - now))
+                .add("because", path.because())
+                .add("status", path.refusal() == null ? 200 : path.refusal().status())
+                .add("group", admitted.group())
+                .add("master", path.node());
         if (admitted.group() >= 0) {
             obj.add("readsFrom", paths.nearest(admitted.group(), n -> false, now));
             final JsonArrayBuilder seen = Json.createArrayBuilder();
-            client.roster().groups().get(admitted.group()).members().forEach(m -> seen.add(GroupStatus.row(m, table, admitted.group(), now, false)));
+            client.roster()
+                    .groups()
+                    .get(admitted.group())
+                    .members()
+                    .forEach(m -> seen.add(GroupStatus.row(m, table, admitted.group(), now, false)));
             obj.add("table", seen);
         }
         return obj.build().toString();
@@ -282,27 +312,38 @@
         if (j.session() == null || !j.session().startsWith(self + "-")) {
             return j.session() != null && !j.session().isEmpty();
         }
-        return subscriptions.listens(Long.parseLong(j.session().substring(j.session().indexOf('-') + 1)), j.topic());
+        return subscriptions.listens(
+                Long.parseLong(j.session().substring(j.session().indexOf('-') + 1)), j.topic());
     }
 
     private void publish(final Job.Publish j, final long now) {
         final Path path = paths(now).admit(j.key(), j.topic());
         if (path.refusal() != null) {
-            out.note("publish " + j.topic() + " " + j.sender() + "/" + j.seq() + ": refused with " + path.refusal().status() + ", " + path.because());
+            out.note("publish " + j.topic() + " " + j.sender() + "/" + j.seq() + ": refused with "
+                    + path.refusal().status() + ", " + path.because());
             out.respond(j.jobId(), path.refusal());
             return;
         }
-        ferries.add(j, path, client.spec().version(), client.spec().spaceOf(j.topic()).answerMs(), now);
+        ferries.add(
+                j,
+                path,
+                client.spec().version(),
+                client.spec().spaceOf(j.topic()).answerMs(),
+                now);
     }
 
     private void open(final Job.Open j, final long now) {
         if (!client.leased(now) || client.spec().version() == 0) {
             busy(j.jobId(), "spec", "this node has not heard from the control plane lately");
         } else if (!j.key().isEmpty() && client.spec().tenantOf(j.key()) == null) {
-            out.respond(j.jobId(), new Response(401, 0, "{\"outcome\":\"refused\",\"code\":\"key\",\"why\":\"unknown key\"}", "key"));
+            out.respond(
+                    j.jobId(),
+                    new Response(401, 0, "{\"outcome\":\"refused\",\"code\":\"key\",\"why\":\"unknown key\"}", "key"));
         } else if (client.draining()) {
             busy(j.jobId(), "draining", "this node drains; another takes new sessions");
-            out.move(j.jobId(), elsewhere == null || elsewhere.isEmpty() ? "" : elsewhere.get((int) (++ids % elsewhere.size())));
+            out.move(
+                    j.jobId(),
+                    elsewhere == null || elsewhere.isEmpty() ? "" : elsewhere.get((int) (++ids % elsewhere.size())));
         } else {
             subscriptions.open(j, now);
         }
@@ -380,13 +421,27 @@
         final JsonArrayBuilder arr = Json.createArrayBuilder();
         for (final Roster.GroupInfo g : client.roster().groups()) {
             final Path path = paths.toMaster(new Path(null, "", g.id(), 0, "group " + g.id()), time.mono());
-            arr.add(Json.createObjectBuilder().add("group", g.id()).add("master", path.node()).add("why", path.because())
-                    .add("readsFrom", paths.nearest(g.id(), n -> false, time.mono())).add("founded", g.founded()));
+            arr.add(Json.createObjectBuilder()
+                    .add("group", g.id())
+                    .add("master", path.node())
+                    .add("why", path.because())
+                    .add("readsFrom", paths.nearest(g.id(), n -> false, time.mono()))
+                    .add("founded", g.founded()));
         }
         final Spec spec = client.spec();
-        return Json.createObjectBuilder().add("node", self).add("role", "front").add("zone", zone).add("specVersion", spec.version())
-                .add("rosterVersion", client.roster().version()).add("specLeaseLeftMs", Math.max(0, client.leaseUntil() - time.mono()))
-                .add("controlMaster", client.controlMaster()).add("draining", client.draining()).add("sessions", subscriptions.size())
-                .add("ferries", ferries.size()).add("groups", arr).build().toString();
+        return Json.createObjectBuilder()
+                .add("node", self)
+                .add("role", "front")
+                .add("zone", zone)
+                .add("specVersion", spec.version())
+                .add("rosterVersion", client.roster().version())
+                .add("specLeaseLeftMs", Math.max(0, client.leaseUntil() - time.mono()))
+                .add("controlMaster", client.controlMaster())
+                .add("draining", client.draining())
+                .add("sessions", subscriptions.size())
+                .add("ferries", ferries.size())
+                .add("groups", arr)
+                .build()
+                .toString();
     }
 }
--- a/coordination/src/main/java/brookpath/coordination/node/GroupStatus.java
+++ b/coordination/src/main/java/brookpath/coordination/node/GroupStatus.java
@@ -13,26 +13,47 @@
     private static final String[] ROLES = {"slave", "candidate", "master"};
     private static final String[] SYNCS = {"peer", "catch-up", "lost"};
 
-    private GroupStatus() {
-    }
+    private GroupStatus() {}
 
     static JsonObject json(final GroupMachine g, final BeatTable table, final long now) {
         final JsonArrayBuilder seen = Json.createArrayBuilder();
         g.members().forEach(m -> seen.add(row(m, table, g.id(), now, true)));
-        return Json.createObjectBuilder().add("group", g.id()).add("groupVersion", g.groupVersion()).add("role", ROLES[g.role()])
-                .add("master", g.masterHeard()).add("epoch", g.epoch()).add("mayAct", g.mayAct(now)).add("startLsn", g.baseLsn() + 1)
-                .add("endLsn", g.endLsn()).add("syncedLsn", g.syncedLsn()).add("accepted", g.accepted()).add("lost", g.lost())
+        return Json.createObjectBuilder()
+                .add("group", g.id())
+                .add("groupVersion", g.groupVersion())
+                .add("role", ROLES[g.role()])
+                .add("master", g.masterHeard())
+                .add("epoch", g.epoch())
+                .add("mayAct", g.mayAct(now))
+                .add("startLsn", g.baseLsn() + 1)
+                .add("endLsn", g.endLsn())
+                .add("syncedLsn", g.syncedLsn())
+                .add("accepted", g.accepted())
+                .add("lost", g.lost())
                 .add("why", g.why())
-                .add("obstacle", g.masterHeard() == 0 ? g.obstacle() : "").add("table", seen).build();
+                .add("obstacle", g.masterHeard() == 0 ? g.obstacle() : "")
+                .add("table", seen)
+                .build();
     }
 
-    /** One member as the table shows it. @param copies false where the process holds no copy, and is not told positions in each beat */
-    static JsonObject row(final Member m, final BeatTable table, final int group, final long now, final boolean copies) {
+    /**
+     * One member as the table shows it.
+     *
+     * @param copies false where the process holds no copy, and is not told positions in each beat
+     */
+    static JsonObject row(
+            final Member m, final BeatTable table, final int group, final long now, final boolean copies) {
         final BeatEntry e = table.fresh(m.node(), group, now);
-        final var row = Json.createObjectBuilder().add("node", m.node()).add("zone", m.zone()).add("weight", m.weight())
+        final var row = Json.createObjectBuilder()
+                .add("node", m.node())
+                .add("zone", m.zone())
+                .add("weight", m.weight())
                 .add("up", table.up(m.node()));
         if (e != null) {
-            row.add("role", ROLES[e.role()]).add("sync", SYNCS[e.sync()]).add("epoch", e.epoch()).add("masterHeard", e.masterHeard());
+            row.add("role", ROLES[e.role()])
+                    .add("sync", SYNCS[e.sync()])
+                    .add("epoch", e.epoch())
+                    .add("masterHeard", e.masterHeard());
             if (copies) {
                 row.add("startLsn", e.startLsn()).add("endLsn", e.endLsn());
             }
--- a/coordination/src/main/java/brookpath/coordination/node/Node.java
+++ b/coordination/src/main/java/brookpath/coordination/node/Node.java
@@ -44,8 +44,7 @@
     }
 
     /** Monotonic and wall time, in milliseconds. */
-    public record Time(long mono, long wall) {
-    }
+    public record Time(long mono, long wall) {}
 
     public final List<Action> tick(final Time time, final BeatTable newTable) {
         table = newTable;
@@ -118,7 +117,10 @@
         return tempo.beat();
     }
 
-    /** How long this process may be left alone while nothing happens, in milliseconds: wakeups cost, and most of them would find nothing to do. */
+    /**
+     * How long this process may be left alone while nothing happens, in milliseconds: wakeups cost, and most of them
+     * would find nothing to do.
+     */
     public long restMs(final Time time) {
         return tempo.tick();
     }
--- a/coordination/src/main/java/brookpath/coordination/node/Ready.java
+++ b/coordination/src/main/java/brookpath/coordination/node/Ready.java
@@ -4,8 +4,7 @@
 
 /** Readiness, by which the platform picks healthy nodes. */
 final class Ready {
-    private Ready() {
-    }
+    private Ready() {}
 
     static Response response(final boolean leased, final boolean draining) {
         final boolean ready = leased && !draining;
--- a/coordination/src/main/java/brookpath/coordination/node/StorageNode.java
+++ b/coordination/src/main/java/brookpath/coordination/node/StorageNode.java
@@ -47,22 +47,19 @@
     private static final int FETCH_BYTES = 256 << 10;
     /** Publishes of one group that wait for their copies. */
     private static final int MAX_WAITLIST = 4_096;
+
     private static final int MAX_SENDERS = 65_536;
     /** Entry kind: the group has left this machine. The other kinds are the group's own. */
     public static final int DROP = 100;
 
-    private record Waiting(int from, long jobId, long lsn, int need, long horizon) {
-    }
+    private record Waiting(int from, long jobId, long lsn, int need, long horizon) {}
 
-    private record HeldFetch(int from, Fetch fetch, long horizon) {
-    }
+    private record HeldFetch(int from, Fetch fetch, long horizon) {}
 
     /** The topics that a front reads of a group, as it told them. */
-    private record Interest(long edition, Set<String> topics) {
-    }
+    private record Interest(long edition, Set<String> topics) {}
 
-    private record Listeners(long heardAt, long edition, Map<String, Integer> counts) {
-    }
+    private record Listeners(long heardAt, long edition, Map<String, Integer> counts) {}
 
     private final int toleratedLosses;
     private final long seed;
@@ -80,8 +77,16 @@
     private final TreeMap<Integer, Long> counted = new TreeMap<>();
 
     /** @param name what operators call this machine; may be empty */
-    public StorageNode(final int self, final String zone, final String address, final String name, final List<Integer> seeds, final Tempo tempo,
-                       final int toleratedLosses, final long seed, final long rollBytes) {
+    public StorageNode(
+            final int self,
+            final String zone,
+            final String address,
+            final String name,
+            final List<Integer> seeds,
+            final Tempo tempo,
+            final int toleratedLosses,
+            final long seed,
+            final long rollBytes) {
         super(self, tempo);
         this.toleratedLosses = toleratedLosses;
         this.seed = seed;
@@ -99,7 +104,15 @@
 
     private GroupMachine open(final int id) {
         return groups.computeIfAbsent(id, k -> {
-            final GroupMachine g = new GroupMachine(id, self, tempo, toleratedLosses, seed, () -> new TopicState(this::keepMs, tempo.windowMs()), pledges, out);
+            final GroupMachine g = new GroupMachine(
+                    id,
+                    self,
+                    tempo,
+                    toleratedLosses,
+                    seed,
+                    () -> new TopicState(this::keepMs, tempo.windowMs()),
+                    pledges,
+                    out);
             g.bornAt(bornAt);
             return g;
         });
@@ -111,7 +124,9 @@
         }
         final Spec.Space space = client.spec().spaceOf(topic);
         // why: before the first spec nobody knows how long a space keeps, so nothing goes
-        return client.spec().version() == 0 ? Long.MAX_VALUE : space == null ? tempo.keepMargin() : space.keepingMs() + tempo.keepMargin();
+        return client.spec().version() == 0
+                ? Long.MAX_VALUE
+                : space == null ? tempo.keepMargin() : space.keepingMs() + tempo.keepMargin();
     }
 
     @Override
@@ -165,9 +180,14 @@
 
     private void tellFounded(final GroupMachine g, final long now) {
         final GroupInfo info = info(g.id());
-        if (info != null && !info.founded() && g.mayAct(now) && now - toldFounded.getOrDefault(g.id(), now - tempo.changeMs()) >= tempo.down()) {
+        if (info != null
+                && !info.founded()
+                && g.mayAct(now)
+                && now - toldFounded.getOrDefault(g.id(), now - tempo.changeMs()) >= tempo.down()) {
             toldFounded.put(g.id(), now);
-            out.send(client.controlMaster(), new Op(0, "founded", Pack.writer().num(g.id()).done()));
+            out.send(
+                    client.controlMaster(),
+                    new Op(0, "founded", Pack.writer().num(g.id()).done()));
         }
     }
 
@@ -196,17 +216,26 @@
         toldUsage.put(g.id(), now);
         final List<TopicState.Count> counts = state.counts(included, closed);
         final Pack pack = Pack.writer().num(g.id()).num(included).num(closed).num(counts.size());
-        counts.forEach(c -> pack.num(c.window()).str(c.tenant()).num(c.publishes()).num(c.bytes()));
+        counts.forEach(
+                c -> pack.num(c.window()).str(c.tenant()).num(c.publishes()).num(c.bytes()));
         out.send(client.controlMaster(), new Op(g.id() + 1L, "usage", pack.done()));
     }
 
     /** The control plane learns a membership only once the group's own log has accepted it. */
     private void tellMembers(final GroupMachine g, final long now) {
         final GroupInfo info = info(g.id());
-        if (info != null && g.membership().version() > info.version() && g.membershipSettled() && g.mayAct(now)
+        if (info != null
+                && g.membership().version() > info.version()
+                && g.membershipSettled()
+                && g.mayAct(now)
                 && now - toldMembers.getOrDefault(g.id(), now - tempo.changeMs()) >= tempo.beat()) {
             toldMembers.put(g.id(), now);
-            out.send(client.controlMaster(), new Op(0, "members", g.membership().pack(Pack.writer().num(g.id())).done()));
+            out.send(
+                    client.controlMaster(),
+                    new Op(
+                            0,
+                            "members",
+                            g.membership().pack(Pack.writer().num(g.id())).done()));
         }
     }
 
@@ -286,10 +315,14 @@
         } else if (msg instanceof Listen m) {
             final TreeMap<Integer, Listeners> told = listeners.computeIfAbsent(m.group(), k -> new TreeMap<>());
             final Listeners before = told.get(from);
-            if (m.onto() == 0 || before != null && before.edition == m.onto()) {
-                final Map<String, Integer> counts = m.onto() == 0 || m.counts().isEmpty() ? new HashMap<>() : new HashMap<>(before.counts);
+            if (m.onto() == 0 || (before != null && before.edition == m.onto())) {
+                final Map<String, Integer> counts =
+                        m.onto() == 0 || m.counts().isEmpty() ? new HashMap<>() : new HashMap<>(before.counts);
                 m.counts().forEach(c -> counts.put(c.topic(), c.count()));
-                told.put(from, new Listeners(now, m.edition(), m.onto() != 0 && m.counts().isEmpty() ? before.counts : counts));
+                told.put(
+                        from,
+                        new Listeners(
+                                now, m.edition(), m.onto() != 0 && m.counts().isEmpty() ? before.counts : counts));
             }
         } else if (msg instanceof CountAsk m) {
             count(from, m, now);
@@ -339,11 +372,15 @@
         }
         final GroupInfo info = info(m.group());
         final Spec.Space space = client.spec().spaceOf(m.topic());
-        final String busy = !client.leased(now) ? "spec lease has run out"
-                : client.spec().version() < m.specVersion() || space == null ? "spec is older than the front's"
-                : !g.mayAct(now) ? "master has no lease yet"
-                : !client.clockKnown() ? "the fleet's clock is not known yet"
-                : info == null || !info.founded() ? "group is not founded yet" : null;
+        final String busy = !client.leased(now)
+                ? "spec lease has run out"
+                : client.spec().version() < m.specVersion() || space == null
+                        ? "spec is older than the front's"
+                        : !g.mayAct(now)
+                                ? "master has no lease yet"
+                                : !client.clockKnown()
+                                        ? "the fleet's clock is not known yet"
+                                        : info == null || !info.founded() ? "group is not founded yet" : null;
         if (busy != null) {
             reply(from, m.jobId(), BUSY, 0, 0, busy);
             return;
@@ -369,14 +406,19 @@
                 reply(from, m.jobId(), BUSY, 0, 0, "only " + g.active(now) + " of " + need + " copies are active");
                 return;
             }
-            lsn = g.append(Rec.PUBLISH, Rec.publishBody(m.seq(), need, m.tenant(), m.topic(), m.sender(), m.text()), now, client.wall(time));
+            lsn = g.append(
+                    Rec.PUBLISH,
+                    Rec.publishBody(m.seq(), need, m.tenant(), m.topic(), m.sender(), m.text()),
+                    now,
+                    client.wall(time));
         }
         // why: a repeat waits for the copies just as the first did, and gets the same position
         waitlist.add(new Waiting(from, m.jobId(), lsn, need, now + tempo.settleHorizon()));
         after(g, now);
     }
 
-    private void reply(final int to, final long jobId, final int outcome, final long position, final int hint, final String why) {
+    private void reply(
+            final int to, final long jobId, final int outcome, final long position, final int hint, final String why) {
         out.send(to, new PublishReply(jobId, outcome, position, hint, 0, why));
     }
 
@@ -384,9 +426,10 @@
     private void after(final GroupMachine g, final long now) {
         final List<Waiting> waitlist = waitlists.get(g.id());
         if (waitlist != null && !waitlist.isEmpty()) {
-            // why: asked again right before responding, so that a master which slept in between does not speak for its successor
+            // why: asked again right before responding, so that a master which slept in between does not speak for its
+            // successor
             final boolean acts = g.mayAct(now);
-            for (final Iterator<Waiting> it = waitlist.iterator(); it.hasNext();) {
+            for (final Iterator<Waiting> it = waitlist.iterator(); it.hasNext(); ) {
                 final Waiting w = it.next();
                 if (acts && w.lsn <= g.accepted() && (w.lsn <= g.baseLsn() || g.copies(w.lsn) >= w.need)) {
                     reply(w.from, w.jobId, ACCEPTED, w.lsn, 0, "");
@@ -427,7 +470,8 @@
             }
         }
         if (!serve(from, m, g, !m.hold(), now)) {
-            held.computeIfAbsent(g.id(), k -> new TreeMap<>()).put(from, new HeldFetch(from, m, now + tempo.fetchHold()));
+            held.computeIfAbsent(g.id(), k -> new TreeMap<>())
+                    .put(from, new HeldFetch(from, m, now + tempo.fetchHold()));
         }
     }
 
@@ -466,7 +510,10 @@
                 out.send(to, new FetchReply(m.jobId(), g.id(), FetchReply.NOT_HERE, 0, List.of(), List.of()));
                 return true;
             }
-            if (rec.kind() == Rec.PUBLISH && (m.hold() ? interest.topics.contains(rec.topic()) : lsn > from.getOrDefault(rec.topic(), Long.MAX_VALUE))) {
+            if (rec.kind() == Rec.PUBLISH
+                    && (m.hold()
+                            ? interest.topics.contains(rec.topic())
+                            : lsn > from.getOrDefault(rec.topic(), Long.MAX_VALUE))) {
                 found.add(rec);
                 bytes += rec.bytes().length;
             }
@@ -490,7 +537,8 @@
             return;
         }
         int n = 0;
-        for (final Listeners l : listeners.getOrDefault(m.group(), new TreeMap<>()).values()) {
+        for (final Listeners l :
+                listeners.getOrDefault(m.group(), new TreeMap<>()).values()) {
             // why: soft state lapses with the beat of the front that told it
             n += now - l.heardAt <= tempo.listenLapse() ? l.counts.getOrDefault(m.topic(), 0) : 0;
         }
@@ -536,7 +584,11 @@
 
     @Override
     public long restMs(final Time time) {
-        return retreat == 0 && client.leased(time.mono()) && groups.values().stream().allMatch(GroupMachine::calm) ? tempo.beat() / 2 : tempo.tick();
+        return retreat == 0
+                        && client.leased(time.mono())
+                        && groups.values().stream().allMatch(GroupMachine::calm)
+                ? tempo.beat() / 2
+                : tempo.tick();
     }
 
     @Override
@@ -561,8 +613,15 @@
     public String statusJson(final Time time) {
         final JsonArrayBuilder arr = Json.createArrayBuilder();
         groups.values().forEach(g -> arr.add(GroupStatus.json(g, table, time.mono())));
-        return Json.createObjectBuilder().add("node", self).add("role", "storage").add("specVersion", client.spec().version())
-                .add("rosterVersion", client.roster().version()).add("specLeaseLeftMs", Math.max(0, client.leaseUntil() - time.mono()))
-                .add("controlMaster", client.controlMaster()).add("groups", arr).build().toString();
+        return Json.createObjectBuilder()
+                .add("node", self)
+                .add("role", "storage")
+                .add("specVersion", client.spec().version())
+                .add("rosterVersion", client.roster().version())
+                .add("specLeaseLeftMs", Math.max(0, client.leaseUntil() - time.mono()))
+                .add("controlMaster", client.controlMaster())
+                .add("groups", arr)
+                .build()
+                .toString();
     }
 }
--- a/coordination/src/main/java/brookpath/coordination/node/front/Feed.java
+++ b/coordination/src/main/java/brookpath/coordination/node/front/Feed.java
@@ -19,15 +19,18 @@
     private final TreeMap<String, Interest> interests = new TreeMap<>();
     /** Of the set of topics; another one whenever it changes. */
     long edition;
+
     long at = -1;
     long fetchId;
     int source;
     long sentAt;
     /** The edition that the source was told last. */
     int toldSource;
+
     long toldEdition;
     /** Listener counts as the master was told them. */
     long countsEdition;
+
     int countsToldTo;
     long countsToldAt;
     Map<String, Integer> countsTold = Map.of();
--- a/coordination/src/main/java/brookpath/coordination/node/front/Ferries.java
+++ b/coordination/src/main/java/brookpath/coordination/node/front/Ferries.java
@@ -18,9 +18,10 @@
 import java.util.function.LongSupplier;
 
 /**
- * Publishes on their way to their groups' masters. A group's go in the order in which callers sent them. What a master did not take, or what became
- * unknown when a master or a session was lost, goes again to whoever masters the group then, for the sequence makes a repeat harmless; only a
- * publish whose time is up is given back, as refused where it certainly ran nowhere, else as unsettled.
+ * Publishes on their way to their groups' masters. A group's go in the order in which callers sent them. What a master
+ * did not take, or what became unknown when a master or a session was lost, goes again to whoever masters the group
+ * then, for the sequence makes a repeat harmless; only a publish whose time is up is given back, as refused where it
+ * certainly ran nowhere, else as unsettled.
  */
 public final class Ferries {
     private static final int MOST = 4_096;
@@ -33,6 +34,7 @@
         Master to = Master.NONE;
         /** It was sent and nothing certain came back, so it may be in a log. */
         boolean doubt;
+
         String why = "the group has no master just now";
 
         Ferry(final Job.Publish job, final Path path, final long specVersion, final long horizon) {
@@ -48,6 +50,7 @@
         final TreeMap<Long, Ferry> ferries = new TreeMap<>();
         /** Whom a refusal named, until the beats say the same or something newer. */
         int hint;
+
         long hintUntil;
         long pausedUntil = Long.MIN_VALUE;
         int pauses;
@@ -61,6 +64,7 @@
     private final Map<Long, Integer> groupOf = new HashMap<>();
     /** Since when groups have had no master that this front knows of. */
     private final Map<Integer, Long> masterlessSince = new HashMap<>();
+
     private long nextWatch = Long.MIN_VALUE;
 
     /** @param ids never the same twice, and rising */
@@ -77,10 +81,13 @@
 
     /** Whether something waits for a wakeup rather than for an answer. */
     public boolean restless() {
-        return piers.values().stream().anyMatch(p -> p.pauses > 0 && !p.ferries.isEmpty() || p.ferries.values().stream().anyMatch(f -> f.to.node() == 0));
+        return piers.values().stream()
+                .anyMatch(p -> (p.pauses > 0 && !p.ferries.isEmpty())
+                        || p.ferries.values().stream().anyMatch(f -> f.to.node() == 0));
     }
 
-    public void add(final Job.Publish job, final Path path, final long specVersion, final long answerMs, final long now) {
+    public void add(
+            final Job.Publish job, final Path path, final long specVersion, final long answerMs, final long now) {
         if (groupOf.size() >= MOST) {
             refused(job, "busy", "too many publishes are under way here");
             return;
@@ -97,7 +104,9 @@
         drive(path.group(), pier, now);
     }
 
-    /** Looks which groups have a master: one that has been without for longer than an election takes is not waited for. */
+    /**
+     * Looks which groups have a master: one that has been without for longer than an election takes is not waited for.
+     */
     public void watch(final int groups, final long now) {
         if (now < nextWatch) {
             return;
@@ -119,7 +128,9 @@
 
     public void tick(final long now) {
         piers.forEach((group, pier) -> {
-            for (final Iterator<Map.Entry<Long, Ferry>> it = pier.ferries.entrySet().iterator(); it.hasNext();) {
+            for (final Iterator<Map.Entry<Long, Ferry>> it =
+                            pier.ferries.entrySet().iterator();
+                    it.hasNext(); ) {
                 final Map.Entry<Long, Ferry> e = it.next();
                 final Ferry f = e.getValue();
                 if (now >= f.horizon || hopeless(group, now)) {
@@ -137,7 +148,10 @@
         piers.values().removeIf(p -> p.ferries.isEmpty() && now >= p.pausedUntil);
     }
 
-    /** Sends what is not under way to the group's master, in order, and again what went to a master that is none any more. */
+    /**
+     * Sends what is not under way to the group's master, in order, and again what went to a master that is none any
+     * more.
+     */
     private void drive(final int group, final Pier pier, final long now) {
         if (pier.ferries.isEmpty() || now < pier.pausedUntil) {
             return;
@@ -158,7 +172,17 @@
             // why: it may lie in the log of the one it went to first
             f.doubt |= f.to.node() != 0;
             f.to = master;
-            out.send(master.node(), new Publish(e.getKey(), group, f.specVersion, f.job.seq(), f.path.tenant(), f.job.topic(), f.job.sender(), f.job.text()));
+            out.send(
+                    master.node(),
+                    new Publish(
+                            e.getKey(),
+                            group,
+                            f.specVersion,
+                            f.job.seq(),
+                            f.path.tenant(),
+                            f.job.topic(),
+                            f.job.sender(),
+                            f.job.text()));
         }
     }
 
@@ -173,7 +197,9 @@
             case PublishReply.ACCEPTED -> {
                 done(pier, m.jobId());
                 pier.pauses = 0;
-                out.respond(f.job.jobId(), new Response(200, 0, "{\"outcome\":\"accepted\",\"position\":" + m.position() + "}"));
+                out.respond(
+                        f.job.jobId(),
+                        new Response(200, 0, "{\"outcome\":\"accepted\",\"position\":" + m.position() + "}"));
             }
             case PublishReply.REFUSED_FOR_GOOD -> {
                 done(pier, m.jobId());
@@ -187,7 +213,10 @@
                 }
                 f.why = m.why();
                 f.doubt |= m.outcome() == PublishReply.UNSETTLED;
-                if (m.outcome() == PublishReply.NOT_MASTER && m.masterHint() != 0 && m.masterHint() != from && pier.hint != m.masterHint()) {
+                if (m.outcome() == PublishReply.NOT_MASTER
+                        && m.masterHint() != 0
+                        && m.masterHint() != from
+                        && pier.hint != m.masterHint()) {
                     pier.hint = m.masterHint();
                     pier.hintUntil = now + tempo.down();
                 } else {
@@ -256,7 +285,9 @@
 
     private void unsettled(final Job.Publish job, final String why) {
         note(job, why);
-        out.respond(job.jobId(), new Response(504, tempo.retryAfterMs(), outcome("unsettled", "unsettled", why), "unsettled"));
+        out.respond(
+                job.jobId(),
+                new Response(504, tempo.retryAfterMs(), outcome("unsettled", "unsettled", why), "unsettled"));
     }
 
     private void note(final Job.Publish j, final String how) {
@@ -270,6 +301,11 @@
     }
 
     static String outcome(final String outcome, final String code, final String why) {
-        return Json.createObjectBuilder().add("outcome", outcome).add("code", code).add("why", why).build().toString();
+        return Json.createObjectBuilder()
+                .add("outcome", outcome)
+                .add("code", code)
+                .add("why", why)
+                .build()
+                .toString();
     }
 }
--- a/coordination/src/main/java/brookpath/coordination/node/front/Session.java
+++ b/coordination/src/main/java/brookpath/coordination/node/front/Session.java
@@ -12,6 +12,7 @@
         final int group;
         /** Per topic the position that the session has; -1 until the one to begin at is known. */
         final TreeMap<String, Long> at = new TreeMap<>();
+
         boolean live;
         boolean tail;
         long fetchId;
@@ -19,6 +20,7 @@
         long sentAt;
         /** Who waits for the first word on the topic; 0 for nobody. */
         long answerTo;
+
         final long horizon;
 
         Part(final int group, final long answerTo, final long horizon) {
@@ -50,6 +52,7 @@
     final String key;
     /** All topics at once and one cursor over them, in lines; else they come and go, each with its own. */
     final boolean whole;
+
     private final TreeMap<String, Part> byTopic = new TreeMap<>();
     final long horizon;
     boolean begun;
--- a/coordination/src/main/java/brookpath/coordination/node/front/Subscriptions.java
+++ b/coordination/src/main/java/brookpath/coordination/node/front/Subscriptions.java
@@ -32,8 +32,7 @@
 public final class Subscriptions {
     private static final int MOST_SESSIONS = 8_192;
 
-    private record Asked(long sessionId, Part part) {
-    }
+    private record Asked(long sessionId, Part part) {}
 
     private final int self;
     private final IntSupplier mostTopics;
@@ -50,8 +49,13 @@
     private final Map<Integer, Long> shunned = new HashMap<>();
 
     /** @param mostTopics of one session */
-    public Subscriptions(final int self, final IntSupplier mostTopics, final Tempo tempo, final LongFunction<PathFinder> paths, final LongSupplier ids,
-                         final Actions out) {
+    public Subscriptions(
+            final int self,
+            final IntSupplier mostTopics,
+            final Tempo tempo,
+            final LongFunction<PathFinder> paths,
+            final LongSupplier ids,
+            final Actions out) {
         this.self = self;
         this.mostTopics = mostTopics;
         this.tempo = tempo;
@@ -91,13 +95,27 @@
     public void join(final Job.Join j, final long now) {
         final Session s = sessions.get(j.sessionId());
         final long at = j.cursor() == null ? -1 : Cursor.readOne(j.cursor());
-        if (s == null || j.cursor() != null && at < 0) {
-            out.respond(j.jobId(), new Response(400, 0, Ferries.outcome("refused", "cursor", s == null ? "no such session" : "not a cursor of this service"),
-                    "cursor"));
+        if (s == null || (j.cursor() != null && at < 0)) {
+            out.respond(
+                    j.jobId(),
+                    new Response(
+                            400,
+                            0,
+                            Ferries.outcome(
+                                    "refused",
+                                    "cursor",
+                                    s == null ? "no such session" : "not a cursor of this service"),
+                            "cursor"));
             return;
         }
         if (s.part(j.topic()) == null && s.topics() >= mostTopics.getAsInt()) {
-            out.respond(j.jobId(), new Response(400, 0, Ferries.outcome("refused", "topics", "more than " + mostTopics.getAsInt() + " topics"), "topics"));
+            out.respond(
+                    j.jobId(),
+                    new Response(
+                            400,
+                            0,
+                            Ferries.outcome("refused", "topics", "more than " + mostTopics.getAsInt() + " topics"),
+                            "topics"));
             return;
         }
         final Path path = paths.apply(now).admit(s.key, j.topic());
@@ -128,8 +146,17 @@
     /** All topics at once, with one cursor over them. */
     public void subscribe(final Job.Subscribe j, final Map<String, Long> cursor, final long now) {
         if (cursor == null || j.topics().isEmpty() || j.topics().size() > mostTopics.getAsInt()) {
-            out.respond(j.jobId(), new Response(400, 0, Ferries.outcome("refused", cursor == null ? "cursor" : "topics",
-                    cursor == null ? "not a cursor of this service" : "1 to " + mostTopics.getAsInt() + " topics are needed")));
+            out.respond(
+                    j.jobId(),
+                    new Response(
+                            400,
+                            0,
+                            Ferries.outcome(
+                                    "refused",
+                                    cursor == null ? "cursor" : "topics",
+                                    cursor == null
+                                            ? "not a cursor of this service"
+                                            : "1 to " + mostTopics.getAsInt() + " topics are needed")));
             return;
         }
         if (sessions.size() >= MOST_SESSIONS) {
@@ -146,7 +173,9 @@
                 out.respond(j.jobId(), path.refusal());
                 return;
             }
-            parts.computeIfAbsent(path.group(), g -> new Part(g, 0, s.horizon)).at.put(topic, cursor.getOrDefault(topic, -1L));
+            parts.computeIfAbsent(path.group(), g -> new Part(g, 0, s.horizon))
+                    .at
+                    .put(topic, cursor.getOrDefault(topic, -1L));
         }
         sessions.put(s.id, s);
         parts.values().forEach(p -> listen(s, p));
@@ -208,7 +237,7 @@
             for (final String topic : p.at.keySet()) {
                 final Path path = finder.admit(s.key, topic);
                 final boolean moved = path.refusal() == null && p.group != path.group();
-                if (path.refusal() != null && path.refusal().status() != 503 || moved) {
+                if ((path.refusal() != null && path.refusal().status() != 503) || moved) {
                     if (end(s, p, moved, path)) {
                         return;
                     }
@@ -220,7 +249,10 @@
 
     /** True where the whole session ended with it. */
     private boolean end(final Session s, final Part p, final boolean moved, final Path path) {
-        final Response why = moved ? new Response(503, tempo.retryAfterMs(), Ferries.outcome("refused", "moved", "the topic moved"), "moved") : path.refusal();
+        final Response why = moved
+                ? new Response(
+                        503, tempo.retryAfterMs(), Ferries.outcome("refused", "moved", "the topic moved"), "moved")
+                : path.refusal();
         if (!s.whole) {
             ended(s, p, why);
             return false;
@@ -254,7 +286,11 @@
         }
     }
 
-    /** Sends on whose time has come. @param elsewhere other fronts' addresses for callers */
+    /**
+     * Sends on whose time has come.
+     *
+     * @param elsewhere other fronts' addresses for callers
+     */
     public void sendOn(final List<String> elsewhere, final long now) {
         for (final Session s : new ArrayList<>(sessions.values())) {
             if (!s.begun || now < s.leaveAt) {
@@ -264,7 +300,11 @@
             if (s.whole) {
                 out.close(s.id, "this node drains; go on elsewhere with the cursor");
             } else {
-                out.move(s.id, elsewhere.isEmpty() ? "" : elsewhere.get((int) Math.floorMod(ids.getAsLong(), (long) elsewhere.size())));
+                out.move(
+                        s.id,
+                        elsewhere.isEmpty()
+                                ? ""
+                                : elsewhere.get((int) Math.floorMod(ids.getAsLong(), (long) elsewhere.size())));
             }
         }
     }
@@ -319,14 +359,15 @@
         p.fetchId = 0;
         final Feed f = feeds.get(p.group);
         if (!s.whole && f.at >= 0 && (p.position() < 0 || p.position() >= f.at)) {
-            // why: the feed asks for this topic from its own position, so nothing between is missed and nothing needs to be asked
+            // why: the feed asks for this topic from its own position, so nothing between is missed and nothing needs
+            // to be asked
             goLive(s, p, f, f.at, now);
             return;
         }
         final int node = nearest(p.group, now);
         p.tail = !p.knowsPositions();
         // why: a cursor over all topics must name every one, so no line goes out before all positions are known
-        if (node == 0 || s.whole && !p.tail && !s.knowsAllPositions()) {
+        if (node == 0 || (s.whole && !p.tail && !s.knowsAllPositions())) {
             return;
         }
         p.fetchId = ids.getAsLong();
@@ -358,8 +399,10 @@
     }
 
     private void feed(final Feed f, final long now) {
-        // why: the source answers within the hold, so one that has not is asked no more, without waiting for its beats to be missed
-        final boolean waits = f.fetchId != 0 && now - f.sentAt <= tempo.fetchHold() + tempo.beat() && f.toldEdition == f.edition;
+        // why: the source answers within the hold, so one that has not is asked no more, without waiting for its beats
+        // to be missed
+        final boolean waits =
+                f.fetchId != 0 && now - f.sentAt <= tempo.fetchHold() + tempo.beat() && f.toldEdition == f.edition;
         if (f.at < 0 || waits) {
             return;
         }
@@ -422,7 +465,16 @@
         if (s.whole && !s.begun) {
             s.begun = true;
             s.lastLineAt = now;
-            out.respond(s.id, new Response(200, 0, Json.createObjectBuilder().add("type", "hello").add("session", self + "-" + s.id).build().toString()));
+            out.respond(
+                    s.id,
+                    new Response(
+                            200,
+                            0,
+                            Json.createObjectBuilder()
+                                    .add("type", "hello")
+                                    .add("session", self + "-" + s.id)
+                                    .build()
+                                    .toString()));
         }
         answer(p);
         for (final Rec rec : m.recs()) {
@@ -444,13 +496,19 @@
         } else if (!m.recs().isEmpty()) {
             catchUp(s, p, now);
         }
-        // why: a source that is behind the feed and has nothing more is asked again at the next wakeup, not at once and for ever
+        // why: a source that is behind the feed and has nothing more is asked again at the next wakeup, not at once and
+        // for ever
     }
 
     private void gone(final Session s, final Part p, final List<String> topics) {
         final String why = "history after the cursor is no longer kept";
-        final String json = Json.createObjectBuilder().add("outcome", "gone").add("code", "gone").add("why", why)
-                .add("topics", Json.createArrayBuilder(topics)).build().toString();
+        final String json = Json.createObjectBuilder()
+                .add("outcome", "gone")
+                .add("code", "gone")
+                .add("why", why)
+                .add("topics", Json.createArrayBuilder(topics))
+                .build()
+                .toString();
         final Response response = new Response(410, 0, json, "gone");
         if (!s.whole) {
             ended(s, p, response);
@@ -521,13 +579,30 @@
             out.hand(s.id, rec);
             return;
         }
-        line(s, Json.createObjectBuilder().add("type", "message").add("topic", rec.topic()).add("position", rec.lsn())
-                .add("sender", rec.sender()).add("sequence", rec.seq()).add("message", rec.text())
-                .add("cursor", Cursor.write(s.positions())).build().toString(), now);
+        line(
+                s,
+                Json.createObjectBuilder()
+                        .add("type", "message")
+                        .add("topic", rec.topic())
+                        .add("position", rec.lsn())
+                        .add("sender", rec.sender())
+                        .add("sequence", rec.seq())
+                        .add("message", rec.text())
+                        .add("cursor", Cursor.write(s.positions()))
+                        .build()
+                        .toString(),
+                now);
     }
 
     private void alive(final Session s, final long now) {
-        line(s, Json.createObjectBuilder().add("type", "alive").add("cursor", Cursor.write(s.positions())).build().toString(), now);
+        line(
+                s,
+                Json.createObjectBuilder()
+                        .add("type", "alive")
+                        .add("cursor", Cursor.write(s.positions()))
+                        .build()
+                        .toString(),
+                now);
     }
 
     private void line(final Session s, final String json, final long now) {
@@ -569,21 +644,25 @@
             // why: what was told on the broken session may not have arrived
             f.countsToldTo = f.countsToldTo == node ? 0 : f.countsToldTo;
         });
-        sessions.values().forEach(s -> s.parts().forEach(p -> {
-            if (p.source == node) {
-                asked.remove(p.fetchId);
-                p.fetchId = 0;
-            }
-        }));
+        sessions.values()
+                .forEach(s -> s.parts().forEach(p -> {
+                    if (p.source == node) {
+                        asked.remove(p.fetchId);
+                        p.fetchId = 0;
+                    }
+                }));
     }
 
-    /** Tells each group's master who listens: whole when that or the master has changed, else now and then that it is still so. */
+    /**
+     * Tells each group's master who listens: whole when that or the master has changed, else now and then that it is
+     * still so.
+     */
     public void tellListeners(final long now) {
         final PathFinder finder = paths.apply(now);
         for (final Feed f : feeds.values()) {
             final int master = finder.master(f.group, now).node();
             final boolean same = f.countsToldTo == master && f.countsToldChanges == f.changes;
-            if (master == 0 || same && now - f.countsToldAt < tempo.listenRefresh()) {
+            if (master == 0 || (same && now - f.countsToldAt < tempo.listenRefresh())) {
                 continue;
             }
             final Map<String, Integer> counts = same ? f.countsTold : f.counts();
@@ -596,7 +675,9 @@
                         list.add(new TopicCount(topic, n));
                     }
                 });
-                before.keySet().stream().filter(topic -> !counts.containsKey(topic)).forEach(topic -> list.add(new TopicCount(topic, 0)));
+                before.keySet().stream()
+                        .filter(topic -> !counts.containsKey(topic))
+                        .forEach(topic -> list.add(new TopicCount(topic, 0)));
                 f.countsEdition = ids.getAsLong();
                 f.countsToldTo = master;
                 f.countsTold = counts;
--- a/coordination/src/main/java/brookpath/coordination/node/usage/UsageDesk.java
+++ b/coordination/src/main/java/brookpath/coordination/node/usage/UsageDesk.java
@@ -21,14 +21,16 @@
 import java.util.TreeMap;
 import java.util.function.LongSupplier;
 
-/** The control master's duty of usage: the totals of a window go into the control log before they go to the platform. */
+/**
+ * The control master's duty of usage: the totals of a window go into the control log before they go to the platform.
+ */
 public final class UsageDesk {
     /** Goes at one report: about an hour of a platform that is down, as long as the groups keep their windows. */
     private static final int MAX_GOES = 1_200;
+
     private static final int POSTS_AT_ONCE = 8;
 
-    private record Told(long closed, List<TopicState.Count> counts) {
-    }
+    private record Told(long closed, List<TopicState.Count> counts) {}
 
     private static final class Post {
         final ControlState.Window window;
@@ -51,7 +53,13 @@
     private final TreeMap<Long, Post> posts = new TreeMap<>();
 
     /** @param ids of posts, never the same twice */
-    public UsageDesk(final int self, final GroupMachine group, final FleetClock clock, final Tempo tempo, final LongSupplier ids, final Actions out) {
+    public UsageDesk(
+            final int self,
+            final GroupMachine group,
+            final FleetClock clock,
+            final Tempo tempo,
+            final LongSupplier ids,
+            final Actions out) {
         this.self = self;
         this.group = group;
         this.clock = clock;
@@ -70,7 +78,10 @@
         posts.clear();
     }
 
-    /** A group's master tells its closed windows; returns through which of them it is counted for good, -1 where that is not settled. */
+    /**
+     * A group's master tells its closed windows; returns through which of them it is counted for good, -1 where that is
+     * not settled.
+     */
     public long tell(final Op op) {
         final Pack in = Pack.reader(op.body());
         final int id = (int) in.num();
@@ -94,7 +105,9 @@
             return;
         }
         final long last = state().lastWindow();
-        final long window = last >= 0 ? last + 1 : told.values().stream().mapToLong(Told::closed).min().orElse(0);
+        final long window = last >= 0
+                ? last + 1
+                : told.values().stream().mapToLong(Told::closed).min().orElse(0);
         boolean all = true;
         for (final GroupInfo g : roster.groups()) {
             all &= told.containsKey(g.id()) && told.get(g.id()).closed >= window;
@@ -148,10 +161,20 @@
     /** One report for a window: who reports, in which epoch of the duty, and every tenant's counts. */
     private String json(final ControlState.Window w) {
         final JsonArrayBuilder tenants = Json.createArrayBuilder();
-        w.used().forEach(u -> tenants.add(Json.createObjectBuilder().add("tenant", u.tenant()).add("publishes", u.publishes())
-                .add("bytes", u.bytes()).add("late", u.late())));
-        return Json.createObjectBuilder().add("reporter", self).add("epoch", group.epoch()).add("windowStartMs", w.window() * tempo.windowMs())
-                .add("windowEndMs", (w.window() + 1) * tempo.windowMs()).add("tenants", tenants).build().toString();
+        w.used()
+                .forEach(u -> tenants.add(Json.createObjectBuilder()
+                        .add("tenant", u.tenant())
+                        .add("publishes", u.publishes())
+                        .add("bytes", u.bytes())
+                        .add("late", u.late())));
+        return Json.createObjectBuilder()
+                .add("reporter", self)
+                .add("epoch", group.epoch())
+                .add("windowStartMs", w.window() * tempo.windowMs())
+                .add("windowEndMs", (w.window() + 1) * tempo.windowMs())
+                .add("tenants", tenants)
+                .build()
+                .toString();
     }
 
     /** What became of a post. */
@@ -174,13 +197,23 @@
         for (final ControlState.Window w : state().windows()) {
             if (w.lsn() <= group.accepted()) {
                 final JsonArrayBuilder used = Json.createArrayBuilder();
-                w.used().forEach(u -> used.add(Json.createObjectBuilder().add("tenant", u.tenant()).add("publishes", u.publishes())
-                        .add("bytes", u.bytes()).add("late", u.late())));
+                w.used()
+                        .forEach(u -> used.add(Json.createObjectBuilder()
+                                .add("tenant", u.tenant())
+                                .add("publishes", u.publishes())
+                                .add("bytes", u.bytes())
+                                .add("late", u.late())));
                 final Boolean was = state().told(w.window());
-                arr.add(Json.createObjectBuilder().add("windowStartMs", w.window() * tempo.windowMs())
-                        .add("platform", was == null ? "on its way" : was ? "told" : "given up").add("tenants", used));
+                arr.add(Json.createObjectBuilder()
+                        .add("windowStartMs", w.window() * tempo.windowMs())
+                        .add("platform", was == null ? "on its way" : was ? "told" : "given up")
+                        .add("tenants", used));
             }
         }
-        return Json.createObjectBuilder().add("windowMs", tempo.windowMs()).add("windows", arr).build().toString();
+        return Json.createObjectBuilder()
+                .add("windowMs", tempo.windowMs())
+                .add("windows", arr)
+                .build()
+                .toString();
     }
 }
--- a/coordination/src/main/java/brookpath/coordination/path/Path.java
+++ b/coordination/src/main/java/brookpath/coordination/path/Path.java
@@ -5,8 +5,12 @@
 /** Where a job goes, and why; or the refusal it gets. */
 public record Path(Response refusal, String tenant, int group, int node, String because) {
     static Path refused(final int status, final int retryAfterMs, final String code, final String because) {
-        final String json = jakarta.json.Json.createObjectBuilder().add("outcome", "refused").add("code", code).add("why", because)
-                .build().toString();
+        final String json = jakarta.json.Json.createObjectBuilder()
+                .add("outcome", "refused")
+                .add("code", code)
+                .add("why", because)
+                .build()
+                .toString();
         return new Path(new Response(status, retryAfterMs, json, code), "", -1, 0, because);
     }
 }
--- a/coordination/src/main/java/brookpath/coordination/path/PathFinder.java
+++ b/coordination/src/main/java/brookpath/coordination/path/PathFinder.java
@@ -15,8 +15,12 @@
 
 /** The decision object: asked where a job goes, from immutable tables alone. The executor obeys. */
 public final class PathFinder {
-    /** The refusal's code where no space has such a topic; callers over HTTP are not told it by status from a space that is not theirs. */
+    /**
+     * The refusal's code where no space has such a topic; callers over HTTP are not told it by status from a space that
+     * is not theirs.
+     */
     public static final String UNKNOWN_SPACE = "space";
+
     private static final String TOPIC = "[!-~]{1,200}";
 
     private final Spec spec;
@@ -26,7 +30,13 @@
     private final String zone;
     private final Tempo tempo;
 
-    public PathFinder(final Spec spec, final Roster roster, final BeatTable table, final boolean leased, final String zone, final Tempo tempo) {
+    public PathFinder(
+            final Spec spec,
+            final Roster roster,
+            final BeatTable table,
+            final boolean leased,
+            final String zone,
+            final Tempo tempo) {
         this.spec = spec;
         this.roster = roster;
         this.table = table;
@@ -47,7 +57,7 @@
         final Spec.Tenant tenant = spec.tenantOf(key);
         final Spec.Space space = spec.spaceOf(topic);
         // why: the key is judged first; who has none learns nothing of the spaces but whether one is open
-        if (tenant == null && (!key.isEmpty() || space != null && !space.open())) {
+        if (tenant == null && (!key.isEmpty() || (space != null && !space.open()))) {
             return refused(401, 0, "key", key.isEmpty() ? "a key is needed" : "unknown key");
         }
         if (space == null) {
@@ -60,7 +70,12 @@
             return refused(503, tempo.retryAfterMs(), "placement", "no groups are placed yet");
         }
         final int group = Placement.groupOf(topic, space, roster.groups().size());
-        return new Path(null, tenant == null ? "" : tenant.name(), group, 0, "spec " + spec.version() + " puts " + topic + " into group " + group);
+        return new Path(
+                null,
+                tenant == null ? "" : tenant.name(),
+                group,
+                0,
+                "spec " + spec.version() + " puts " + topic + " into group " + group);
     }
 
     /** Publishes go to the group's master, as the roles in the beats tell it. */
@@ -92,7 +107,12 @@
         if (master.node == 0) {
             return refused(503, tempo.retryAfterMs(), "master", "group " + path.group() + " has no master just now");
         }
-        return new Path(null, path.tenant(), path.group(), master.node, path.because() + "; node " + master.node + " masters it in epoch " + master.epoch);
+        return new Path(
+                null,
+                path.tenant(),
+                path.group(),
+                master.node,
+                path.because() + "; node " + master.node + " masters it in epoch " + master.epoch);
     }
 
     /**
@@ -108,7 +128,9 @@
             if (e == null || !table.up(m.node()) || e.sync() != GroupMachine.SYNC_PEER) {
                 continue;
             }
-            final int score = (m.zone().equals(zone) ? 0 : 4) + (e.role() == GroupMachine.MASTER ? 1 : 0) + (shunned.test(m.node()) ? 8 : 0);
+            final int score = (m.zone().equals(zone) ? 0 : 4)
+                    + (e.role() == GroupMachine.MASTER ? 1 : 0)
+                    + (shunned.test(m.node()) ? 8 : 0);
             if (score < bestScore) {
                 bestScore = score;
                 best = m.node();
--- a/coordination/src/main/java/brookpath/coordination/spec/ControlState.java
+++ b/coordination/src/main/java/brookpath/coordination/spec/ControlState.java
@@ -22,22 +22,23 @@
     private static final long KEEP_MS = 60_000;
 
     /** @param lean the document as the data plane gets it */
-    public record SpecAt(long lsn, long version, byte[] doc, byte[] lean, Spec spec) {
-    }
+    public record SpecAt(long lsn, long version, byte[] doc, byte[] lean, Spec spec) {}
 
-    public record RosterAt(long lsn, Roster roster) {
-    }
+    /** The cluster metadata that a record of the control log holds. */
+    public record RosterAt(long lsn, Roster roster) {}
 
     /** @param status 200 for a change that took effect, else the refusal's; sum tells the document */
-    public record Outcome(long lsn, String changeId, long sum, int status, long version, String body) {
-    }
+    public record Outcome(long lsn, String changeId, long sum, int status, long version, String body) {}
 
-    /** A tenant's part of a window's total. @param late counts from earlier windows among it */
-    public record Used(String tenant, long publishes, long bytes, boolean late) {
-    }
+    /**
+     * A tenant's part of a window's total.
+     *
+     * @param late counts from earlier windows among it
+     */
+    public record Used(String tenant, long publishes, long bytes, boolean late) {}
 
-    public record Window(long lsn, long window, List<Used> used) {
-    }
+    /** The usage of one window, as a record of the control log holds it. */
+    public record Window(long lsn, long window, List<Used> used) {}
 
     private final TreeMap<Long, Window> windows = new TreeMap<>();
     private final TreeMap<Long, Boolean> settled = new TreeMap<>();
@@ -47,11 +48,25 @@
     private final Map<String, Outcome> outcomes = new LinkedHashMap<>();
 
     public static byte[] specBody(final String changeId, final long sum, final long version, final byte[] doc) {
-        return Pack.writer().num(SPEC).str(changeId).num(sum).num(version).bytes(doc).done();
+        return Pack.writer()
+                .num(SPEC)
+                .str(changeId)
+                .num(sum)
+                .num(version)
+                .bytes(doc)
+                .done();
     }
 
-    public static byte[] refusalBody(final String changeId, final long sum, final int status, final long version, final String body) {
-        return Pack.writer().num(REFUSAL).str(changeId).num(sum).num(status).num(version).str(body).done();
+    public static byte[] refusalBody(
+            final String changeId, final long sum, final int status, final long version, final String body) {
+        return Pack.writer()
+                .num(REFUSAL)
+                .str(changeId)
+                .num(sum)
+                .num(status)
+                .num(version)
+                .str(body)
+                .done();
     }
 
     public static byte[] rosterBody(final Roster roster) {
@@ -103,7 +118,9 @@
 
     /** Windows of which the platform has not been told yet. */
     public List<Window> untold(final long position) {
-        return windows.values().stream().filter(w -> w.lsn <= position && !settled.containsKey(w.window)).toList();
+        return windows.values().stream()
+                .filter(w -> w.lsn <= position && !settled.containsKey(w.window))
+                .toList();
     }
 
     public Iterable<Window> windows() {
@@ -209,7 +226,13 @@
         pack.num(included.size());
         included.forEach((g, w) -> pack.num(g).num(w));
         pack.num(outcomes.size());
-        outcomes.values().forEach(o -> pack.num(o.lsn).str(o.changeId).num(o.sum).num(o.status).num(o.version).str(o.body));
+        outcomes.values()
+                .forEach(o -> pack.num(o.lsn)
+                        .str(o.changeId)
+                        .num(o.sum)
+                        .num(o.status)
+                        .num(o.version)
+                        .str(o.body));
         return pack.done();
     }
 
--- a/coordination/src/main/java/brookpath/coordination/spec/Finding.java
+++ b/coordination/src/main/java/brookpath/coordination/spec/Finding.java
@@ -18,7 +18,8 @@
     /** For a place in a larger document. */
     public static JsonArrayBuilder array(final List<Finding> findings) {
         final JsonArrayBuilder arr = Json.createArrayBuilder();
-        findings.forEach(f -> arr.add(Json.createObjectBuilder().add("place", f.place).add("what", f.what)));
+        findings.forEach(
+                f -> arr.add(Json.createObjectBuilder().add("place", f.place).add("what", f.what)));
         return arr;
     }
 }
--- a/coordination/src/main/java/brookpath/coordination/spec/FleetClock.java
+++ b/coordination/src/main/java/brookpath/coordination/spec/FleetClock.java
@@ -5,8 +5,8 @@
 import java.util.TreeMap;
 
 /**
- * The fleet's clock: the middle one of the clocks that the control master hears. Windows are closed and totalled by it, so that no single machine's
- * wrong clock makes a report late or early.
+ * The fleet's clock: the middle one of the clocks that the control master hears. Windows are closed and totalled by it,
+ * so that no single machine's wrong clock makes a report late or early.
  */
 public final class FleetClock {
     private static final int ENOUGH = 3;
--- a/coordination/src/main/java/brookpath/coordination/spec/MovePlan.java
+++ b/coordination/src/main/java/brookpath/coordination/spec/MovePlan.java
@@ -10,8 +10,9 @@
 import java.util.Set;
 
 /**
- * Which copies are to move, and which masterships: asked by the bailiff again and again, and by the planner, which changes nothing. It follows from
- * the roster alone, so that any control master goes on with what another began; nothing of a move is kept but the memberships themselves.
+ * Which copies are to move, and which masterships: asked by the bailiff again and again, and by the planner, which
+ * changes nothing. It follows from the roster alone, so that any control master goes on with what another began;
+ * nothing of a move is kept but the memberships themselves.
  */
 public final class MovePlan {
     /** Groups whose copies move at the same time, so that the others are not slowed. */
@@ -26,15 +27,12 @@
     }
 
     /** The group's mastership goes to a member that ranks higher. */
-    public record Switchover(int group, int from, int to) {
-    }
+    public record Switchover(int group, int from, int to) {}
 
     /** What retiring a machine, or keeping it after all, comes to: the roster then, or why not. */
-    public record Retirement(Roster then, List<Finding> findings) {
-    }
+    public record Retirement(Roster then, List<Finding> findings) {}
 
-    private MovePlan() {
-    }
+    private MovePlan() {}
 
     public static Retirement retire(final Roster roster, final int node, final boolean on, final Set<Integer> alive) {
         final List<Finding> findings = new ArrayList<>();
@@ -49,8 +47,10 @@
         final Roster then = roster.with(roster.nodes(), roster.groups(), retiring);
         for (final GroupInfo g : roster.groups()) {
             if (on && Membership.find(g.members(), node) != null && Placement.instead(then, g, node, alive) == null) {
-                findings.add(new Finding("/groups/" + g.id(), "no live storage machine can take the place of node " + node
-                        + "; the group would have fewer copies than it was founded with"));
+                findings.add(new Finding(
+                        "/groups/" + g.id(),
+                        "no live storage machine can take the place of node " + node
+                                + "; the group would have fewer copies than it was founded with"));
             }
         }
         return new Retirement(then, findings);
@@ -60,7 +60,9 @@
     public static Roster after(final Roster roster, final Move m) {
         final GroupInfo g = roster.groups().get(m.group());
         final Member from = Membership.find(g.members(), m.from());
-        final Membership next = from == null ? null : g.membership().step(m.from(), new Member(m.to().node(), from.weight(), m.to().zone()));
+        final Membership next = from == null
+                ? null
+                : g.membership().step(m.from(), new Member(m.to().node(), from.weight(), m.to().zone()));
         return next == null ? null : roster.with(new GroupInfo(g.id(), g.founded(), next));
     }
 
@@ -70,7 +72,8 @@
      * @param alive storage machines heard lately
      * @param steady those among them that have been heard for so long that it is worth moving something to them
      */
-    public static List<Move> next(final Roster roster, final Set<Integer> alive, final Set<Integer> steady, final int copies) {
+    public static List<Move> next(
+            final Roster roster, final Set<Integer> alive, final Set<Integer> steady, final int copies) {
         final List<Move> moves = new ArrayList<>();
         // why: what has begun is ended first, else a change of plans would leave copies half moved everywhere
         for (final GroupInfo g : roster.groups()) {
@@ -112,33 +115,48 @@
         return 0;
     }
 
-    /** A group with a learner, or with one voter too many: who learns becomes a voter, then the one that leaves is let go. */
+    /**
+     * A group with a learner, or with one voter too many: who learns becomes a voter, then the one that leaves is let
+     * go.
+     */
     private static Move goOn(final Roster roster, final GroupInfo g, final Set<Integer> alive, final int copies) {
         final int retires = leaving(roster, g);
         if (g.members().size() > copies) {
             final int from = retires != 0 ? retires : mostLoaded(roster, g.members());
-            final NodeInfo stays = roster.node(g.members().stream().map(Member::node).filter(n -> n != from).findFirst().orElseThrow());
+            final NodeInfo stays = roster.node(g.members().stream()
+                    .map(Member::node)
+                    .filter(n -> n != from)
+                    .findFirst()
+                    .orElseThrow());
             return new Move(g.id(), from, stays, "it has a copy more than it needs");
         }
         for (final Member learner : g.membership().learners()) {
             final NodeInfo to = roster.node(learner.node());
             if (to != null && alive.contains(to.node()) && !roster.retiring().contains(to.node())) {
-                return new Move(g.id(), retires != 0 ? retires : mostLoaded(roster, g.members()), to, "node " + to.node() + " learns it already");
+                return new Move(
+                        g.id(),
+                        retires != 0 ? retires : mostLoaded(roster, g.members()),
+                        to,
+                        "node " + to.node() + " learns it already");
             }
         }
         final NodeInfo to = retires == 0 ? null : Placement.instead(roster, g, retires, alive);
-        return to == null ? null : new Move(g.id(), retires, to, "node " + retires + " retires, and who learns is away");
+        return to == null
+                ? null
+                : new Move(g.id(), retires, to, "node " + retires + " retires, and who learns is away");
     }
 
     private static int load(final Roster roster, final int node) {
-        return (int) roster.groups().stream().filter(g -> g.membership().holds(node)).count();
+        return (int)
+                roster.groups().stream().filter(g -> g.membership().holds(node)).count();
     }
 
     private static int mostLoaded(final Roster roster, final List<Member> members) {
         int best = 0;
         int bestScore = -1;
         for (final Member m : members) {
-            final boolean zoneTwice = members.stream().filter(o -> o.zone().equals(m.zone())).count() > 1;
+            final boolean zoneTwice =
+                    members.stream().filter(o -> o.zone().equals(m.zone())).count() > 1;
             final int score = load(roster, m.node()) + (zoneTwice ? 10_000 : 0);
             if (score > bestScore) {
                 bestScore = score;
@@ -148,17 +166,25 @@
         return best;
     }
 
-    /** One move that makes the spread over machines better by two, and the spread over zones no worse; null where there is none. */
+    /**
+     * One move that makes the spread over machines better by two, and the spread over zones no worse; null where there
+     * is none.
+     */
     private static Move spread(final Roster roster, final Set<Integer> steady, final int copies) {
         Move best = null;
         int bestGain = 1;
         for (final GroupInfo g : roster.groups()) {
-            if (!g.founded() || g.members().size() != copies || !steady.containsAll(g.members().stream().map(Member::node).toList())) {
+            if (!g.founded()
+                    || g.members().size() != copies
+                    || !steady.containsAll(
+                            g.members().stream().map(Member::node).toList())) {
                 // why: with a member away no copy is moved for mere looks
                 continue;
             }
             for (final NodeInfo to : roster.nodes()) {
-                if (!steady.contains(to.node()) || roster.retiring().contains(to.node()) || g.membership().holds(to.node())) {
+                if (!steady.contains(to.node())
+                        || roster.retiring().contains(to.node())
+                        || g.membership().holds(to.node())) {
                     continue;
                 }
                 for (final Member from : g.members()) {
@@ -167,8 +193,14 @@
                     final int gain = load(roster, from.node()) - load(roster, to.node()) + 100 * zones;
                     if (zones >= 0 && gain > bestGain) {
                         bestGain = gain;
-                        best = new Move(g.id(), from.node(), to, zones > 0 ? "its copies lie in fewer zones than they could"
-                                : "node " + from.node() + " holds " + load(roster, from.node()) + " groups, node " + to.node() + " " + load(roster, to.node()));
+                        best = new Move(
+                                g.id(),
+                                from.node(),
+                                to,
+                                zones > 0
+                                        ? "its copies lie in fewer zones than they could"
+                                        : "node " + from.node() + " holds " + load(roster, from.node())
+                                                + " groups, node " + to.node() + " " + load(roster, to.node()));
                     }
                 }
             }
@@ -185,19 +217,30 @@
         return zones.size();
     }
 
-    /** The first group whose master is not its highest rank, though that one is steady; null where all is as the weights spread it. */
-    public static Switchover switchover(final Roster roster, final Map<Integer, Integer> masters, final Set<Integer> steady) {
+    /**
+     * The first group whose master is not its highest rank, though that one is steady; null where all is as the weights
+     * spread it.
+     */
+    public static Switchover switchover(
+            final Roster roster, final Map<Integer, Integer> masters, final Set<Integer> steady) {
         for (final GroupInfo g : roster.groups()) {
             final Integer master = masters.get(g.id());
             Member first = null;
             for (final Member m : g.members()) {
                 if (!roster.retiring().contains(m.node())
-                        && (first == null || m.weight() > first.weight() || m.weight() == first.weight() && m.node() > first.node())) {
+                        && (first == null
+                                || m.weight() > first.weight()
+                                || (m.weight() == first.weight() && m.node() > first.node()))) {
                     first = m;
                 }
             }
-            if (g.founded() && master != null && first != null && first.node() != master && steady.contains(first.node())
-                    && Membership.find(g.members(), master) != null && g.membership().learners().isEmpty()) {
+            if (g.founded()
+                    && master != null
+                    && first != null
+                    && first.node() != master
+                    && steady.contains(first.node())
+                    && Membership.find(g.members(), master) != null
+                    && g.membership().learners().isEmpty()) {
                 return new Switchover(g.id(), master, first.node());
             }
         }
--- a/coordination/src/main/java/brookpath/coordination/spec/Placement.java
+++ b/coordination/src/main/java/brookpath/coordination/spec/Placement.java
@@ -13,8 +13,7 @@
 public final class Placement {
     private static final int[] WEIGHTS = {90, 60, 30, 25, 20, 15, 10};
 
-    private Placement() {
-    }
+    private Placement() {}
 
     public static List<GroupInfo> found(final List<NodeInfo> storages, final int groups, final int copies) {
         final List<NodeInfo> sorted = new ArrayList<>(storages);
@@ -26,7 +25,8 @@
             for (int round = 0; round < 2; round++) {
                 for (int i = 0; i < sorted.size() && chosen.size() < copies; i++) {
                     final NodeInfo n = sorted.get((g + i) % sorted.size());
-                    final boolean zoneTaken = chosen.stream().anyMatch(c -> c.zone().equals(n.zone()));
+                    final boolean zoneTaken =
+                            chosen.stream().anyMatch(c -> c.zone().equals(n.zone()));
                     if (!chosen.contains(n) && (round == 1 || !zoneTaken)) {
                         chosen.add(n);
                     }
@@ -34,7 +34,8 @@
             }
             final List<Member> members = new ArrayList<>();
             for (int i = 0; i < chosen.size(); i++) {
-                members.add(new Member(chosen.get(i).node(), WEIGHTS[i], chosen.get(i).zone()));
+                members.add(new Member(
+                        chosen.get(i).node(), WEIGHTS[i], chosen.get(i).zone()));
             }
             placed.add(new GroupInfo(g, false, new Membership(1, List.copyOf(members), List.of())));
         }
@@ -42,18 +43,26 @@
     }
 
     /** The storage node that best takes the place of another in a group, or null where none can. */
-    public static NodeInfo instead(final Roster roster, final GroupInfo g, final int leaving, final Set<Integer> alive) {
+    public static NodeInfo instead(
+            final Roster roster, final GroupInfo g, final int leaving, final Set<Integer> alive) {
         NodeInfo best = null;
         int bestScore = Integer.MAX_VALUE;
         for (final NodeInfo n : roster.nodes()) {
-            if (g.membership().holds(n.node()) && Membership.find(g.membership().learners(), n.node()) == null
-                    || roster.retiring().contains(n.node()) || !alive.contains(n.node())) {
+            if ((g.membership().holds(n.node())
+                            && Membership.find(g.membership().learners(), n.node()) == null)
+                    || roster.retiring().contains(n.node())
+                    || !alive.contains(n.node())) {
                 continue;
             }
-            final boolean sameZone = g.members().stream().anyMatch(m -> m.node() != leaving && m.zone().equals(n.zone()));
-            final int load = (int) roster.groups().stream().filter(o -> o.membership().holds(n.node())).count();
+            final boolean sameZone = g.members().stream()
+                    .anyMatch(m -> m.node() != leaving && m.zone().equals(n.zone()));
+            final int load = (int) roster.groups().stream()
+                    .filter(o -> o.membership().holds(n.node()))
+                    .count();
             // why: one that learns already is taken to the end, else two would be made to learn
-            final int score = load + (sameZone ? 10_000 : 0) - (Membership.find(g.membership().learners(), n.node()) != null ? 100_000 : 0);
+            final int score = load
+                    + (sameZone ? 10_000 : 0)
+                    - (Membership.find(g.membership().learners(), n.node()) != null ? 100_000 : 0);
             if (score < bestScore) {
                 bestScore = score;
                 best = n;
--- a/coordination/src/main/java/brookpath/coordination/spec/Prefixes.java
+++ b/coordination/src/main/java/brookpath/coordination/spec/Prefixes.java
@@ -14,7 +14,13 @@
 
     Prefixes(final Collection<Spec.Space> spaces) {
         spaces.forEach(s -> byPrefix.put(s.prefix(), s));
-        lengths = spaces.stream().mapToInt(s -> s.prefix().length()).distinct().map(n -> -n).sorted().map(n -> -n).toArray();
+        lengths = spaces.stream()
+                .mapToInt(s -> s.prefix().length())
+                .distinct()
+                .map(n -> -n)
+                .sorted()
+                .map(n -> -n)
+                .toArray();
     }
 
     Spec.Space of(final String topic) {
--- a/coordination/src/main/java/brookpath/coordination/spec/Roster.java
+++ b/coordination/src/main/java/brookpath/coordination/spec/Roster.java
@@ -14,8 +14,13 @@
  * @param bailiffs the control plane's machines, members of the control group or not
  * @param control the control group's members
  */
-public record Roster(long version, List<NodeInfo> nodes, List<GroupInfo> groups, List<Integer> retiring, List<NodeInfo> bailiffs,
-                     Membership control) {
+public record Roster(
+        long version,
+        List<NodeInfo> nodes,
+        List<GroupInfo> groups,
+        List<Integer> retiring,
+        List<NodeInfo> bailiffs,
+        Membership control) {
     public static final Roster NONE = new Roster(0, List.of(), List.of(), List.of());
 
     /** @param name what operators call the machine; may be empty */
@@ -25,10 +30,15 @@
         }
     }
 
-    public Roster(final long version, final List<NodeInfo> nodes, final List<GroupInfo> groups, final List<Integer> retiring) {
+    public Roster(
+            final long version,
+            final List<NodeInfo> nodes,
+            final List<GroupInfo> groups,
+            final List<Integer> retiring) {
         this(version, nodes, groups, retiring, List.of(), Membership.NONE);
     }
 
+    /** A topic group: whether it has been founded, and its members. */
     public record GroupInfo(int id, boolean founded, Membership membership) {
         public List<Member> members() {
             return membership.voters();
@@ -41,12 +51,22 @@
 
     /** The next version, with this group in place of the one of its number. */
     public Roster with(final GroupInfo changed) {
-        return with(nodes, groups.stream().map(g -> g.id == changed.id ? changed : g).toList(), retiring);
+        return with(
+                nodes,
+                groups.stream().map(g -> g.id == changed.id ? changed : g).toList(),
+                retiring);
     }
 
     /** The next version with these in place of its own; the control plane's part stays. */
-    public Roster with(final List<NodeInfo> newNodes, final List<GroupInfo> newGroups, final List<Integer> newRetiring) {
-        return new Roster(version + 1, List.copyOf(newNodes), List.copyOf(newGroups), List.copyOf(newRetiring), bailiffs, control);
+    public Roster with(
+            final List<NodeInfo> newNodes, final List<GroupInfo> newGroups, final List<Integer> newRetiring) {
+        return new Roster(
+                version + 1,
+                List.copyOf(newNodes),
+                List.copyOf(newGroups),
+                List.copyOf(newRetiring),
+                bailiffs,
+                control);
     }
 
     /** The next version with another control plane. */
--- a/coordination/src/main/java/brookpath/coordination/spec/Spec.java
+++ b/coordination/src/main/java/brookpath/coordination/spec/Spec.java
@@ -8,15 +8,37 @@
  *
  * @param topicsPerSession a session may listen to so many topics
  */
-public record Spec(long version, long basedOn, String changeId, Map<String, Space> spaces, Map<String, Tenant> tenants, Map<String, String> keys,
-                   int topicsPerSession, Prefixes prefixes) {
+public record Spec(
+        long version,
+        long basedOn,
+        String changeId,
+        Map<String, Space> spaces,
+        Map<String, Tenant> tenants,
+        Map<String, String> keys,
+        int topicsPerSession,
+        Prefixes prefixes) {
     /** Among a tenant's spaces: every one there is. */
     public static final String ALL = "*";
+
     public static final Spec NONE = new Spec(0, 0, "", Map.of(), Map.of(), Map.of(), 64);
 
-    public Spec(final long version, final long basedOn, final String changeId, final Map<String, Space> spaces, final Map<String, Tenant> tenants,
-                final Map<String, String> keys, final int topicsPerSession) {
-        this(version, basedOn, changeId, spaces, tenants, keys, topicsPerSession, spaces.isEmpty() ? Prefixes.NONE : new Prefixes(spaces.values()));
+    public Spec(
+            final long version,
+            final long basedOn,
+            final String changeId,
+            final Map<String, Space> spaces,
+            final Map<String, Tenant> tenants,
+            final Map<String, String> keys,
+            final int topicsPerSession) {
+        this(
+                version,
+                basedOn,
+                changeId,
+                spaces,
+                tenants,
+                keys,
+                topicsPerSession,
+                spaces.isEmpty() ? Prefixes.NONE : new Prefixes(spaces.values()));
     }
 
     /**
@@ -25,12 +47,14 @@
      * @param open whether callers without a key may use it
      * @param answerMs callers give up on a publish after this; 0 where they have not said
      */
-    public record Space(String name, String prefix, long keepingMs, boolean one, int replSize, boolean open, long answerMs) {
+    public record Space(
+            String name, String prefix, long keepingMs, boolean one, int replSize, boolean open, long answerMs) {
         public Space(final String name, final long keepingMs, final boolean one, final int replSize) {
             this(name, name + "/", keepingMs, one, replSize, false, 0);
         }
     }
 
+    /** A tenant and the spaces that its keys open. */
     public record Tenant(String name, Set<String> spaces) {
         public boolean uses(final String space) {
             return spaces.contains(space) || spaces.contains(ALL);
--- a/coordination/src/main/java/brookpath/coordination/spec/SpecClient.java
+++ b/coordination/src/main/java/brookpath/coordination/spec/SpecClient.java
@@ -17,6 +17,7 @@
     private final String name;
     /** Whom it may ask: those that the settings name, and those that the roster has told of since. */
     private List<Integer> bailiffs;
+
     private final Tempo tempo;
     private final Actions out;
 
@@ -39,8 +40,15 @@
      * @param address where others reach this process: siblings a storage machine or a bailiff, callers a front
      * @param name what operators call its machine; may be empty
      */
-    public SpecClient(final int self, final int role, final String zone, final String address, final String name, final List<Integer> seeds,
-                      final Tempo tempo, final Actions out) {
+    public SpecClient(
+            final int self,
+            final int role,
+            final String zone,
+            final String address,
+            final String name,
+            final List<Integer> seeds,
+            final Tempo tempo,
+            final Actions out) {
         this.self = self;
         this.role = role;
         this.zone = zone;
@@ -108,7 +116,9 @@
         }
     }
 
-    /** The one that was asked cannot be reached. Another may reach it, so it is asked to carry the poll, for a while. */
+    /**
+     * The one that was asked cannot be reached. Another may reach it, so it is asked to carry the poll, for a while.
+     */
     private void unreached(final long now) {
         // why: before a first answer nothing says that the one is unreachable rather than not up yet
         relay = known;
@@ -143,11 +153,25 @@
         polling = true;
         sentAt = now;
         relay &= now < relayUntil;
-        out.send(target, new SpecPoll(++pollId, self, role, zone, address, name, known ? spec.version() : -1,
-                known ? roster.version() : -1, drain, relay, time.wall()));
+        out.send(
+                target,
+                new SpecPoll(
+                        ++pollId,
+                        self,
+                        role,
+                        zone,
+                        address,
+                        name,
+                        known ? spec.version() : -1,
+                        known ? roster.version() : -1,
+                        drain,
+                        relay,
+                        time.wall()));
     }
 
-    /** The poll never left, or the session that it went over broke: waiting for its horizon would only waste the lease. */
+    /**
+     * The poll never left, or the session that it went over broke: waiting for its horizon would only waste the lease.
+     */
     public void unsent(final int to, final long now) {
         if (polling && to == target) {
             polling = false;
@@ -168,7 +192,8 @@
                 target = m.masterHint();
                 nextAt = now;
             } else if (!relay && m.masterHint() != 0 && m.masterHint() != target) {
-                // why: a master that no settings named is known by number only; whoever names it carries the poll, and the roster tells the rest
+                // why: a master that no settings named is known by number only; whoever names it carries the poll, and
+                // the roster tells the rest
                 relay = true;
                 relayUntil = now + tempo.specHold();
                 nextAt = now;
--- a/coordination/src/main/java/brookpath/coordination/spec/SpecReader.java
+++ b/coordination/src/main/java/brookpath/coordination/spec/SpecReader.java
@@ -28,11 +28,10 @@
     private static final long MAX_ANSWER_MS = 600_000;
 
     /** What a space may ask of the groups. */
-    public record Limits(int members, int floor) {
-    }
+    public record Limits(int members, int floor) {}
 
-    public record Reading(boolean json, Spec spec, List<Finding> findings) {
-    }
+    /** What reading a document gave: whether it is JSON, the configuration if it could be read, and all findings. */
+    public record Reading(boolean json, Spec spec, List<Finding> findings) {}
 
     private final Limits limits;
     private final List<Finding> findings = new ArrayList<>();
@@ -51,19 +50,28 @@
             rd.find("/", "not JSON: " + ex.getMessage());
             return new Reading(false, null, rd.findings);
         }
-        if (!(root instanceof JsonObject)) {
+        if (!(root instanceof JsonObject jsonObject)) {
             rd.find("/", "must be an object");
             return new Reading(true, null, rd.findings);
         }
-        final Spec spec = rd.spec((JsonObject) root, version, present);
+        final Spec spec = rd.spec(jsonObject, version, present);
         return new Reading(true, spec, rd.findings);
     }
 
-    /** The document without its annotation, which is for those who read it back and not for the processes that follow it. */
+    /**
+     * The document without its annotation, which is for those who read it back and not for the processes that follow
+     * it.
+     */
     public static byte[] lean(final byte[] doc) {
         try (JsonReader json = Json.createReader(new ByteArrayInputStream(doc))) {
             final JsonObject obj = json.readObject();
-            return obj.containsKey("annotation") ? Json.createObjectBuilder(obj).remove("annotation").build().toString().getBytes(UTF_8) : doc;
+            return obj.containsKey("annotation")
+                    ? Json.createObjectBuilder(obj)
+                            .remove("annotation")
+                            .build()
+                            .toString()
+                            .getBytes(UTF_8)
+                    : doc;
         }
     }
 
@@ -73,7 +81,8 @@
 
     private Spec spec(final JsonObject obj, final long version, final Spec present) {
         only(obj, "", Set.of("version", "basedOn", "changeId", "spaces", "tenants", "topicsPerSession", "annotation"));
-        // why: users who number their documents themselves need those numbers in basedOn, in the outcome and when they read it back
+        // why: users who number their documents themselves need those numbers in basedOn, in the outcome and when they
+        // read it back
         final long numbered = num(obj, "", "version", present.version() + 1, Long.MAX_VALUE >> 1, version);
         final long basedOn = num(obj, "", "basedOn", 0, Long.MAX_VALUE, null);
         final String changeId = name(obj, "", "changeId", 128);
@@ -106,7 +115,17 @@
                 find(at + "/prefix", "space \"" + other + "\" has the same prefix");
             }
             final long answerMs = num(item, at, "answerMs", 1, MAX_ANSWER_MS, 0L);
-            if (spaces.put(name, new Space(name, prefix, keeping * 1000, order.equals("one"), replSize, yes(item, at, "open"), answerMs)) != null) {
+            if (spaces.put(
+                            name,
+                            new Space(
+                                    name,
+                                    prefix,
+                                    keeping * 1000,
+                                    order.equals("one"),
+                                    replSize,
+                                    yes(item, at, "open"),
+                                    answerMs))
+                    != null) {
                 find(at + "/name", "space \"" + name + "\" is there twice");
             }
         });
@@ -140,8 +159,8 @@
         if (obj.containsKey("annotation") && !(obj.get("annotation") instanceof JsonString)) {
             find("/annotation", "must be a string");
         }
-        return new Spec(numbered, basedOn, changeId, Map.copyOf(spaces), Map.copyOf(tenants), Map.copyOf(keys),
-                (int) num(obj, "", "topicsPerSession", 1, 10_000, (long) Spec.NONE.topicsPerSession()));
+        return new Spec(numbered, basedOn, changeId, Map.copyOf(spaces), Map.copyOf(tenants), Map.copyOf(keys), (int)
+                num(obj, "", "topicsPerSession", 1, 10_000, (long) Spec.NONE.topicsPerSession()));
     }
 
     private interface Item<T> {
@@ -207,12 +226,22 @@
         return s.getString();
     }
 
-    private long num(final JsonObject obj, final String at, final String field, final long min, final long max, final Long absent) {
+    private long num(
+            final JsonObject obj,
+            final String at,
+            final String field,
+            final long min,
+            final long max,
+            final Long absent) {
         final JsonValue v = obj.get(field);
         if (v == null && absent != null) {
             return absent;
         }
-        if (!(v instanceof JsonNumber n) || !n.isIntegral() || n.bigIntegerValue().bitLength() > 62 || n.longValue() < min || n.longValue() > max) {
+        if (!(v instanceof JsonNumber n)
+                || !n.isIntegral()
+                || n.bigIntegerValue().bitLength() > 62
+                || n.longValue() < min
+                || n.longValue() > max) {
             find(at + "/" + field, v == null ? "is missing" : "must be a whole number from " + min + " to " + max);
             return min;
         }
--- a/coordination/src/main/java/brookpath/coordination/topic/TopicState.java
+++ b/coordination/src/main/java/brookpath/coordination/topic/TopicState.java
@@ -17,10 +17,14 @@
 public final class TopicState implements LogState {
     /** Looks up say so when a repeat is too old to know its position. */
     public static final long NEW = 0;
+
     public static final long TOO_LOW = -1;
     private static final int REMEMBERED = 256;
 
-    /** A sender is forgotten this long after its last message, by the log's own time. A repeat that is older was given up long before. */
+    /**
+     * A sender is forgotten this long after its last message, by the log's own time. A repeat that is older was given
+     * up long before.
+     */
     private static final long FORGET_MS = 3_600_000;
 
     private static final class Sender {
@@ -37,8 +41,7 @@
     private static final int KEPT_WINDOWS = 360;
 
     /** What a tenant had accepted in a window. */
-    public record Count(long window, String tenant, long publishes, long bytes) {
-    }
+    public record Count(long window, String tenant, long publishes, long bytes) {}
 
     private final ToLongFunction<String> keeping;
     private final long windowMs;
@@ -65,8 +68,8 @@
     /** The counts of the windows after one, up to another. */
     public List<Count> counts(final long after, final long upTo) {
         final List<Count> list = new ArrayList<>();
-        usage.subMap(after, false, upTo, true).forEach((w, byTenant) ->
-                byTenant.forEach((t, n) -> list.add(new Count(w, t, n[0], n[1]))));
+        usage.subMap(after, false, upTo, true)
+                .forEach((w, byTenant) -> byTenant.forEach((t, n) -> list.add(new Count(w, t, n[0], n[1]))));
         return list;
     }
 
@@ -75,7 +78,8 @@
         n[0] += publishes;
         n[1] += bytes;
         if (usage.size() > KEPT_WINDOWS) {
-            // why: nothing may go uncounted however long the control plane is away; the oldest are counted with the next
+            // why: nothing may go uncounted however long the control plane is away; the oldest are counted with the
+            // next
             final Map.Entry<Long, TreeMap<String, long[]>> oldest = usage.pollFirstEntry();
             oldest.getValue().forEach((t, v) -> use(usage.firstKey(), t, v[0], v[1]));
         }
@@ -87,7 +91,8 @@
             line.senders.values().removeIf(snd -> snd.stamp < before);
             senders -= was - line.senders.size();
         }
-        // why: what is gone of a topic must be remembered, or a cursor from before would pass for a good one; it is one number
+        // why: what is gone of a topic must be remembered, or a cursor from before would pass for a good one; it is one
+        // number
     }
 
     /** How many (topic, sender) pairs are remembered. */
@@ -130,11 +135,17 @@
             return;
         }
         // why: what a master with a slow clock stamps after a window was closed belongs to the next
-        use(Math.max(rec.stamp() / windowMs, closedAt.isEmpty() ? 0 : closedAt.lastKey() + 1), rec.tenant(), 1, rec.text().getBytes(UTF_8).length);
-        final Sender snd = lines.computeIfAbsent(rec.topic(), k -> new Line()).senders.computeIfAbsent(rec.sender(), k -> {
-            senders++;
-            return new Sender();
-        });
+        use(
+                Math.max(rec.stamp() / windowMs, closedAt.isEmpty() ? 0 : closedAt.lastKey() + 1),
+                rec.tenant(),
+                1,
+                rec.text().getBytes(UTF_8).length);
+        final Sender snd = lines.computeIfAbsent(rec.topic(), k -> new Line())
+                .senders
+                .computeIfAbsent(rec.sender(), k -> {
+                    senders++;
+                    return new Sender();
+                });
         snd.last = rec.seq();
         snd.stamp = rec.stamp();
         snd.recent.addLast(new long[] {rec.seq(), rec.lsn()});
@@ -159,10 +170,15 @@
     public byte[] save() {
         final Pack pack = Pack.writer().num(lines.size());
         for (final Map.Entry<String, Line> line : lines.entrySet()) {
-            pack.str(line.getKey()).num(line.getValue().gone).num(line.getValue().senders.size());
+            pack.str(line.getKey())
+                    .num(line.getValue().gone)
+                    .num(line.getValue().senders.size());
             for (final Map.Entry<String, Sender> snd : line.getValue().senders.entrySet()) {
-                pack.str(snd.getKey()).num(snd.getValue().last).num(snd.getValue().stamp).num(snd.getValue().recent.size());
-                for (final Iterator<long[]> it = snd.getValue().recent.iterator(); it.hasNext();) {
+                pack.str(snd.getKey())
+                        .num(snd.getValue().last)
+                        .num(snd.getValue().stamp)
+                        .num(snd.getValue().recent.size());
+                for (final Iterator<long[]> it = snd.getValue().recent.iterator(); it.hasNext(); ) {
                     final long[] seen = it.next();
                     pack.num(seen[0]).num(seen[1]);
                 }
--- a/programs/src/main/java/brookpath/programs/Bailiff.java
+++ b/programs/src/main/java/brookpath/programs/Bailiff.java
@@ -4,8 +4,7 @@
 
 /** The control plane. */
 public final class Bailiff {
-    private Bailiff() {
-    }
+    private Bailiff() {}
 
     public static void main(final String[] args) throws Exception {
         // why: Dropwizard brings logback along; SLF4J is to go to tinylog before anything logs
--- a/programs/src/main/java/brookpath/programs/Creel.java
+++ b/programs/src/main/java/brookpath/programs/Creel.java
@@ -4,8 +4,7 @@
 
 /** The data plane: fronts and storage machines. */
 public final class Creel {
-    private Creel() {
-    }
+    private Creel() {}
 
     public static void main(final String[] args) throws Exception {
         // why: Dropwizard brings logback along; SLF4J is to go to tinylog before anything logs
--- a/programs/src/main/java/brookpath/programs/boot/Assembly.java
+++ b/programs/src/main/java/brookpath/programs/boot/Assembly.java
@@ -20,9 +20,17 @@
 import java.util.Map;
 import org.tinylog.Logger;
 
-/** A process's state, disk and sessions with siblings put together; whatever serves callers or operators is added by the program. */
+/**
+ * A process's state, disk and sessions with siblings put together; whatever serves callers or operators is added by the
+ * program.
+ */
 public final class Assembly {
-    public enum Role { FRONT, STORAGE, BAILIFF }
+    /** What a process does. */
+    public enum Role {
+        FRONT,
+        STORAGE,
+        BAILIFF
+    }
 
     /**
      * @param info this process as others are told of it
@@ -34,17 +42,24 @@
      * @param threads that carry traffic
      * @param bornAt when the process began, by its monotonic clock, in milliseconds
      */
-    public record Plan(Role role, NodeInfo info, List<Member> founders, Map<Integer, String> seeds, Tempo tempo, BailiffNode.Founding founding,
-                       boolean found, String data, long rollBytes, int threads, long bornAt) {
-    }
+    public record Plan(
+            Role role,
+            NodeInfo info,
+            List<Member> founders,
+            Map<Integer, String> seeds,
+            Tempo tempo,
+            BailiffNode.Founding founding,
+            boolean found,
+            String data,
+            long rollBytes,
+            int threads,
+            long bornAt) {}
 
-    private final Plan plan;
     private final Node node;
     private final Host host;
     private final List<Action> first;
 
-    private Assembly(final Plan plan, final Node node, final Host host, final List<Action> first) {
-        this.plan = plan;
+    private Assembly(final Node node, final Host host, final List<Action> first) {
         this.node = node;
         this.host = host;
         this.first = first;
@@ -62,13 +77,23 @@
         node.bornAt(plan.bornAt);
         entries.forEach(e -> node.replay(e, time));
         if (plan.found && !entries.isEmpty()) {
-            throw new IllegalStateException("the data folder already holds a control log, and the control group is founded only once");
+            throw new IllegalStateException(
+                    "the data folder already holds a control log, and the control group is founded only once");
         }
         final List<Action> first = node instanceof BailiffNode b ? b.start(plan.found, time) : List.of();
-        final SpecClient client = node instanceof FrontNode f ? f.client() : node instanceof StorageNode n ? n.client() : null;
-        final Host host = new Host(node, plan.info.node(), plan.tempo, recovered == null ? null : recovered.spool(), n -> addresses(plan, n),
-                () -> client == null ? Long.MAX_VALUE : client.leaseUntil(), poster, plan.threads, () -> Runtime.getRuntime().halt(1));
-        return new Assembly(plan, node, host, first);
+        final SpecClient client =
+                node instanceof FrontNode f ? f.client() : node instanceof StorageNode n ? n.client() : null;
+        final Host host = new Host(
+                node,
+                plan.info.node(),
+                plan.tempo,
+                recovered == null ? null : recovered.spool(),
+                n -> addresses(plan, n),
+                () -> client == null ? Long.MAX_VALUE : client.leaseUntil(),
+                poster,
+                plan.threads,
+                () -> Runtime.getRuntime().halt(1));
+        return new Assembly(node, host, first);
     }
 
     private static Node node(final Plan plan, final Time time) {
@@ -79,9 +104,19 @@
         final long seed = System.nanoTime();
         return switch (plan.role) {
             case FRONT -> new FrontNode(me.node(), me.zone(), me.address(), me.name(), seeds, plan.tempo, firstId);
-            case STORAGE -> new StorageNode(me.node(), me.zone(), me.address(), me.name(), seeds, plan.tempo, plan.founding.toleratedLosses(), seed,
-                    plan.rollBytes);
-            case BAILIFF -> new BailiffNode(me, plan.founders, seeds, plan.founding, plan.tempo, seed, firstId, plan.rollBytes);
+            case STORAGE ->
+                new StorageNode(
+                        me.node(),
+                        me.zone(),
+                        me.address(),
+                        me.name(),
+                        seeds,
+                        plan.tempo,
+                        plan.founding.toleratedLosses(),
+                        seed,
+                        plan.rollBytes);
+            case BAILIFF ->
+                new BailiffNode(me, plan.founders, seeds, plan.founding, plan.tempo, seed, firstId, plan.rollBytes);
         };
     }
 
@@ -91,7 +126,9 @@
         if (node instanceof BailiffNode b) {
             map.putAll(b.addresses());
         } else {
-            final Roster roster = node instanceof FrontNode f ? f.client().roster() : ((StorageNode) node).client().roster();
+            final Roster roster = node instanceof FrontNode f
+                    ? f.client().roster()
+                    : ((StorageNode) node).client().roster();
             roster.bailiffs().forEach(n -> map.put(n.node(), n.address()));
             roster.nodes().forEach(n -> map.put(n.node(), n.address()));
         }
--- a/programs/src/main/java/brookpath/programs/boot/Boot.java
+++ b/programs/src/main/java/brookpath/programs/boot/Boot.java
@@ -37,8 +37,7 @@
     private static final int TRAFFIC_THREADS = 2;
     private static final long BORN_AT = Host.time().mono();
 
-    private Boot() {
-    }
+    private Boot() {}
 
     public static void main(final String program, final boolean bailiff, final String[] args) throws Exception {
         final SettingsReader.Reading reading = SettingsReader.read(args, bailiff);
@@ -84,16 +83,18 @@
     }
 
     private static void watch(final SettingsWatch watch, final long every) {
-        final Thread th = new Thread(() -> {
-            try {
-                while (true) {
-                    Thread.sleep(every);
-                    watch.look();
-                }
-            } catch (final InterruptedException ex) {
-                Thread.currentThread().interrupt();
-            }
-        }, "settings");
+        final Thread th = new Thread(
+                () -> {
+                    try {
+                        while (true) {
+                            Thread.sleep(every);
+                            watch.look();
+                        }
+                    } catch (final InterruptedException ex) {
+                        Thread.currentThread().interrupt();
+                    }
+                },
+                "settings");
         th.setDaemon(true);
         th.start();
     }
@@ -136,11 +137,25 @@
             if (!front) {
                 RingWriter.to(Path.of(s.data(), "ring.log"));
             }
-            final List<Member> founders = bailiff ? s.seeds().keySet().stream().map(n -> new Member(n, 50, "")).toList() : List.of();
-            return Assembly.of(new Assembly.Plan(front ? Role.FRONT : bailiff ? Role.BAILIFF : Role.STORAGE,
-                    new NodeInfo(s.node(), s.zone(), front ? s.http() : s.reachedAs()), founders, s.seeds(), s.tempo(),
-                    new BailiffNode.Founding(s.groups(), s.copies(), s.storages(), s.toleratedLosses()), s.found(), front ? "" : s.data(),
-                    s.rollBytes(), TRAFFIC_THREADS, BORN_AT), poster);
+            final List<Member> founders = bailiff
+                    ? s.seeds().keySet().stream()
+                            .map(n -> new Member(n, 50, ""))
+                            .toList()
+                    : List.of();
+            return Assembly.of(
+                    new Assembly.Plan(
+                            front ? Role.FRONT : bailiff ? Role.BAILIFF : Role.STORAGE,
+                            new NodeInfo(s.node(), s.zone(), front ? s.http() : s.reachedAs()),
+                            founders,
+                            s.seeds(),
+                            s.tempo(),
+                            new BailiffNode.Founding(s.groups(), s.copies(), s.storages(), s.toleratedLosses()),
+                            s.found(),
+                            front ? "" : s.data(),
+                            s.rollBytes(),
+                            TRAFFIC_THREADS,
+                            BORN_AT),
+                    poster);
         }
 
         @Provides
--- a/programs/src/main/java/brookpath/programs/boot/Web.java
+++ b/programs/src/main/java/brookpath/programs/boot/Web.java
@@ -1,17 +1,17 @@
 package brookpath.programs.boot;
 
+import com.codahale.metrics.MetricRegistry;
+import io.dropwizard.configuration.ConfigurationFactory;
+import io.dropwizard.configuration.ConfigurationFactoryFactory;
+import io.dropwizard.configuration.ConfigurationSourceProvider;
 import io.dropwizard.core.Application;
 import io.dropwizard.core.Configuration;
 import io.dropwizard.core.server.DefaultServerFactory;
 import io.dropwizard.core.setup.Bootstrap;
 import io.dropwizard.core.setup.Environment;
-import io.dropwizard.configuration.ConfigurationFactory;
-import io.dropwizard.configuration.ConfigurationFactoryFactory;
-import io.dropwizard.configuration.ConfigurationSourceProvider;
 import io.dropwizard.jetty.HttpConnectorFactory;
 import io.dropwizard.logging.common.LoggingFactory;
 import io.dropwizard.request.logging.RequestLogFactory;
-import com.codahale.metrics.MetricRegistry;
 import java.util.List;
 import java.util.Set;
 import org.eclipse.jetty.server.RequestLog;
@@ -67,8 +67,11 @@
 
     private final class Fixed implements ConfigurationFactoryFactory<Configuration> {
         @Override
-        public ConfigurationFactory<Configuration> create(final Class<Configuration> klass, final jakarta.validation.Validator validator,
-                final com.fasterxml.jackson.databind.ObjectMapper mapper, final String prefix) {
+        public ConfigurationFactory<Configuration> create(
+                final Class<Configuration> klass,
+                final jakarta.validation.Validator validator,
+                final com.fasterxml.jackson.databind.ObjectMapper mapper,
+                final String prefix) {
             return new ConfigurationFactory<>() {
                 @Override
                 public Configuration build(final ConfigurationSourceProvider provider, final String path) {
--- a/programs/src/main/java/brookpath/programs/settings/Settings.java
+++ b/programs/src/main/java/brookpath/programs/settings/Settings.java
@@ -1,13 +1,26 @@
 package brookpath.programs.settings;
 
 import brookpath.coordination.Tempo;
-import java.util.LinkedHashMap;
 import java.util.Map;
 
 /** One process's place in the system, read and checked. Addresses are host:port; a seed is node@host:port. */
-public record Settings(int node, String zone, String role, String siblings, String http, Map<Integer, String> seeds, String data, Tempo tempo,
-                       int toleratedLosses, int groups, int copies, int storages, long rollBytes, boolean found, String platform,
-                       String reachedAs) {
+public record Settings(
+        int node,
+        String zone,
+        String role,
+        String siblings,
+        String http,
+        Map<Integer, String> seeds,
+        String data,
+        Tempo tempo,
+        int toleratedLosses,
+        int groups,
+        int copies,
+        int storages,
+        long rollBytes,
+        boolean found,
+        String platform,
+        String reachedAs) {
     public static final String FRONT = "front";
     public static final String STORAGE = "storage";
     public static final String BAILIFF = "bailiff";
