--- a/programs/src/main/java/brookpath/programs/settings/SettingsReader.java
+++ b/programs/src/main/java/brookpath/programs/settings/SettingsReader.java
@@ -28,12 +28,24 @@
 
 /** Reads the settings file and the flags over it; collects all that is wrong, with its place. */
 public final class SettingsReader {
-    private static final Set<String> BOTH = Set.of("node", "zone", "role", "siblings", "http", "seeds", "data", "bounds", "toleratedLosses", "segmentBytes",
+    private static final Set<String> BOTH = Set.of(
+            "node",
+            "zone",
+            "role",
+            "siblings",
+            "http",
+            "seeds",
+            "data",
+            "bounds",
+            "toleratedLosses",
+            "segmentBytes",
             "reachedAs");
     private static final Set<String> FLAGS = Set.of("node", "zone", "role", "siblings", "http", "data");
 
-    public record Reading(Settings settings, List<Finding> findings, boolean help, boolean checkOnly) {
-    }
+    /**
+     * What reading the flags and the file gave: the settings if there were no findings, and what was asked for besides.
+     */
+    public record Reading(Settings settings, List<Finding> findings, boolean help, boolean checkOnly) {}
 
     private final List<Finding> findings = new ArrayList<>();
     private final boolean bailiff;
@@ -56,7 +68,9 @@
                 .addOption(null, "data", true, "the data folder")
                 .addOption(null, "check", false, "check the settings and stop")
                 .addOption("h", "help", false, "this text");
-        return bailiff ? opts.addOption(null, "found", false, "first start ever: found the control group on an empty data folder")
+        return bailiff
+                ? opts.addOption(
+                        null, "found", false, "first start ever: found the control group on an empty data folder")
                 : opts.addOption(null, "role", true, "front or storage");
     }
 
@@ -67,7 +81,8 @@
     /** The settings file that the flags name, null for none. */
     public static Path file(final String[] args, final boolean bailiff) {
         try {
-            final String name = new DefaultParser().parse(options(bailiff), args).getOptionValue("settings");
+            final String name =
+                    new DefaultParser().parse(options(bailiff), args).getOptionValue("settings");
             return name == null ? null : Path.of(name);
         } catch (final ParseException ex) {
             return null;
@@ -94,7 +109,9 @@
         if (cl.hasOption("settings")) {
             final Path path = Path.of(cl.getOptionValue("settings"));
             try (InputStream in = content == null ? Files.newInputStream(path) : new ByteArrayInputStream(content);
-                    JsonReader rd = Json.createReaderFactory(Map.of(JsonConfig.KEY_STRATEGY, JsonConfig.KeyStrategy.NONE)).createReader(in)) {
+                    JsonReader rd = Json.createReaderFactory(
+                                    Map.of(JsonConfig.KEY_STRATEGY, JsonConfig.KeyStrategy.NONE))
+                            .createReader(in)) {
                 file = rd.readObject();
             } catch (final IOException ex) {
                 findings.add(new Finding(path.toString(), "cannot be read: " + ex.getMessage()));
@@ -103,7 +120,8 @@
             }
         }
         for (final String field : file.keySet()) {
-            if (!BOTH.contains(field) && !(bailiff && Set.of("founding", "platform").contains(field))) {
+            if (!BOTH.contains(field)
+                    && !(bailiff && Set.of("founding", "platform").contains(field))) {
                 findings.add(new Finding("/" + field, "unknown field"));
             }
         }
@@ -125,13 +143,16 @@
             findings.add(new Finding(place("node"), "node " + node + " is one of the seeds"));
         }
         final JsonObject bounds = object("bounds", Set.of("deliverMs", "recoverMs", "changeMs", "windowMs"));
-        final Tempo tempo = new Tempo(num(bounds, "/bounds", "deliverMs", 400, 60_000, Tempo.DEFAULT.deliverMs()),
+        final Tempo tempo = new Tempo(
+                num(bounds, "/bounds", "deliverMs", 400, 60_000, Tempo.DEFAULT.deliverMs()),
                 num(bounds, "/bounds", "recoverMs", 1_000, 600_000, Tempo.DEFAULT.recoverMs()),
                 num(bounds, "/bounds", "changeMs", 600, 60_000, Tempo.DEFAULT.changeMs()),
                 num(bounds, "/bounds", "windowMs", 1_000, 3_600_000, Tempo.DEFAULT.windowMs()));
         // why: the control plane's own failover must fit well inside the lease that it grants
         if (tempo.down() + 2 * tempo.goHorizon() + tempo.specHold() > tempo.specLease()) {
-            findings.add(new Finding("/bounds/changeMs", "too short beside deliverMs: a change of control master would outlast the spec lease"));
+            findings.add(new Finding(
+                    "/bounds/changeMs",
+                    "too short beside deliverMs: a change of control master would outlast the spec lease"));
         }
         final JsonObject founding = object("founding", Set.of("groups", "copies", "storages"));
         final int copies = (int) num(founding, "/founding", "copies", 1, 7, 3L);
@@ -139,9 +160,22 @@
         if (storages < copies) {
             findings.add(new Finding("/founding/storages", storages + " machines cannot hold " + copies + " copies"));
         }
-        return new Settings(node, zone, role, siblings, http, seeds, data, tempo,
-                (int) num(file, "", "toleratedLosses", 0, 3, 1L), (int) num(founding, "/founding", "groups", 1, 256, 16L), copies, storages,
-                num(file, "", "segmentBytes", 1 << 16, 1 << 30, 8L << 20), cl.hasOption("found"), platform(),
+        return new Settings(
+                node,
+                zone,
+                role,
+                siblings,
+                http,
+                seeds,
+                data,
+                tempo,
+                (int) num(file, "", "toleratedLosses", 0, 3, 1L),
+                (int) num(founding, "/founding", "groups", 1, 256, 16L),
+                copies,
+                storages,
+                num(file, "", "segmentBytes", 1 << 16, 1 << 30, 8L << 20),
+                cl.hasOption("found"),
+                platform(),
                 file.containsKey("reachedAs") ? address("reachedAs", "") : siblings);
     }
 
@@ -164,9 +198,14 @@
         for (int i = 0; i < texts.size(); i++) {
             final String at = cl.hasOption("seeds") ? "--seeds, entry " + (i + 1) : "/seeds/" + i;
             final int sep = texts.get(i).indexOf('@');
-            if (sep < 1 || !texts.get(i).substring(0, sep).matches("[1-9][0-9]{0,5}") || !isAddress(texts.get(i).substring(sep + 1))) {
+            if (sep < 1
+                    || !texts.get(i).substring(0, sep).matches("[1-9][0-9]{0,5}")
+                    || !isAddress(texts.get(i).substring(sep + 1))) {
                 findings.add(new Finding(at, "must be node@host:port"));
-            } else if (seeds.put(Integer.parseInt(texts.get(i).substring(0, sep)), texts.get(i).substring(sep + 1)) != null) {
+            } else if (seeds.put(
+                            Integer.parseInt(texts.get(i).substring(0, sep)),
+                            texts.get(i).substring(sep + 1))
+                    != null) {
                 findings.add(new Finding(at, "the node is there twice"));
             }
         }
@@ -178,7 +217,9 @@
 
     private static boolean isAddress(final String text) {
         final int sep = text.lastIndexOf(':');
-        return sep > 0 && text.substring(sep + 1).matches("[0-9]{1,5}") && Integer.parseInt(text.substring(sep + 1)) <= 65_535;
+        return sep > 0
+                && text.substring(sep + 1).matches("[0-9]{1,5}")
+                && Integer.parseInt(text.substring(sep + 1)) <= 65_535;
     }
 
     private String address(final String field, final String absent) {
@@ -211,19 +252,33 @@
             }
             return JsonValue.EMPTY_JSON_OBJECT;
         }
-        obj.keySet().stream().filter(k -> !known.contains(k)).forEach(k -> findings.add(new Finding("/" + field + "/" + k, "unknown field")));
+        obj.keySet().stream()
+                .filter(k -> !known.contains(k))
+                .forEach(k -> findings.add(new Finding("/" + field + "/" + k, "unknown field")));
         return obj;
     }
 
-    private long num(final JsonObject obj, final String at, final String field, final long min, final long max, final Long absent) {
+    private long num(
+            final JsonObject obj,
+            final String at,
+            final String field,
+            final long min,
+            final long max,
+            final Long absent) {
         final boolean flag = at.isEmpty() && FLAGS.contains(field) && cl.hasOption(field);
         final JsonValue v = obj.get(field);
-        final String text = flag ? cl.getOptionValue(field) : v == null ? null : v instanceof JsonNumber ? v.toString() : "?";
+        final String text =
+                flag ? cl.getOptionValue(field) : v == null ? null : v instanceof JsonNumber ? v.toString() : "?";
         if (text == null && absent != null) {
             return absent;
         }
-        if (text == null || !text.matches("-?[0-9]{1,18}") || Long.parseLong(text) < min || Long.parseLong(text) > max) {
-            findings.add(new Finding(flag ? "--" + field : at + "/" + field, text == null ? "is missing" : "must be a whole number from " + min + " to " + max));
+        if (text == null
+                || !text.matches("-?[0-9]{1,18}")
+                || Long.parseLong(text) < min
+                || Long.parseLong(text) > max) {
+            findings.add(new Finding(
+                    flag ? "--" + field : at + "/" + field,
+                    text == null ? "is missing" : "must be a whole number from " + min + " to " + max));
             return -1;
         }
         return Long.parseLong(text);
--- a/programs/src/main/java/brookpath/programs/settings/SettingsWatch.java
+++ b/programs/src/main/java/brookpath/programs/settings/SettingsWatch.java
@@ -10,12 +10,14 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Objects;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 import org.tinylog.Logger;
 
 /**
- * Looks after the settings file of a running process. A changed file is read and checked like at a start, and taken whole or not at all: wrong in any
- * way, or with a change that cannot be made while running, it is kept out and its findings are told; the process goes on with what it has.
+ * Looks after the settings file of a running process. A changed file is read and checked like at a start, and taken
+ * whole or not at all: wrong in any way, or with a change that cannot be made while running, it is kept out and its
+ * findings are told; the process goes on with what it has.
  */
 public final class SettingsWatch implements SettingsReport {
     private final Path file;
@@ -24,12 +26,13 @@
     private final Consumer<Settings> taker;
     private volatile Settings inForce;
     private volatile List<Finding> findings = List.of();
-    private volatile int taken;
+    private final AtomicInteger taken = new AtomicInteger();
     private byte[] judged;
     private byte[] last;
 
     /** @param args as the process was started; without a settings file among them there is nothing to look after */
-    public SettingsWatch(final String[] args, final boolean bailiff, final Settings inForce, final Consumer<Settings> taker) {
+    public SettingsWatch(
+            final String[] args, final boolean bailiff, final Settings inForce, final Consumer<Settings> taker) {
         this.args = args;
         this.bailiff = bailiff;
         this.inForce = inForce;
@@ -57,8 +60,14 @@
             return false;
         }
         judged = now;
-        judge(now == null ? new SettingsReader.Reading(null, List.of(new Finding(file.toString(), "is gone; the next start needs it")), false, false)
-                : SettingsReader.read(args, bailiff, now));
+        judge(
+                now == null
+                        ? new SettingsReader.Reading(
+                                null,
+                                List.of(new Finding(file.toString(), "is gone; the next start needs it")),
+                                false,
+                                false)
+                        : SettingsReader.read(args, bailiff, now));
         return true;
     }
 
@@ -70,7 +79,7 @@
         findings = List.copyOf(all);
         if (all.isEmpty()) {
             inForce = reading.settings();
-            taken++;
+            taken.incrementAndGet();
             taker.accept(inForce);
             Logger.info("settings taken: segmentBytes {}, platform {}", inForce.rollBytes(), inForce.platform());
         } else {
@@ -91,13 +100,18 @@
         differs(list, "data", was.data(), is.data());
         differs(list, "bounds", was.tempo(), is.tempo());
         differs(list, "toleratedLosses", was.toleratedLosses(), is.toleratedLosses());
-        differs(list, "founding", List.of(was.groups(), was.copies(), was.storages()), List.of(is.groups(), is.copies(), is.storages()));
+        differs(
+                list,
+                "founding",
+                List.of(was.groups(), was.copies(), was.storages()),
+                List.of(is.groups(), is.copies(), is.storages()));
         return list;
     }
 
     private static void differs(final List<Finding> list, final String field, final Object was, final Object is) {
         if (!Objects.equals(was, is)) {
-            list.add(new Finding("/" + field, "cannot change in a running process (it has " + was + "); restart it for this"));
+            list.add(new Finding(
+                    "/" + field, "cannot change in a running process (it has " + was + "); restart it for this"));
         }
     }
 
@@ -111,8 +125,13 @@
 
     @Override
     public String json() {
-        return Json.createObjectBuilder().add("file", file == null ? "" : file.toString()).add("changesTaken", taken)
-                .add("segmentBytes", inForce.rollBytes()).add("platform", inForce.platform()).add("keptOut", Finding.array(findings))
-                .build().toString();
+        return Json.createObjectBuilder()
+                .add("file", file == null ? "" : file.toString())
+                .add("changesTaken", taken.get())
+                .add("segmentBytes", inForce.rollBytes())
+                .add("platform", inForce.platform())
+                .add("keptOut", Finding.array(findings))
+                .build()
+                .toString();
     }
 }
--- a/state/src/main/java/brookpath/state/disk/FolderDisk.java
+++ b/state/src/main/java/brookpath/state/disk/FolderDisk.java
@@ -46,7 +46,10 @@
     @Override
     public List<String> list() {
         try (Stream<Path> paths = Files.list(folder)) {
-            return paths.map(p -> p.getFileName().toString()).filter(n -> !n.equals("lock")).sorted().toList();
+            return paths.map(p -> p.getFileName().toString())
+                    .filter(n -> !n.equals("lock"))
+                    .sorted()
+                    .toList();
         } catch (final IOException ex) {
             throw new UncheckedIOException(ex);
         }
@@ -124,9 +127,8 @@
         public byte[] readAll() {
             try {
                 final ByteBuffer buf = ByteBuffer.allocate((int) ch.size());
-                while (buf.hasRemaining() && ch.read(buf, buf.position()) >= 0) {
-                    continue;
-                }
+                while (buf.hasRemaining() && ch.read(buf, buf.position()) >= 0) {}
+
                 return buf.array();
             } catch (final IOException ex) {
                 throw new UncheckedIOException(ex);
--- a/state/src/main/java/brookpath/state/record/Rec.java
+++ b/state/src/main/java/brookpath/state/record/Rec.java
@@ -6,8 +6,8 @@
 import org.agrona.concurrent.UnsafeBuffer;
 
 /**
- * Flyweight over one log record. The same bytes lie in memory, on disk and on the wire:
- * lsn, epoch, stamp, kind, a checksum of all of it, and for a publish seq, ReplSize, tenant, topic, sender, text.
+ * Flyweight over one log record. The same bytes lie in memory, on disk and on the wire: lsn, epoch, stamp, kind, a
+ * checksum of all of it, and for a publish seq, ReplSize, tenant, topic, sender, text.
  */
 public final class Rec {
     public static final int OPEN = 1;
@@ -17,6 +17,7 @@
     public static final int CLOSE = 4;
     /** The members of its group from here on. */
     public static final int MEMBERS = 5;
+
     private static final int LSN = 0;
     private static final int EPOCH = 8;
     private static final int STAMP = 16;
@@ -62,7 +63,13 @@
         return rec;
     }
 
-    public static Rec of(final long lsn, final long epoch, final long stamp, final int kind, final byte[] body, final long learnedAt) {
+    public static Rec of(
+            final long lsn,
+            final long epoch,
+            final long stamp,
+            final int kind,
+            final byte[] body,
+            final long learnedAt) {
         final Rec rec = new Rec(new byte[BODY + body.length], learnedAt);
         rec.buf.putLong(LSN, lsn);
         rec.buf.putLong(EPOCH, epoch);
@@ -90,8 +97,16 @@
         return buf.getInt(SUM);
     }
 
-    public static byte[] publishBody(final long seq, final int repl, final String tenant, final String topic, final String sender, final String text) {
-        final byte[][] parts = {tenant.getBytes(UTF_8), topic.getBytes(UTF_8), sender.getBytes(UTF_8), text.getBytes(UTF_8)};
+    public static byte[] publishBody(
+            final long seq,
+            final int repl,
+            final String tenant,
+            final String topic,
+            final String sender,
+            final String text) {
+        final byte[][] parts = {
+            tenant.getBytes(UTF_8), topic.getBytes(UTF_8), sender.getBytes(UTF_8), text.getBytes(UTF_8)
+        };
         int len = 12;
         for (final byte[] part : parts) {
             len += 4 + part.length;
--- a/state/src/main/java/brookpath/state/spool/Spool.java
+++ b/state/src/main/java/brookpath/state/spool/Spool.java
@@ -14,8 +14,8 @@
 
 /**
  * The segmented log of one process, with snapshots beside it: {@code seg-N} holds the entries written since
- * {@code snap-N}. An entry is length, checksum, how many bytes of its file were synced when it was written, bytes.
- * An entry without bytes is a mark: it says only how much was synced.
+ * {@code snap-N}. An entry is length, checksum, how many bytes of its file were synced when it was written, bytes. An
+ * entry without bytes is a mark: it says only how much was synced.
  */
 public final class Spool {
     public static final int MAX_ENTRY = 64 << 20;
@@ -34,7 +34,7 @@
     private static List<byte[]> replayed(final byte[] snapshot, final List<byte[]> entries) {
         final List<byte[]> all = new ArrayList<>();
         if (snapshot != null) {
-            for (final Pack in = Pack.reader(snapshot); in.more();) {
+            for (final Pack in = Pack.reader(snapshot); in.more(); ) {
                 all.add(in.bytes());
             }
         }
@@ -128,7 +128,8 @@
     }
 
     /** What a folder holds, without changing anything in it. */
-    public record Inspection(String snapshotName, byte[] snapshot, String segmentName, List<byte[]> entries, List<String> findings) {
+    public record Inspection(
+            String snapshotName, byte[] snapshot, String segmentName, List<byte[]> entries, List<String> findings) {
         public List<byte[]> replayed() {
             return Spool.replayed(snapshot, entries);
         }
@@ -177,7 +178,9 @@
         size += framed.length;
     }
 
-    /** Only what was appended before this counts; a mark follows, so that a later look can tell damage from a torn tail. */
+    /**
+     * Only what was appended before this counts; a mark follows, so that a later look can tell damage from a torn tail.
+     */
     public void sync() {
         if (size > synced) {
             file.sync();
@@ -186,10 +189,16 @@
         }
     }
 
-    /** Reads back what was written since the last snapshot, and that snapshot; false where the disk gives back something else. */
+    /**
+     * Reads back what was written since the last snapshot, and that snapshot; false where the disk gives back something
+     * else.
+     */
     public boolean whole() {
         final Scan now = scan(disk, segName(seg));
-        return now.damage == null && now.torn < 0 && (!disk.list().contains("snap-" + seg) || scan(disk, "snap-" + seg).isSnapshot());
+        return now.damage == null
+                && now.torn < 0
+                && (!disk.list().contains("snap-" + seg)
+                        || scan(disk, "snap-" + seg).isSnapshot());
     }
 
     public long segmentBytes() {
@@ -219,7 +228,8 @@
     private void dropBefore(final long keep) {
         for (final String name : disk.list()) {
             final int dash = name.indexOf('-');
-            if ((name.startsWith("seg-") || name.startsWith("snap-")) && Long.parseLong(name.substring(dash + 1)) < keep) {
+            if ((name.startsWith("seg-") || name.startsWith("snap-"))
+                    && Long.parseLong(name.substring(dash + 1)) < keep) {
                 disk.delete(name);
             }
         }
@@ -236,7 +246,9 @@
         return buf.array();
     }
 
-    /** Of length, synced bytes and entry; the length is summed too, else a run of zeros would pass for an empty entry. */
+    /**
+     * Of length, synced bytes and entry; the length is summed too, else a run of zeros would pass for an empty entry.
+     */
     private static int sum(final byte[] framed, final int at, final int len) {
         final CRC32C crc = new CRC32C();
         crc.update(framed, at, 4);
@@ -260,9 +272,12 @@
         while (pos < bytes.length) {
             final int len = length(buf, pos);
             if (len < 0) {
-                // why: writes after the last sync may be missing or torn one by one, so a hole with whole entries behind it is no damage unless
+                // why: writes after the last sync may be missing or torn one by one, so a hole with whole entries
+                // behind it is no damage unless
                 // one of those says that the hole had been synced
-                return provenSynced(buf, pos) ? new Scan(entries, -1, name + ": bad checksum at byte " + pos) : new Scan(entries, pos, null);
+                return provenSynced(buf, pos)
+                        ? new Scan(entries, -1, name + ": bad checksum at byte " + pos)
+                        : new Scan(entries, pos, null);
             }
             if (len > 0) {
                 entries.add(Arrays.copyOfRange(bytes, pos + HEAD, pos + HEAD + len));
@@ -273,13 +288,20 @@
     }
 
     /** The length of the whole entry at the position, -1 where there is none. */
+    @SuppressWarnings("ByteBufferBackingArray") // why: the buffer wraps a whole file from its first byte
     private static int length(final ByteBuffer buf, final int pos) {
         if (buf.capacity() - pos < HEAD) {
             return -1;
         }
         final int len = buf.getInt(pos);
-        return len >= 0 && len <= MAX_ENTRY && len <= buf.capacity() - pos - HEAD && buf.getLong(pos + 8) >= 0 && buf.getLong(pos + 8) <= pos
-                && sum(buf.array(), pos, len) == buf.getInt(pos + 4) ? len : -1;
+        return len >= 0
+                        && len <= MAX_ENTRY
+                        && len <= buf.capacity() - pos - HEAD
+                        && buf.getLong(pos + 8) >= 0
+                        && buf.getLong(pos + 8) <= pos
+                        && sum(buf.array(), pos, len) == buf.getInt(pos + 4)
+                ? len
+                : -1;
     }
 
     /** Whether a whole entry behind the position says that this position had been synced before it was written. */
--- a/tools/src/main/java/brookpath/tools/ask/Ask.java
+++ b/tools/src/main/java/brookpath/tools/ask/Ask.java
@@ -17,18 +17,27 @@
 
 /** Asks running processes over HTTP, and notes what could not be had. */
 public final class Ask {
-    private final HttpClient http = HttpClient.newBuilder().connectTimeout(Duration.ofSeconds(2)).build();
+    private final HttpClient http =
+            HttpClient.newBuilder().connectTimeout(Duration.ofSeconds(2)).build();
     private final List<Finding> missing = new ArrayList<>();
 
     public List<Finding> missing() {
         return missing;
     }
 
-    /** Null where it could not be had. @param key a caller's key, or empty */
+    /**
+     * Null where it could not be had.
+     *
+     * @param key a caller's key, or empty
+     */
     public JsonObject get(final String at, final String path, final String key) throws InterruptedException {
         try {
-            final HttpResponse<String> r = http.send(HttpRequest.newBuilder(URI.create("http://" + at + path)).timeout(Duration.ofSeconds(5))
-                    .header("Authorization", "Bearer " + key).build(), HttpResponse.BodyHandlers.ofString());
+            final HttpResponse<String> r = http.send(
+                    HttpRequest.newBuilder(URI.create("http://" + at + path))
+                            .timeout(Duration.ofSeconds(5))
+                            .header("Authorization", "Bearer " + key)
+                            .build(),
+                    HttpResponse.BodyHandlers.ofString());
             try (JsonReader rd = Json.createReader(new StringReader(r.body()))) {
                 return rd.readObject();
             }
--- a/tools/src/main/java/brookpath/tools/clue/Clue.java
+++ b/tools/src/main/java/brookpath/tools/clue/Clue.java
@@ -1,11 +1,15 @@
 package brookpath.tools.clue;
 
+import static java.nio.charset.StandardCharsets.UTF_8;
+
 import brookpath.coordination.spec.Finding;
 import brookpath.tools.ask.Ask;
 import jakarta.json.JsonArray;
 import jakarta.json.JsonObject;
 import jakarta.json.JsonValue;
+import java.io.BufferedWriter;
 import java.io.IOException;
+import java.io.OutputStreamWriter;
 import java.io.PrintStream;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -36,16 +40,26 @@
     }
 
     static Options options() {
-        return new Options().addOption(null, "topic", true, "explain a publish to, and a subscription of, this topic (space/name)")
+        return new Options()
+                .addOption(null, "topic", true, "explain a publish to, and a subscription of, this topic (space/name)")
                 .addOption(null, "key", true, "the caller's key")
                 .addOption(null, "change", true, "explain the change with this ID")
-                .addOption(null, "at", true, "HTTP addresses of running processes, host:port,...; any of them, of every kind")
-                .addOption(null, "ring", true, "a ring.log that was written out; its lines on the topic, its group or the change")
+                .addOption(
+                        null,
+                        "at",
+                        true,
+                        "HTTP addresses of running processes, host:port,...; any of them, of every kind")
+                .addOption(
+                        null,
+                        "ring",
+                        true,
+                        "a ring.log that was written out; its lines on the topic, its group or the change")
                 .addOption("h", "help", false, "this text");
     }
 
     /** 0 where all was told, 1 where something could not be reached or read, 2 for wrong arguments. */
-    public static int run(final String[] args, final PrintStream out, final PrintStream err) throws InterruptedException {
+    public static int run(final String[] args, final PrintStream out, final PrintStream err)
+            throws InterruptedException {
         return new Clue(out, err).run(args);
     }
 
@@ -62,7 +76,16 @@
         }
         if (!findings.isEmpty()) {
             findings.forEach(f -> err.println("clue: " + f));
-            new HelpFormatter().printHelp(new java.io.PrintWriter(err, true), 120, "clue", null, options(), 2, 2, null);
+            new HelpFormatter()
+                    .printHelp(
+                            new java.io.PrintWriter(new BufferedWriter(new OutputStreamWriter(err, UTF_8)), true),
+                            120,
+                            "clue",
+                            null,
+                            options(),
+                            2,
+                            2,
+                            null);
             return WRONG_ARGUMENTS;
         }
         if (cl.hasOption("help")) {
@@ -114,16 +137,21 @@
     }
 
     private int front(final String at, final CommandLine cl) throws InterruptedException {
-        final JsonObject ex = ask.get(at, "/v1/explain?topic=" + cl.getOptionValue("topic"), cl.getOptionValue("key", ""));
+        final JsonObject ex =
+                ask.get(at, "/v1/explain?topic=" + cl.getOptionValue("topic"), cl.getOptionValue("key", ""));
         if (ex == null) {
             return -1;
         }
-        out.println("front " + ex.getInt("node") + " (" + at + "), spec " + ex.getJsonNumber("specVersion") + ", lease left "
-                + ex.getJsonNumber("specLeaseLeftMs") + " ms");
-        out.println("  a publish " + (ex.getInt("status") == 200 ? "is ferried to node " + ex.getInt("master") : "is refused with " + ex.getInt("status"))
+        out.println("front " + ex.getInt("node") + " (" + at + "), spec " + ex.getJsonNumber("specVersion")
+                + ", lease left " + ex.getJsonNumber("specLeaseLeftMs") + " ms");
+        out.println("  a publish "
+                + (ex.getInt("status") == 200
+                        ? "is ferried to node " + ex.getInt("master")
+                        : "is refused with " + ex.getInt("status"))
                 + ": " + ex.getString("because"));
         if (ex.containsKey("table")) {
-            out.println("  a subscription reads group " + ex.getInt("group") + " from node " + ex.getInt("readsFrom") + "; the table as seen:");
+            out.println("  a subscription reads group " + ex.getInt("group") + " from node " + ex.getInt("readsFrom")
+                    + "; the table as seen:");
             table(ex.getJsonArray("table"));
         }
         return ex.getInt("group");
@@ -132,13 +160,15 @@
     private void storage(final String at, final JsonObject status, final int group) {
         for (final JsonValue v : status.getJsonArray("groups")) {
             if (v.asJsonObject().getInt("group") == group) {
-                out.println("storage " + status.getInt("node") + " (" + at + "), spec " + status.getJsonNumber("specVersion"));
+                out.println("storage " + status.getInt("node") + " (" + at + "), spec "
+                        + status.getJsonNumber("specVersion"));
                 member(v.asJsonObject());
             }
         }
     }
 
-    private void bailiff(final String at, final JsonObject status, final CommandLine cl, final int group) throws InterruptedException {
+    private void bailiff(final String at, final JsonObject status, final CommandLine cl, final int group)
+            throws InterruptedException {
         out.println("bailiff " + status.getInt("node") + " (" + at + "), spec " + status.getJsonNumber("specVersion"));
         member(status.getJsonObject("control"));
         if (cl.hasOption("change")) {
@@ -155,10 +185,12 @@
     }
 
     private void member(final JsonObject g) {
-        out.println("  group " + g.getInt("group") + ": " + g.getString("role") + (g.getBoolean("mayAct") ? " that may act" : "") + ", epoch "
-                + g.getJsonNumber("epoch") + ", hears master " + g.getInt("master") + ", accepted " + g.getJsonNumber("accepted") + " of "
-                + g.getJsonNumber("endLsn") + "; " + g.getString("why") + (g.getString("obstacle", "").isEmpty() ? "" : "; does not stand: "
-                + g.getString("obstacle")));
+        out.println("  group " + g.getInt("group") + ": " + g.getString("role")
+                + (g.getBoolean("mayAct") ? " that may act" : "") + ", epoch "
+                + g.getJsonNumber("epoch") + ", hears master " + g.getInt("master") + ", accepted "
+                + g.getJsonNumber("accepted") + " of "
+                + g.getJsonNumber("endLsn") + "; " + g.getString("why")
+                + (g.getString("obstacle", "").isEmpty() ? "" : "; does not stand: " + g.getString("obstacle")));
         table(g.getJsonArray("table"));
     }
 
@@ -170,9 +202,10 @@
         try {
             out.println("ring " + file);
             for (final String line : Files.readAllLines(file)) {
-                if (cl.hasOption("topic") && line.contains("publish " + cl.getOptionValue("topic") + " ")
-                        || group >= 0 && line.contains("group " + group + ":")
-                        || cl.hasOption("change") && (line.contains(cl.getOptionValue("change")) || line.contains("group 1000000:"))) {
+                if ((cl.hasOption("topic") && line.contains("publish " + cl.getOptionValue("topic") + " "))
+                        || (group >= 0 && line.contains("group " + group + ":"))
+                        || (cl.hasOption("change")
+                                && (line.contains(cl.getOptionValue("change")) || line.contains("group 1000000:")))) {
                     out.println("  " + line);
                 }
             }
--- a/tools/src/main/java/brookpath/tools/creelcheck/CreelCheck.java
+++ b/tools/src/main/java/brookpath/tools/creelcheck/CreelCheck.java
@@ -26,16 +26,21 @@
 import java.util.TreeMap;
 import java.util.stream.Stream;
 
-/** Looks data folders over while no process uses them, and changes nothing in them; of several it tells whether their copies agree. */
+/**
+ * Looks data folders over while no process uses them, and changes nothing in them; of several it tells whether their
+ * copies agree.
+ */
 public final class CreelCheck {
-    private CreelCheck() {
-    }
+    private CreelCheck() {}
 
     public static void main(final String[] args) {
         System.exit(run(args, System.out, System.err));
     }
 
-    /** 0 for whole folders that agree, 1 where something is damaged, differs or cannot be read (the rest is told), 2 for wrong arguments. */
+    /**
+     * 0 for whole folders that agree, 1 where something is damaged, differs or cannot be read (the rest is told), 2 for
+     * wrong arguments.
+     */
     public static int run(final String[] args, final PrintStream out, final PrintStream err) {
         final List<String> findings = new ArrayList<>();
         for (final String arg : args) {
@@ -54,14 +59,24 @@
         final List<String> names = new ArrayList<>(folders.keySet());
         for (int i = 0; i < names.size(); i++) {
             for (int k = i + 1; k < names.size(); k++) {
-                compare(names.get(i), folders.get(names.get(i)), names.get(k), folders.get(names.get(k)), findings, out);
+                compare(
+                        names.get(i),
+                        folders.get(names.get(i)),
+                        names.get(k),
+                        folders.get(names.get(k)),
+                        findings,
+                        out);
             }
         }
         findings.forEach(f -> err.println("creel-check: " + f));
         return findings.isEmpty() ? 0 : 1;
     }
 
-    private static void folder(final Path folder, final Map<String, TreeMap<Integer, GroupMachine>> folders, final List<String> all, final PrintStream out) {
+    private static void folder(
+            final Path folder,
+            final Map<String, TreeMap<Integer, GroupMachine>> folders,
+            final List<String> all,
+            final PrintStream out) {
         if (!Files.isDirectory(folder)) {
             all.add(folder + ": no such folder");
             return;
@@ -71,8 +86,12 @@
         try {
             final Spool.Inspection found = Spool.inspect(new ReadOnly(folder));
             findings.addAll(found.findings());
-            out.println("snapshot " + (found.snapshot() == null ? "none" : found.snapshotName() + " of " + found.snapshot().length + " bytes")
-                    + ", segment " + found.segmentName() + " with " + found.entries().size() + " entries");
+            out.println("snapshot "
+                    + (found.snapshot() == null
+                            ? "none"
+                            : found.snapshotName() + " of " + found.snapshot().length + " bytes")
+                    + ", segment " + found.segmentName() + " with "
+                    + found.entries().size() + " entries");
             final TreeMap<Integer, GroupMachine> groups = groups(found.replayed(), findings);
             groups.forEach((id, g) -> {
                 tell(out, id, g);
@@ -90,8 +109,13 @@
     }
 
     /** The same (epoch, LSN) must mean the same log up to there; a tail of another epoch is what a start would cut. */
-    private static void compare(final String a, final TreeMap<Integer, GroupMachine> as, final String b, final TreeMap<Integer, GroupMachine> bs,
-                                final List<String> findings, final PrintStream out) {
+    private static void compare(
+            final String a,
+            final TreeMap<Integer, GroupMachine> as,
+            final String b,
+            final TreeMap<Integer, GroupMachine> bs,
+            final List<String> findings,
+            final PrintStream out) {
         for (final Integer id : as.keySet()) {
             final GroupMachine x = as.get(id);
             final GroupMachine y = bs.get(id);
@@ -100,18 +124,25 @@
             }
             long same = 0;
             long lsn = Math.max(x.baseLsn(), y.baseLsn()) + 1;
-            for (; lsn <= Math.min(x.endLsn(), y.endLsn()) && x.rec(lsn).epoch() == y.rec(lsn).epoch(); lsn++) {
+            for (;
+                    lsn <= Math.min(x.endLsn(), y.endLsn())
+                            && x.rec(lsn).epoch() == y.rec(lsn).epoch();
+                    lsn++) {
                 if (x.chainAt(lsn) != y.chainAt(lsn)) {
-                    findings.add("group " + id + ": " + a + " and " + b + " differ at or before record " + lsn + " of the same epoch");
+                    findings.add("group " + id + ": " + a + " and " + b + " differ at or before record " + lsn
+                            + " of the same epoch");
                     break;
                 }
                 same++;
             }
-            if (lsn <= Math.min(x.endLsn(), y.endLsn()) && x.rec(lsn).epoch() != y.rec(lsn).epoch()) {
-                out.println("group " + id + ": " + a + " and " + b + " part at record " + lsn + ", epochs " + x.rec(lsn).epoch() + " and " + y.rec(lsn).epoch()
+            if (lsn <= Math.min(x.endLsn(), y.endLsn())
+                    && x.rec(lsn).epoch() != y.rec(lsn).epoch()) {
+                out.println("group " + id + ": " + a + " and " + b + " part at record " + lsn + ", epochs "
+                        + x.rec(lsn).epoch() + " and " + y.rec(lsn).epoch()
                         + "; the older tail was not accepted and is cut at its start");
             } else {
-                out.println("group " + id + ": " + a + " and " + b + " agree on " + same + " records, ends " + x.endLsn() + " and " + y.endLsn());
+                out.println("group " + id + ": " + a + " and " + b + " agree on " + same + " records, ends "
+                        + x.endLsn() + " and " + y.endLsn());
             }
         }
     }
@@ -128,8 +159,20 @@
                     groups.remove(id);
                     continue;
                 }
-                groups.computeIfAbsent(id, k -> new GroupMachine(id, 0, Tempo.DEFAULT, 1, 0, () -> id == BailiffNode.CONTROL ? new ControlState()
-                        : new TopicState(t -> Long.MAX_VALUE, Tempo.DEFAULT.windowMs()), new Pledges(0), new Actions())).replay(in, 0);
+                groups.computeIfAbsent(
+                                id,
+                                k -> new GroupMachine(
+                                        id,
+                                        0,
+                                        Tempo.DEFAULT,
+                                        1,
+                                        0,
+                                        () -> id == BailiffNode.CONTROL
+                                                ? new ControlState()
+                                                : new TopicState(t -> Long.MAX_VALUE, Tempo.DEFAULT.windowMs()),
+                                        new Pledges(0),
+                                        new Actions()))
+                        .replay(in, 0);
             } catch (final RuntimeException ex) {
                 findings.add("entry " + n + ": cannot be replayed: " + ex.getMessage());
             }
@@ -142,12 +185,13 @@
         for (long lsn = g.baseLsn() + 1; lsn <= g.endLsn(); lsn++) {
             kinds.merge(g.rec(lsn).kind(), 1, Integer::sum);
         }
-        out.println("group " + id + ": epoch " + g.epoch() + ", records " + (g.baseLsn() + 1) + " to " + g.endLsn() + ", publishes "
-                + kinds.getOrDefault(Rec.PUBLISH, 0) + (g.lost() ? ", lost: is being rebuilt" : "") + ", group version " + g.membership().version());
+        out.println("group " + id + ": epoch " + g.epoch() + ", records " + (g.baseLsn() + 1) + " to " + g.endLsn()
+                + ", publishes " + kinds.getOrDefault(Rec.PUBLISH, 0) + (g.lost() ? ", lost: is being rebuilt" : "")
+                + ", group version " + g.membership().version());
         if (g.live() instanceof ControlState c) {
             final ControlState.SpecAt at = c.specAt(Long.MAX_VALUE);
-            out.println("  spec " + at.version() + " (" + at.spec().changeId() + "), roster " + c.rosterAt(Long.MAX_VALUE).version()
-                    + ", newest usage window " + c.lastWindow());
+            out.println("  spec " + at.version() + " (" + at.spec().changeId() + "), roster "
+                    + c.rosterAt(Long.MAX_VALUE).version() + ", newest usage window " + c.lastWindow());
         }
     }
 
--- a/tools/src/main/java/brookpath/tools/plan/Plan.java
+++ b/tools/src/main/java/brookpath/tools/plan/Plan.java
@@ -15,7 +15,9 @@
 import brookpath.tools.ask.Ask;
 import jakarta.json.JsonObject;
 import jakarta.json.JsonValue;
+import java.io.BufferedWriter;
 import java.io.IOException;
+import java.io.OutputStreamWriter;
 import java.io.PrintStream;
 import java.io.PrintWriter;
 import java.nio.file.Files;
@@ -34,8 +36,9 @@
 import org.apache.commons.cli.ParseException;
 
 /**
- * Tells what a retiring, a drain or a change would do, step by step, or why it would not be done. Changes nothing; the code that decides is the
- * bailiff's own. Exit 0: it can be done. 1: it would be refused, or something could not be reached or read. 2: wrong arguments.
+ * Tells what a retiring, a drain or a change would do, step by step, or why it would not be done. Changes nothing; the
+ * code that decides is the bailiff's own. Exit 0: it can be done. 1: it would be refused, or something could not be
+ * reached or read. 2: wrong arguments.
  */
 public final class Plan {
     private static final int WRONG_ARGUMENTS = 2;
@@ -56,13 +59,17 @@
     }
 
     private static Options options() {
-        return new Options().addOption(null, "at", true, "HTTP addresses of bailiffs, host:port,...; the first that responds is asked")
+        return new Options()
+                .addOption(
+                        null, "at", true, "HTTP addresses of bailiffs, host:port,...; the first that responds is asked")
                 .addOption(null, "retire", true, "the storage machine with this number would be emptied")
                 .addOption(null, "drain", true, "the front with this number would be drained")
-                .addOption(null, "change", true, "the document in this file would be handed over").addOption("h", "help", false, "this text");
+                .addOption(null, "change", true, "the document in this file would be handed over")
+                .addOption("h", "help", false, "this text");
     }
 
-    public static int run(final String[] args, final PrintStream out, final PrintStream err) throws InterruptedException {
+    public static int run(final String[] args, final PrintStream out, final PrintStream err)
+            throws InterruptedException {
         return new Plan(out, err).run(args);
     }
 
@@ -81,7 +88,16 @@
         }
         if (!findings.isEmpty()) {
             findings.forEach(f -> err.println("plan: " + f));
-            new HelpFormatter().printHelp(new PrintWriter(err, true), 120, "plan", null, options(), 2, 2, null);
+            new HelpFormatter()
+                    .printHelp(
+                            new PrintWriter(new BufferedWriter(new OutputStreamWriter(err, UTF_8)), true),
+                            120,
+                            "plan",
+                            null,
+                            options(),
+                            2,
+                            2,
+                            null);
             return WRONG_ARGUMENTS;
         }
         for (final String at : cl.getOptionValue("at").split(",")) {
@@ -102,7 +118,9 @@
     }
 
     private static void check(final CommandLine cl, final List<Finding> findings) {
-        final long asked = List.of("retire", "drain", "change").stream().filter(cl::hasOption).count();
+        final long asked = List.of("retire", "drain", "change").stream()
+                .filter(cl::hasOption)
+                .count();
         if (asked != 1) {
             findings.add(new Finding("flags", "one of --retire, --drain and --change is needed"));
         }
@@ -119,9 +137,14 @@
         cl.getArgList().forEach(arg -> findings.add(new Finding("flags", "unexpected \"" + arg + "\"")));
     }
 
-    private void tell(final CommandLine cl, final String at, final JsonObject status, final JsonObject nodes) throws InterruptedException {
+    private void tell(final CommandLine cl, final String at, final JsonObject status, final JsonObject nodes)
+            throws InterruptedException {
         if (cl.hasOption("retire")) {
-            retire(Integer.parseInt(cl.getOptionValue("retire")), roster(status), status.getInt("copies"), alive(nodes, "storage"));
+            retire(
+                    Integer.parseInt(cl.getOptionValue("retire")),
+                    roster(status),
+                    status.getInt("copies"),
+                    alive(nodes, "storage"));
         } else if (cl.hasOption("drain")) {
             drain(Integer.parseInt(cl.getOptionValue("drain")), nodes);
         } else {
@@ -141,11 +164,17 @@
         final List<GroupInfo> groups = new ArrayList<>();
         for (final JsonObject g : status.getJsonArray("placement").getValuesAs(JsonObject.class)) {
             final List<Member> voters = new ArrayList<>();
-            g.getJsonArray("members").getValuesAs(JsonObject.class)
+            g.getJsonArray("members")
+                    .getValuesAs(JsonObject.class)
                     .forEach(m -> voters.add(new Member(m.getInt("node"), m.getInt("weight"), m.getString("zone"))));
             final List<Member> learners = new ArrayList<>();
-            g.getJsonArray("learners").forEach(v -> learners.add(new Member(Integer.parseInt(v.toString()), 0, zones.get(Integer.parseInt(v.toString())))));
-            groups.add(new GroupInfo(g.getInt("group"), g.getBoolean("founded"), new Membership(g.getInt("groupVersion"), voters, learners)));
+            g.getJsonArray("learners")
+                    .forEach(v -> learners.add(
+                            new Member(Integer.parseInt(v.toString()), 0, zones.get(Integer.parseInt(v.toString())))));
+            groups.add(new GroupInfo(
+                    g.getInt("group"),
+                    g.getBoolean("founded"),
+                    new Membership(g.getInt("groupVersion"), voters, learners)));
         }
         final List<Integer> retiring = new ArrayList<>();
         for (final JsonValue v : status.getJsonArray("retiring")) {
@@ -173,7 +202,8 @@
         Roster now = r.then();
         int step = 0;
         // why: without steady machines nothing moves for the mere spread, which is not what was asked
-        for (List<MovePlan.Move> moves = MovePlan.next(now, alive, Set.of(), copies); !moves.isEmpty() && step < MOST_STEPS;
+        for (List<MovePlan.Move> moves = MovePlan.next(now, alive, Set.of(), copies);
+                !moves.isEmpty() && step < MOST_STEPS;
                 moves = MovePlan.next(now, alive, Set.of(), copies)) {
             for (final MovePlan.Move m : moves) {
                 final Roster then = MovePlan.after(now, m);
@@ -187,15 +217,22 @@
         for (final NodeInfo n : now.nodes()) {
             final Roster end = now;
             out.println("then node " + n.node() + " in zone " + n.zone() + " holds "
-                    + end.groups().stream().filter(g -> g.membership().holds(n.node())).count() + " groups, held "
-                    + roster.groups().stream().filter(g -> g.membership().holds(n.node())).count());
+                    + end.groups().stream()
+                            .filter(g -> g.membership().holds(n.node()))
+                            .count() + " groups, held "
+                    + roster.groups().stream()
+                            .filter(g -> g.membership().holds(n.node()))
+                            .count());
         }
     }
 
     private static String what(final GroupInfo g, final MovePlan.Move m) {
         final int to = m.to().node();
-        final String step = !g.membership().holds(to) ? "node " + to + " learns it" : Membership.find(g.membership().learners(), to) != null
-                ? "node " + to + " votes" : "node " + m.from() + " lets it go";
+        final String step = !g.membership().holds(to)
+                ? "node " + to + " learns it"
+                : Membership.find(g.membership().learners(), to) != null
+                        ? "node " + to + " votes"
+                        : "node " + m.from() + " lets it go";
         return "group " + g.id() + ": " + step + "; " + m.why();
     }
 
@@ -215,7 +252,10 @@
             return;
         }
         for (final JsonObject n : nodes.getJsonArray("nodes").getValuesAs(JsonObject.class)) {
-            if (n.getString("role").equals("front") && n.getInt("node") != node && !n.getBoolean("draining") && n.getInt("leaseLeftMs") > 0) {
+            if (n.getString("role").equals("front")
+                    && n.getInt("node") != node
+                    && !n.getBoolean("draining")
+                    && n.getInt("leaseLeftMs") > 0) {
                 (n.getString("zone").equals(front.getString("zone")) ? inZone : elsewhere).add(n.getInt("node"));
             }
         }
@@ -225,8 +265,11 @@
         }
         out.println("step 1: node " + node + " is not ready any more and refuses new sessions with 503");
         out.println("step 2: its sessions end one by one over half the recovery bound, each with its cursor good");
-        out.println(inZone.isEmpty() ? "they go to other zones, none is left in " + front.getString("zone") + ": " + elsewhere
-                : "they find in their zone " + front.getString("zone") + ": " + inZone + ", elsewhere: " + elsewhere);
+        out.println(
+                inZone.isEmpty()
+                        ? "they go to other zones, none is left in " + front.getString("zone") + ": " + elsewhere
+                        : "they find in their zone " + front.getString("zone") + ": " + inZone + ", elsewhere: "
+                                + elsewhere);
     }
 
     // ---- a change
@@ -244,9 +287,13 @@
             return;
         }
         final long version = now.getInt("version", 0);
-        final Spec present = version == 0 ? Spec.NONE : SpecReader.stored(now.getJsonObject("document").toString().getBytes(UTF_8), version);
-        // why: the bailiff's floor follows from the copies and from one machine that may be lost, as its settings have it by default
-        final SpecReader.Reading r = SpecReader.read(doc, version + 1, new SpecReader.Limits(copies, Copies.floor(copies, 1)), present);
+        final Spec present = version == 0
+                ? Spec.NONE
+                : SpecReader.stored(now.getJsonObject("document").toString().getBytes(UTF_8), version);
+        // why: the bailiff's floor follows from the copies and from one machine that may be lost, as its settings have
+        // it by default
+        final SpecReader.Reading r =
+                SpecReader.read(doc, version + 1, new SpecReader.Limits(copies, Copies.floor(copies, 1)), present);
         whyNot.addAll(r.findings());
         if (r.spec() == null) {
             return;
@@ -260,12 +307,19 @@
         gone.removeAll(r.spec().keys().keySet());
         final Set<String> come = new HashSet<>(r.spec().keys().keySet());
         come.removeAll(present.keys().keySet());
-        out.println(come.size() + " keys come; " + gone.size() + " keys go, and the sessions on them end as each front takes the change");
+        out.println(come.size() + " keys come; " + gone.size()
+                + " keys go, and the sessions on them end as each front takes the change");
     }
 
     private <T> void differ(final String what, final Map<String, T> was, final Map<String, T> is) {
-        was.keySet().stream().filter(n -> !is.containsKey(n)).sorted().forEach(n -> out.println(what + " " + n + " goes"));
-        is.keySet().stream().filter(n -> !was.containsKey(n)).sorted().forEach(n -> out.println(what + " " + n + " comes"));
+        was.keySet().stream()
+                .filter(n -> !is.containsKey(n))
+                .sorted()
+                .forEach(n -> out.println(what + " " + n + " goes"));
+        is.keySet().stream()
+                .filter(n -> !was.containsKey(n))
+                .sorted()
+                .forEach(n -> out.println(what + " " + n + " comes"));
         is.forEach((n, v) -> {
             if (was.containsKey(n) && !was.get(n).equals(v)) {
                 out.println(what + " " + n + " changes from " + was.get(n) + " to " + v);
--- a/transport/src/main/java/brookpath/transport/http/CommonResource.java
+++ b/transport/src/main/java/brookpath/transport/http/CommonResource.java
@@ -34,8 +34,12 @@
     @Path("/status")
     public CompletionStage<Response> status() {
         // why: the settings file is the process's, not its state's, so the two are put together here
-        return desk.ask(Job.Status::new, r -> new brookpath.coordination.message.Response(r.status(), r.retryAfterMs(),
-                r.json().substring(0, r.json().length() - 1) + ",\"settings\":" + settings.json() + "}"));
+        return desk.ask(
+                Job.Status::new,
+                r -> new brookpath.coordination.message.Response(
+                        r.status(),
+                        r.retryAfterMs(),
+                        r.json().substring(0, r.json().length() - 1) + ",\"settings\":" + settings.json() + "}"));
     }
 
     /** Counters of the wire; they belong to the process rather than to its state. */
@@ -43,6 +47,8 @@
     @Path("/wire")
     public Response wire() {
         final String wire = desk.host().wireJson();
-        return Response.ok(wire.substring(0, wire.length() - 1) + ",\"waiting\":" + desk.host().waitlistsJson() + "}\n").build();
+        return Response.ok(wire.substring(0, wire.length() - 1) + ",\"waiting\":"
+                        + desk.host().waitlistsJson() + "}\n")
+                .build();
     }
 }
--- a/transport/src/main/java/brookpath/transport/http/Desk.java
+++ b/transport/src/main/java/brookpath/transport/http/Desk.java
@@ -50,10 +50,13 @@
     }
 
     static jakarta.ws.rs.core.Response http(final Response r) {
-        final var rb = jakarta.ws.rs.core.Response.status(r.status()).type(APPLICATION_JSON).entity(r.json() + "\n");
+        final var rb = jakarta.ws.rs.core.Response.status(r.status())
+                .type(APPLICATION_JSON)
+                .entity(r.json() + "\n");
         if (r.retryAfterMs() > 0) {
             // why: the header counts whole seconds only; the finer figure stands beside it
-            rb.header("Retry-After", (r.retryAfterMs() + 999) / 1000).header("Brookpath-Retry-After-Ms", r.retryAfterMs());
+            rb.header("Retry-After", (r.retryAfterMs() + 999) / 1000)
+                    .header("Brookpath-Retry-After-Ms", r.retryAfterMs());
         }
         return rb.build();
     }
--- a/transport/src/main/java/brookpath/transport/http/FrontResource.java
+++ b/transport/src/main/java/brookpath/transport/http/FrontResource.java
@@ -44,8 +44,12 @@
 
     @POST
     @Path("/topics/{space}/{topic}/messages")
-    public CompletionStage<jakarta.ws.rs.core.Response> publish(@PathParam("space") final String space, @PathParam("topic") final String topic,
-            @HeaderParam("Authorization") final String auth, final InputStream in) throws IOException {
+    public CompletionStage<jakarta.ws.rs.core.Response> publish(
+            @PathParam("space") final String space,
+            @PathParam("topic") final String topic,
+            @HeaderParam("Authorization") final String auth,
+            final InputStream in)
+            throws IOException {
         final byte[] body = Desk.body(in, MAX_BODY);
         if (body == null) {
             return Desk.now(bad(413, List.of(new Finding("/", "body is larger than " + MAX_BODY + " bytes"))));
@@ -66,7 +70,11 @@
         if (!sender.matches("[A-Za-z0-9._-]{1,64}")) {
             findings.add(new Finding("/sender", "must be 1 to 64 letters, digits or ._-"));
         }
-        final long seq = obj.get("sequence") instanceof JsonNumber n && n.isIntegral() && n.bigIntegerValue().bitLength() < 63 ? n.longValue() : -1;
+        final long seq = obj.get("sequence") instanceof JsonNumber n
+                        && n.isIntegral()
+                        && n.bigIntegerValue().bitLength() < 63
+                ? n.longValue()
+                : -1;
         if (seq < 1) {
             findings.add(new Finding("/sequence", "must be a whole number from 1"));
         }
@@ -84,35 +92,48 @@
 
     @GET
     @Path("/stream")
-    public CompletionStage<jakarta.ws.rs.core.Response> stream(@QueryParam("topic") final List<String> topics, @QueryParam("cursor") final String cursor,
+    public CompletionStage<jakarta.ws.rs.core.Response> stream(
+            @QueryParam("topic") final List<String> topics,
+            @QueryParam("cursor") final String cursor,
             @HeaderParam("Authorization") final String auth) {
         final long id = desk.host().nextJobId();
         final Lines lines = new Lines(desk.host(), id);
-        return desk.host().subscribe(id, new Job.Subscribe(id, key(auth), topics, cursor), lines).thenApplyAsync(r -> {
-            if (r.status() != 200) {
-                desk.host().unsubscribe(id);
-                return Desk.http(r);
-            }
-            return jakarta.ws.rs.core.Response.ok(lines, "application/x-ndjson").header("Brookpath-Session", session(r)).build();
-        }, desk.traffic());
+        return desk.host()
+                .subscribe(id, new Job.Subscribe(id, key(auth), topics, cursor), lines)
+                .thenApplyAsync(
+                        r -> {
+                            if (r.status() != 200) {
+                                desk.host().unsubscribe(id);
+                                return Desk.http(r);
+                            }
+                            return jakarta.ws.rs.core.Response.ok(lines, "application/x-ndjson")
+                                    .header("Brookpath-Session", session(r))
+                                    .build();
+                        },
+                        desk.traffic());
     }
 
     private static String session(final Response hello) {
-        try (JsonReader rd = Json.createReader(new ByteArrayInputStream(hello.json().getBytes(UTF_8)))) {
+        try (JsonReader rd =
+                Json.createReader(new ByteArrayInputStream(hello.json().getBytes(UTF_8)))) {
             return rd.readObject().getString("session");
         }
     }
 
     @GET
     @Path("/topics/{space}/{topic}/listeners")
-    public CompletionStage<jakarta.ws.rs.core.Response> listeners(@PathParam("space") final String space, @PathParam("topic") final String topic,
-            @QueryParam("session") final String session, @HeaderParam("Authorization") final String auth) {
+    public CompletionStage<jakarta.ws.rs.core.Response> listeners(
+            @PathParam("space") final String space,
+            @PathParam("topic") final String topic,
+            @QueryParam("session") final String session,
+            @HeaderParam("Authorization") final String auth) {
         return desk.ask(id -> new Job.Count(id, key(auth), space + "/" + topic, session));
     }
 
     @GET
     @Path("/explain")
-    public CompletionStage<jakarta.ws.rs.core.Response> explain(@QueryParam("topic") final String topic, @HeaderParam("Authorization") final String auth) {
+    public CompletionStage<jakarta.ws.rs.core.Response> explain(
+            @QueryParam("topic") final String topic, @HeaderParam("Authorization") final String auth) {
         return desk.ask(id -> new Job.Explain(id, key(auth), topic == null ? "" : topic));
     }
 
--- a/transport/src/main/java/brookpath/transport/http/Lines.java
+++ b/transport/src/main/java/brookpath/transport/http/Lines.java
@@ -56,7 +56,11 @@
                     }
                 }
             }
-            os.write((Json.createObjectBuilder().add("type", "closed").add("why", closedWhy).build() + "\n").getBytes(UTF_8));
+            os.write((Json.createObjectBuilder()
+                                    .add("type", "closed")
+                                    .add("why", closedWhy)
+                                    .build() + "\n")
+                    .getBytes(UTF_8));
             os.flush();
         } catch (final InterruptedException ex) {
             Thread.currentThread().interrupt();
--- a/transport/src/main/java/brookpath/transport/http/OperatorResource.java
+++ b/transport/src/main/java/brookpath/transport/http/OperatorResource.java
@@ -52,7 +52,9 @@
     @POST
     @Path("/storages/{node}/retire")
     public CompletionStage<Response> retire(@PathParam("node") final int node, @QueryParam("on") final String on) {
-        return operate("retire", Pack.writer().num(node).num("false".equals(on) ? 0 : 1).done());
+        return operate(
+                "retire",
+                Pack.writer().num(node).num("false".equals(on) ? 0 : 1).done());
     }
 
     /** Manual switchover of a group's mastership. */
--- a/transport/src/main/java/brookpath/transport/http/PlatformPoster.java
+++ b/transport/src/main/java/brookpath/transport/http/PlatformPoster.java
@@ -19,7 +19,10 @@
     public PlatformPoster(final String url, final long horizonMs) {
         url(url);
         horizon = Duration.ofMillis(horizonMs);
-        http = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).connectTimeout(horizon).build();
+        http = HttpClient.newBuilder()
+                .version(HttpClient.Version.HTTP_1_1)
+                .connectTimeout(horizon)
+                .build();
     }
 
     /** From now on reports go there. */
@@ -33,8 +36,14 @@
         if (to == null) {
             return CompletableFuture.completedFuture(200);
         }
-        return http.sendAsync(HttpRequest.newBuilder(to).timeout(horizon).header("Content-Type", "application/json")
-                .header("Idempotency-Key", post.key()).POST(HttpRequest.BodyPublishers.ofString(post.json())).build(),
-                HttpResponse.BodyHandlers.discarding()).thenApply(HttpResponse::statusCode);
+        return http.sendAsync(
+                        HttpRequest.newBuilder(to)
+                                .timeout(horizon)
+                                .header("Content-Type", "application/json")
+                                .header("Idempotency-Key", post.key())
+                                .POST(HttpRequest.BodyPublishers.ofString(post.json()))
+                                .build(),
+                        HttpResponse.BodyHandlers.discarding())
+                .thenApply(HttpResponse::statusCode);
     }
 }
--- a/transport/src/main/java/brookpath/transport/log/RingWriter.java
+++ b/transport/src/main/java/brookpath/transport/log/RingWriter.java
@@ -19,6 +19,7 @@
     private static final int LINES = 4096;
     /** For looking closely at a trial: each line is written out at once as well. */
     private static final boolean ECHO = Boolean.getBoolean("brookpath.echo");
+
     private static final ArrayDeque<String> RING = new ArrayDeque<>();
     private static volatile Path file;
 
@@ -37,13 +38,24 @@
 
     @Override
     public Collection<LogEntryValue> getRequiredLogEntryValues() {
-        return EnumSet.of(LogEntryValue.DATE, LogEntryValue.LEVEL, LogEntryValue.MESSAGE, LogEntryValue.EXCEPTION, LogEntryValue.THREAD);
+        return EnumSet.of(
+                LogEntryValue.DATE,
+                LogEntryValue.LEVEL,
+                LogEntryValue.MESSAGE,
+                LogEntryValue.EXCEPTION,
+                LogEntryValue.THREAD);
     }
 
     @Override
     public void write(final LogEntry entry) {
-        final StringBuilder line = new StringBuilder().append(entry.getTimestamp().toInstant()).append(' ').append(entry.getLevel()).append(' ')
-                .append(entry.getThread() == null ? "" : entry.getThread().getName()).append(' ').append(entry.getMessage());
+        final StringBuilder line = new StringBuilder()
+                .append(entry.getTimestamp().toInstant())
+                .append(' ')
+                .append(entry.getLevel())
+                .append(' ')
+                .append(entry.getThread() == null ? "" : entry.getThread().getName())
+                .append(' ')
+                .append(entry.getMessage());
         if (entry.getException() != null) {
             line.append(" | ").append(entry.getException());
             for (final StackTraceElement el : entry.getException().getStackTrace()) {
@@ -72,7 +84,12 @@
             return;
         }
         try {
-            Files.writeString(file, text, StandardCharsets.UTF_8, java.nio.file.StandardOpenOption.CREATE, java.nio.file.StandardOpenOption.APPEND);
+            Files.writeString(
+                    file,
+                    text,
+                    StandardCharsets.UTF_8,
+                    java.nio.file.StandardOpenOption.CREATE,
+                    java.nio.file.StandardOpenOption.APPEND);
         } catch (final IOException ex) {
             System.err.print(text);
             throw new UncheckedIOException(ex);
--- a/transport/src/main/java/brookpath/transport/loop/Host.java
+++ b/transport/src/main/java/brookpath/transport/loop/Host.java
@@ -9,7 +9,6 @@
 import brookpath.coordination.beat.BeatTable;
 import brookpath.coordination.beat.StatusHandoff;
 import brookpath.coordination.message.Msg;
-import brookpath.coordination.message.Msg.BeatEntry;
 import brookpath.coordination.message.Response;
 import brookpath.coordination.node.Job;
 import brookpath.coordination.node.Node;
@@ -40,13 +39,13 @@
 public final class Host implements Wire.Inbox, AutoCloseable {
     /** Beyond this many events in wait no caller's job is taken; beyond some times that, a sibling's session ends. */
     private static final int MAX_EVENTS = 8_192;
+
     private static final int MAX_SIBLING_EVENTS = 4 * MAX_EVENTS;
     private static final int MAX_JOBS = 8_192;
     private static final int MAX_BEATS = 1_024;
     private static final int SCRUB = 5;
 
-    private record Heard(int from, Msg.Beat beat) {
-    }
+    private record Heard(int from, Msg.Beat beat) {}
 
     /** Nothing was heard, but a round of beats is wanted. */
     private static final Heard NONE = new Heard(0, null);
@@ -102,8 +101,16 @@
      * @param leaseUntil until when lines may be delivered
      * @param threads that carry the traffic between siblings
      */
-    public Host(final Node node, final int self, final Tempo tempo, final Spool spool, final Function<Node, Map<Integer, String>> addresses,
-                final LongSupplier leaseUntil, final Poster poster, final int threads, final Runnable fatal) {
+    public Host(
+            final Node node,
+            final int self,
+            final Tempo tempo,
+            final Spool spool,
+            final Function<Node, Map<Integer, String>> addresses,
+            final LongSupplier leaseUntil,
+            final Poster poster,
+            final int threads,
+            final Runnable fatal) {
         this.node = node;
         this.tempo = tempo;
         this.spool = spool;
@@ -120,17 +127,25 @@
     public String wireJson() {
         final Map<Integer, String> known = zones;
         final TreeMap<String, long[]> perZone = new TreeMap<>();
-        wire.bytesOut().forEach((n, b) -> perZone.computeIfAbsent(known.getOrDefault(n, "?"), k -> new long[2])[0] += b.sum());
-        wire.bytesIn().forEach((n, b) -> perZone.computeIfAbsent(known.getOrDefault(n, "?"), k -> new long[2])[1] += b.sum());
+        wire.bytesOut()
+                .forEach((n, b) -> perZone.computeIfAbsent(known.getOrDefault(n, "?"), k -> new long[2])[0] += b.sum());
+        wire.bytesIn()
+                .forEach((n, b) -> perZone.computeIfAbsent(known.getOrDefault(n, "?"), k -> new long[2])[1] += b.sum());
         final var obj = Json.createObjectBuilder();
-        perZone.forEach((zone, n) -> obj.add(zone, Json.createObjectBuilder().add("out", n[0]).add("in", n[1])));
-        return Json.createObjectBuilder().add("malformedFrames", wire.malformed()).add("bytesPerZone", obj).build().toString();
+        perZone.forEach((zone, n) ->
+                obj.add(zone, Json.createObjectBuilder().add("out", n[0]).add("in", n[1])));
+        return Json.createObjectBuilder()
+                .add("malformedFrames", wire.malformed())
+                .add("bytesPerZone", obj)
+                .build()
+                .toString();
     }
 
     /** What waits just now, and how many jobs were refused for it. */
     public String waitlistsJson() {
-        return "{\"events\":" + events.size() + ",\"jobs\":" + jobs.size() + ",\"writes\":" + writes.size() + ",\"beats\":" + beatInbox.size()
-                + ",\"sessions\":" + sinks.size() + ",\"refusedBusy\":" + refused.sum() + "}";
+        return "{\"events\":" + events.size() + ",\"jobs\":" + jobs.size() + ",\"writes\":" + writes.size()
+                + ",\"beats\":" + beatInbox.size() + ",\"sessions\":" + sinks.size() + ",\"refusedBusy\":"
+                + refused.sum() + "}";
     }
 
     public Wire wire() {
@@ -156,16 +171,18 @@
     }
 
     private void thread(final String name, final Runnable body) {
-        final Thread th = new Thread(() -> {
-            try {
-                body.run();
-            } catch (final Throwable ex) {
-                if (!closed) {
-                    Logger.error(ex, "thread {} failed", name);
-                    fatal.run();
-                }
-            }
-        }, name);
+        final Thread th = new Thread(
+                () -> {
+                    try {
+                        body.run();
+                    } catch (final Throwable ex) {
+                        if (!closed) {
+                            Logger.error(ex, "thread {} failed", name);
+                            fatal.run();
+                        }
+                    }
+                },
+                name);
         th.setDaemon(true);
         threads.add(th);
         th.start();
@@ -182,7 +199,9 @@
             // why: refused here nothing has begun, so it is certain and costs the state thread nothing
             refused.increment();
             sinks.remove(jobId);
-            return CompletableFuture.completedFuture(new Response(503, tempo.retryAfterMs(),
+            return CompletableFuture.completedFuture(new Response(
+                    503,
+                    tempo.retryAfterMs(),
                     "{\"outcome\":\"refused\",\"code\":\"busy\",\"why\":\"this node has more to do than it can\"}"));
         }
         final CompletableFuture<Response> response = new CompletableFuture<>();
@@ -215,7 +234,8 @@
             }
             beatInbox.add(new Heard(from, beat));
         } else if (events.size() > MAX_SIBLING_EVENTS) {
-            // why: what is lost with the session is asked again or unsettled, as with any broken session; what is merely dropped would be waited for
+            // why: what is lost with the session is asked again or unsettled, as with any broken session; what is
+            // merely dropped would be waited for
             wire.hangUp(from);
         } else {
             events.add((n, time) -> n.message(from, msg, time));
@@ -303,8 +323,9 @@
                     response.complete(a.response());
                 }
             } else if (action instanceof Action.Post a) {
-                poster.accept(a).whenComplete((status, ex) ->
-                        events.add((n, time) -> n.job(new Job.Posted(a.jobId(), ex == null ? status : 0), time)));
+                poster.accept(a)
+                        .whenComplete((status, ex) -> events.add(
+                                (n, time) -> n.job(new Job.Posted(a.jobId(), ex == null ? status : 0), time)));
             } else if (action instanceof Action.CloseSession a) {
                 final Sink sink = sinks.remove(a.sessionId());
                 if (sink != null) {
@@ -326,6 +347,7 @@
         }
     }
 
+    @SuppressWarnings("ReferenceEquality") // why: NONE is one object, and only means that the listener is woken
     private void beatLoop() {
         final BeatMachine machine = new BeatMachine(tempo, node.beatPeriod(), node.pledges());
         final Actions out = new Actions();
--- a/transport/src/main/java/brookpath/transport/wire/Wire.java
+++ b/transport/src/main/java/brookpath/transport/wire/Wire.java
@@ -44,7 +44,9 @@
     private static final int HIGH_WATER = 4 << 20;
     /** A machine without power says nothing; probes, a second apart, find that out where nothing is sent. */
     private static final ChannelOption<Integer> KEEP_IDLE = NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE);
-    private static final ChannelOption<Integer> KEEP_EVERY = NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL);
+
+    private static final ChannelOption<Integer> KEEP_EVERY =
+            NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL);
     private static final ChannelOption<Integer> KEEP_COUNT = NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT);
     private static final int KEEPS = 3;
     /** An opening packet that was lost goes again after a second; another go is sooner. */
@@ -68,7 +70,8 @@
 
     /**
      * @param redialMs about how long after a session ended another is tried
-     * @param deadMs the sessions with a node from which nothing came for so long though something was sent are ended: it may have lost power
+     * @param deadMs the sessions with a node from which nothing came for so long though something was sent are ended:
+     *     it may have lost power
      * @param threads that carry the traffic
      */
     public Wire(final int self, final Inbox inbox, final long redialMs, final long deadMs, final int threads) {
@@ -80,9 +83,18 @@
     }
 
     public int listen(final String host, final int port) throws InterruptedException {
-        server = new ServerBootstrap().group(loops).channel(NioServerSocketChannel.class)
-                .childOption(ChannelOption.TCP_NODELAY, true).childOption(ChannelOption.SO_KEEPALIVE, true)
-                .childOption(KEEP_IDLE, 1).childOption(KEEP_EVERY, 1).childOption(KEEP_COUNT, KEEPS).childHandler(pipeline(0)).bind(host, port).sync().channel();
+        server = new ServerBootstrap()
+                .group(loops)
+                .channel(NioServerSocketChannel.class)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.SO_KEEPALIVE, true)
+                .childOption(KEEP_IDLE, 1)
+                .childOption(KEEP_EVERY, 1)
+                .childOption(KEEP_COUNT, KEEPS)
+                .childHandler(pipeline(0))
+                .bind(host, port)
+                .sync()
+                .channel();
         return ((InetSocketAddress) server.localAddress()).getPort();
     }
 
@@ -130,9 +142,16 @@
             return;
         }
         final int sep = address.lastIndexOf(':');
-        new Bootstrap().group(loops).channel(NioSocketChannel.class).option(ChannelOption.TCP_NODELAY, true)
-                .option(ChannelOption.SO_KEEPALIVE, true).option(KEEP_IDLE, 1).option(KEEP_EVERY, 1).option(KEEP_COUNT, KEEPS)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS).handler(pipeline(node))
+        new Bootstrap()
+                .group(loops)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.SO_KEEPALIVE, true)
+                .option(KEEP_IDLE, 1)
+                .option(KEEP_EVERY, 1)
+                .option(KEEP_COUNT, KEEPS)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
+                .handler(pipeline(node))
                 .connect(address.substring(0, sep), Integer.parseInt(address.substring(sep + 1)))
                 .addListener((io.netty.channel.ChannelFuture f) -> {
                     if (f.isSuccess()) {
@@ -159,14 +178,17 @@
         if (ch == null || !ch.isActive()) {
             ch = accepted.get(node);
         }
-        if (ch == null || !ch.isActive() || ch.unsafe().outboundBuffer() != null
-                && ch.unsafe().outboundBuffer().totalPendingWriteBytes() > HIGH_WATER) {
+        if (ch == null
+                || !ch.isActive()
+                || (ch.unsafe().outboundBuffer() != null
+                        && ch.unsafe().outboundBuffer().totalPendingWriteBytes() > HIGH_WATER)) {
             return false;
         }
         final long now = System.nanoTime() / 1_000_000;
         final Long since = unanswered.putIfAbsent(node, now);
         if (since != null && now - since > deadMs) {
-            // why: by node, not by session: of the two sessions that two nodes may have, one may carry all that goes one way
+            // why: by node, not by session: of the two sessions that two nodes may have, one may carry all that goes
+            // one way
             unanswered.remove(node);
             hangUp(node);
             return false;
@@ -182,8 +204,11 @@
         return new ChannelInitializer<>() {
             @Override
             protected void initChannel(final SocketChannel ch) {
-                ch.pipeline().addLast(new LengthFieldBasedFrameDecoder(FrameCodec.MAX_FRAME, 0, 4, 0, 4),
-                        new LengthFieldPrepender(4), new Receiver(dialledNode));
+                ch.pipeline()
+                        .addLast(
+                                new LengthFieldBasedFrameDecoder(FrameCodec.MAX_FRAME, 0, 4, 0, 4),
+                                new LengthFieldPrepender(4),
+                                new Receiver(dialledNode));
             }
         };
     }
--- a/trial/src/main/java/brookpath/trial/disk/TrialDisk.java
+++ b/trial/src/main/java/brookpath/trial/disk/TrialDisk.java
@@ -40,7 +40,10 @@
         return syncs;
     }
 
-    /** Power goes: of each file the synced part stays, and by chance some of what followed: each write whole, torn or missing. */
+    /**
+     * Power goes: of each file the synced part stays, and by chance some of what followed: each write whole, torn or
+     * missing.
+     */
     public void powerLoss(final SplittableRandom rnd) {
         names.clear();
         names.putAll(durable);
@@ -95,7 +98,8 @@
         for (final String name : names.descendingKeySet()) {
             final Data d = names.get(name);
             if (name.startsWith("seg-") && d.synced > 64) {
-                d.bytes[rnd.nextInt(d.synced / 2)] ^= 1 << rnd.nextInt(8);
+                final int at = rnd.nextInt(d.synced / 2);
+                d.bytes[at] = (byte) (d.bytes[at] ^ 1 << rnd.nextInt(8));
                 return true;
             }
         }
--- a/trial/src/main/java/brookpath/trial/fleet/Fleet.java
+++ b/trial/src/main/java/brookpath/trial/fleet/Fleet.java
@@ -24,11 +24,14 @@
 import java.util.concurrent.ThreadLocalRandom;
 
 /** A whole fleet as processes on loopback, each with its settings file and data folder. Stops only what it started. */
+@SuppressWarnings("try") // why: whoever interrupts the end of a fleet is told so
 public final class Fleet implements AutoCloseable {
     public static final String HOST = "127.0.0.1";
     private static final String[] ZONES = {"a", "b", "c", "d"};
 
-    /** The zone that a node of this fleet lies in, by its number alone; "" for callers, who are wherever the front is. */
+    /**
+     * The zone that a node of this fleet lies in, by its number alone; "" for callers, who are wherever the front is.
+     */
     public static String zoneOf(final int node) {
         return node <= 0 ? "" : ZONES[(node - (node >= 31 ? 31 : node >= 11 ? 11 : 1)) % 4];
     }
@@ -58,33 +61,62 @@
                 sb.append(",\"role\":\"").append(role).append('"');
             }
             if (siblingPort > 0) {
-                sb.append(",\"siblings\":\"").append(HOST).append(':').append(siblingPort).append("\",\"data\":\"")
-                        .append(folder.resolve("data-" + node)).append('"');
+                sb.append(",\"siblings\":\"")
+                        .append(HOST)
+                        .append(':')
+                        .append(siblingPort)
+                        .append("\",\"data\":\"")
+                        .append(folder.resolve("data-" + node))
+                        .append('"');
                 if (relay != null && !bailiff) {
-                    sb.append(",\"reachedAs\":\"").append(HOST).append(':').append(relay.open(node, siblingPort, true)).append('"');
+                    sb.append(",\"reachedAs\":\"")
+                            .append(HOST)
+                            .append(':')
+                            .append(relay.open(node, siblingPort, true))
+                            .append('"');
                 }
             }
             sb.append(",\"http\":\"").append(HOST).append(':').append(httpPort).append("\",\"seeds\":[");
             for (int i = 1; i <= 3; i++) {
-                sb.append(i == 1 ? "" : ",").append('"').append(i).append('@').append(HOST).append(':').append(seedsReachedAs[i]).append('"');
+                sb.append(i == 1 ? "" : ",")
+                        .append('"')
+                        .append(i)
+                        .append('@')
+                        .append(HOST)
+                        .append(':')
+                        .append(seedsReachedAs[i])
+                        .append('"');
             }
             sb.append(']');
             if (bailiff) {
-                sb.append(",\"founding\":{\"groups\":16,\"copies\":3,\"storages\":4}").append(platform.isEmpty() ? "" : ",\"platform\":\"" + platform + "\"");
+                sb.append(",\"founding\":{\"groups\":16,\"copies\":3,\"storages\":4}")
+                        .append(platform.isEmpty() ? "" : ",\"platform\":\"" + platform + "\"");
             }
             Files.writeString(settings, sb.append("}\n"));
         }
 
         public void start(final boolean found) throws IOException {
-            final List<String> cmd = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                    "-Xmx160m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Dslf4j.internal.verbosity=WARN",
-                    "--add-opens", "java.base/jdk.internal.misc=ALL-UNNAMED", "-cp", System.getProperty("surefire.test.class.path", System.getProperty("java.class.path")),
-                    bailiff ? "brookpath.programs.Bailiff" : "brookpath.programs.Creel", "--settings", settings.toString()));
+            final List<String> cmd = new ArrayList<>(List.of(
+                    Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                    "-Xmx160m",
+                    "-XX:+UseSerialGC",
+                    "-XX:TieredStopAtLevel=1",
+                    "-Dslf4j.internal.verbosity=WARN",
+                    "--add-opens",
+                    "java.base/jdk.internal.misc=ALL-UNNAMED",
+                    "-cp",
+                    System.getProperty("surefire.test.class.path", System.getProperty("java.class.path")),
+                    bailiff ? "brookpath.programs.Bailiff" : "brookpath.programs.Creel",
+                    "--settings",
+                    settings.toString()));
             if (found) {
                 cmd.add("--found");
             }
             final File out = folder.resolve("out-" + node + ".txt").toFile();
-            process = new ProcessBuilder(cmd).redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.appendTo(out)).start();
+            process = new ProcessBuilder(cmd)
+                    .redirectErrorStream(true)
+                    .redirectOutput(ProcessBuilder.Redirect.appendTo(out))
+                    .start();
         }
 
         public boolean alive() {
@@ -105,7 +137,10 @@
         }
 
         public void signal(final String name) throws IOException, InterruptedException {
-            new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).inheritIO().start().waitFor();
+            new ProcessBuilder("kill", "-" + name, Long.toString(process.pid()))
+                    .inheritIO()
+                    .start()
+                    .waitFor();
         }
 
         public Path settings() {
@@ -134,10 +169,15 @@
     private final String platform;
     private final Set<Integer> taken = new HashSet<>();
     private final Map<Integer, Unit> units = new LinkedHashMap<>();
-    private final HttpClient http = HttpClient.newBuilder().connectTimeout(Duration.ofSeconds(1)).build();
+    private final HttpClient http =
+            HttpClient.newBuilder().connectTimeout(Duration.ofSeconds(1)).build();
 
-    /** @param base HTTP ports begin here, siblings' a thousand below; 0 takes any that are free @param relay null for none between the processes */
-    public Fleet(final Path folder, final int base, final int fronts, final Relay relay, final String platform) throws IOException, InterruptedException {
+    /**
+     * @param base HTTP ports begin here, siblings' a thousand below; 0 takes any that are free
+     * @param relay null for none between the processes
+     */
+    public Fleet(final Path folder, final int base, final int fronts, final Relay relay, final String platform)
+            throws IOException, InterruptedException {
         this.relay = relay;
         this.platform = platform;
         this.folder = Files.createDirectories(folder).toAbsolutePath();
@@ -161,7 +201,8 @@
         if (base > 0) {
             return wanted;
         }
-        // why: from below the range that the kernel takes for outgoing sessions, so that none of those can sit on it meanwhile
+        // why: from below the range that the kernel takes for outgoing sessions, so that none of those can sit on it
+        // meanwhile
         while (true) {
             final int port = ThreadLocalRandom.current().nextInt(12_000, 32_000);
             try (ServerSocket probe = new ServerSocket(port, 1, InetAddress.getByName(HOST))) {
@@ -169,7 +210,7 @@
                     return port;
                 }
             } catch (final BindException ex) {
-                continue;
+                // why: taken by somebody else; another one is drawn
             }
         }
     }
@@ -196,7 +237,10 @@
     /** GET as text, or empty where the process does not respond with success. */
     public String get(final Unit u, final String path) throws InterruptedException {
         try {
-            final HttpResponse<String> r = http.send(HttpRequest.newBuilder(URI.create(u.url(path))).timeout(Duration.ofSeconds(1)).build(),
+            final HttpResponse<String> r = http.send(
+                    HttpRequest.newBuilder(URI.create(u.url(path)))
+                            .timeout(Duration.ofSeconds(1))
+                            .build(),
                     HttpResponse.BodyHandlers.ofString());
             return r.statusCode() == 200 ? r.body() : "";
         } catch (final IOException ex) {
@@ -204,9 +248,14 @@
         }
     }
 
-    public HttpResponse<String> post(final Unit u, final String path, final String body) throws IOException, InterruptedException {
-        return http.send(HttpRequest.newBuilder(URI.create(u.url(path))).timeout(Duration.ofSeconds(10))
-                .POST(HttpRequest.BodyPublishers.ofString(body)).build(), HttpResponse.BodyHandlers.ofString());
+    public HttpResponse<String> post(final Unit u, final String path, final String body)
+            throws IOException, InterruptedException {
+        return http.send(
+                HttpRequest.newBuilder(URI.create(u.url(path)))
+                        .timeout(Duration.ofSeconds(10))
+                        .POST(HttpRequest.BodyPublishers.ofString(body))
+                        .build(),
+                HttpResponse.BodyHandlers.ofString());
     }
 
     /** Until every front is ready and sees a master for every founded group. */
@@ -216,7 +265,9 @@
             boolean ready = true;
             for (final Unit u : fronts()) {
                 final String status = get(u, "/v1/status");
-                ready &= !get(u, "/v1/ready").isEmpty() && status.contains("\"group\":15") && !status.contains("\"founded\":false")
+                ready &= !get(u, "/v1/ready").isEmpty()
+                        && status.contains("\"group\":15")
+                        && !status.contains("\"founded\":false")
                         && !status.contains("\"master\":0");
             }
             if (ready) {
--- a/trial/src/main/java/brookpath/trial/fleet/FleetDay.java
+++ b/trial/src/main/java/brookpath/trial/fleet/FleetDay.java
@@ -18,12 +18,22 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 
 /**
- * A day of real processes: the brief's failures one after another and over each other, racing operators all along who take the key of half of the
- * sessions away and give it back, a platform that is slow and down at times, and a failure at the end. The simulator's oracle judges.
+ * A day of real processes: the brief's failures one after another and over each other, racing operators all along who
+ * take the key of half of the sessions away and give it back, a platform that is slow and down at times, and a failure
+ * at the end. The simulator's oracle judges.
  */
 final class FleetDay implements AutoCloseable {
     /** The kinds of failure, by what they do to a running fleet. */
-    enum Strike { KILL, FREEZE, RESTART, LOSS, ONE_WAY, RESETS, PLATFORM, SETTINGS }
+    enum Strike {
+        KILL,
+        FREEZE,
+        RESTART,
+        LOSS,
+        ONE_WAY,
+        RESETS,
+        PLATFORM,
+        SETTINGS
+    }
 
     private final Fleet fleet;
     private final Load load;
@@ -43,6 +53,7 @@
         private volatile Load load;
         /** The wall clock when the callers' own began. */
         private long born;
+
         private volatile long troubleUntil;
         private volatile int reports;
 
@@ -54,7 +65,8 @@
                 return th;
             }));
             server.createContext("/usage", ex -> {
-                final String body = new String(ex.getRequestBody().readAllBytes(), java.nio.charset.StandardCharsets.UTF_8);
+                final String body =
+                        new String(ex.getRequestBody().readAllBytes(), java.nio.charset.StandardCharsets.UTF_8);
                 final boolean trouble = System.nanoTime() < troubleUntil;
                 try {
                     if (trouble) {
@@ -63,7 +75,8 @@
                 } catch (final InterruptedException stop) {
                     Thread.currentThread().interrupt();
                 }
-                // why: in trouble it takes every other report and says of all that it did not, so the same must come again
+                // why: in trouble it takes every other report and says of all that it did not, so the same must come
+                // again
                 final boolean takes = !trouble || body.hashCode() % 2 == 0;
                 if (takes && load != null) {
                     take(body);
@@ -80,9 +93,15 @@
                 final History history = load.history();
                 synchronized (history) {
                     reports++;
-                    obj.getJsonArray("tenants").getValuesAs(JsonObject.class).forEach(t -> history.usage.reported(load.clock(), t.getString("tenant"),
-                            obj.getJsonNumber("windowEndMs").longValue() - born, t.getJsonNumber("publishes").longValue(),
-                            t.getJsonNumber("bytes").longValue(), t.getBoolean("late")));
+                    obj.getJsonArray("tenants")
+                            .getValuesAs(JsonObject.class)
+                            .forEach(t -> history.usage.reported(
+                                    load.clock(),
+                                    t.getString("tenant"),
+                                    obj.getJsonNumber("windowEndMs").longValue() - born,
+                                    t.getJsonNumber("publishes").longValue(),
+                                    t.getJsonNumber("bytes").longValue(),
+                                    t.getBoolean("late")));
                 }
             }
         }
@@ -97,7 +116,13 @@
         }
     }
 
-    FleetDay(final Fleet fleet, final Load load, final Profile profile, final Relay relay, final Platform platform, final long seed) {
+    FleetDay(
+            final Fleet fleet,
+            final Load load,
+            final Profile profile,
+            final Relay relay,
+            final Platform platform,
+            final long seed) {
         this.fleet = fleet;
         this.load = load;
         this.profile = profile;
@@ -129,13 +154,15 @@
         while (load.clock() < healed + 60_000 && accepted() < before + profile.perSecond()) {
             Thread.sleep(50);
         }
-        System.out.println("healed: a second's worth of messages accepted again after " + (load.clock() - healed) + " ms (bound 12000)");
+        System.out.println("healed: a second's worth of messages accepted again after " + (load.clock() - healed)
+                + " ms (bound 12000)");
         Thread.sleep(3_000);
         open.set(false);
         operators.join();
         readBack();
-        System.out.println("day: " + counts + ", resets " + relay.resets() + ", packets lost " + relay.lost() + ", usage reports " + platform.reports
-                + ", latest " + load.history().usage.latest() + " ms after its window");
+        System.out.println(
+                "day: " + counts + ", resets " + relay.resets() + ", packets lost " + relay.lost() + ", usage reports "
+                        + platform.reports + ", latest " + load.history().usage.latest() + " ms after its window");
     }
 
     private int accepted() {
@@ -162,7 +189,8 @@
 
     /** Storage machines most of all, and never while another machine is away. */
     private Fleet.Unit victim() {
-        final List<Fleet.Unit> bailiffs = fleet.units().values().stream().filter(u -> u.bailiff).toList();
+        final List<Fleet.Unit> bailiffs =
+                fleet.units().values().stream().filter(u -> u.bailiff).toList();
         final int kind = rnd.nextInt(10);
         return any(kind < 5 ? fleet.storages() : kind < 8 ? bailiffs : fleet.fronts());
     }
@@ -218,7 +246,10 @@
         while (load.clock() < end) {
             final String status = fleet.get(u, "/v1/status");
             final String ready = fleet.get(u, "/v1/ready");
-            if (!ready.isEmpty() && !status.contains("\"lost\":true") && !status.contains("\"master\":0") && !status.contains("\"sync\":\"catch-up\"")) {
+            if (!ready.isEmpty()
+                    && !status.contains("\"lost\":true")
+                    && !status.contains("\"master\":0")
+                    && !status.contains("\"sync\":\"catch-up\"")) {
                 return;
             }
             Thread.sleep(50);
@@ -251,8 +282,11 @@
         }
     }
 
-    private void hand(final long basedOn, final String id, final boolean with, final boolean nonsense, final int first) {
-        final String doc = nonsense ? profile.document(basedOn, id, with).replace("\"keepingSeconds\":30", "\"keepingSeconds\":-1") : profile.document(basedOn, id, with);
+    private void hand(
+            final long basedOn, final String id, final boolean with, final boolean nonsense, final int first) {
+        final String doc = nonsense
+                ? profile.document(basedOn, id, with).replace("\"keepingSeconds\":30", "\"keepingSeconds\":-1")
+                : profile.document(basedOn, id, with);
         if (with && !nonsense) {
             load.grantUnderWay(profile.shakyKey());
         }
@@ -277,7 +311,8 @@
         violation(id + " got no outcome in 60 goes");
     }
 
-    private synchronized void confirmed(final String body, final String id, final boolean with, final boolean nonsense) {
+    private synchronized void confirmed(
+            final String body, final String id, final boolean with, final boolean nonsense) {
         try (var rd = Json.createReader(new StringReader(body))) {
             final long version = rd.readObject().getInt("version");
             synchronized (load.history()) {
@@ -302,8 +337,12 @@
                 try (var rd = Json.createReader(new StringReader(spec))) {
                     final JsonObject obj = rd.readObject();
                     final String id = load.history().confirmedAs(newest);
-                    if (obj.getInt("version") < newest || obj.getInt("version") == newest && id != null
-                            && !obj.getJsonObject("document").getString("changeId").equals(id)) {
+                    if (obj.getInt("version") < newest
+                            || (obj.getInt("version") == newest
+                                    && id != null
+                                    && !obj.getJsonObject("document")
+                                            .getString("changeId")
+                                            .equals(id))) {
                         violation("spec " + newest + " was confirmed, read back is " + obj.getInt("version"));
                     }
                 }
--- a/trial/src/main/java/brookpath/trial/fleet/FleetMain.java
+++ b/trial/src/main/java/brookpath/trial/fleet/FleetMain.java
@@ -2,10 +2,10 @@
 
 import brookpath.coordination.spec.Placement;
 import brookpath.coordination.spec.Spec;
-import brookpath.trial.sim.Callers;
 import brookpath.trial.fleet.Load.Profile;
 import brookpath.trial.oracle.History;
 import brookpath.trial.relay.Relay;
+import brookpath.trial.sim.Callers;
 import jakarta.json.Json;
 import jakarta.json.JsonObject;
 import jakarta.json.JsonValue;
@@ -24,18 +24,29 @@
 
 /** {@code bin/fleet}: starts a fleet and leaves it running, or runs a scenario against it and reports. */
 public final class FleetMain {
-    private FleetMain() {
-    }
+    private FleetMain() {}
 
     public static void main(final String[] args) throws Exception {
-        final Options opts = new Options().addOption(null, "fronts", true, "how many fronts (3; the brief's shape has 11)")
-                .addOption(null, "folder", true, "where settings and data go (run/fleet)").addOption(null, "port", true, "first HTTP port (8000)")
+        final Options opts = new Options()
+                .addOption(null, "fronts", true, "how many fronts (3; the brief's shape has 11)")
+                .addOption(null, "folder", true, "where settings and data go (run/fleet)")
+                .addOption(null, "port", true, "first HTTP port (8000)")
                 .addOption(null, "profile", true, "jadran, sajha or small (small)")
-                .addOption(null, "scenario", true, "none, steady, kill-master, freeze-master, rolling, all-restart, retire, day, or day-KIND with one of "
-                        + List.of(FleetDay.Strike.values()) + " (none)")
-                .addOption(null, "zone-us", true, "one way between zones, microseconds, through the relay (days: 500, sajha 1500)")
-                .addOption(null, "seconds", true, "how long a scenario publishes (20)").addOption(null, "seed", true, "for the callers (1)")
-                .addOption(null, "keep", false, "keep what the folder holds; else a fresh start").addOption("h", "help", false, "this text");
+                .addOption(
+                        null,
+                        "scenario",
+                        true,
+                        "none, steady, kill-master, freeze-master, rolling, all-restart, retire, day, or day-KIND with one of "
+                                + List.of(FleetDay.Strike.values()) + " (none)")
+                .addOption(
+                        null,
+                        "zone-us",
+                        true,
+                        "one way between zones, microseconds, through the relay (days: 500, sajha 1500)")
+                .addOption(null, "seconds", true, "how long a scenario publishes (20)")
+                .addOption(null, "seed", true, "for the callers (1)")
+                .addOption(null, "keep", false, "keep what the folder holds; else a fresh start")
+                .addOption("h", "help", false, "this text");
         final CommandLine cl;
         try {
             cl = new DefaultParser().parse(opts, args);
@@ -57,8 +68,10 @@
         if (!List.of("jadran", "sajha", "small").contains(cl.getOptionValue("profile", "small"))) {
             wrong.add("--profile: must be jadran, sajha or small");
         }
-        if (!List.of("none", "steady", "kill-master", "freeze-master", "rolling", "all-restart", "retire", "day").contains(cl.getOptionValue("scenario", "none"))
-                && java.util.Arrays.stream(FleetDay.Strike.values()).noneMatch(k -> cl.getOptionValue("scenario").equals("day-" + k))) {
+        if (!List.of("none", "steady", "kill-master", "freeze-master", "rolling", "all-restart", "retire", "day")
+                        .contains(cl.getOptionValue("scenario", "none"))
+                && java.util.Arrays.stream(FleetDay.Strike.values())
+                        .noneMatch(k -> cl.getOptionValue("scenario").equals("day-" + k))) {
             wrong.add("--scenario: not one of those that --help lists");
         }
         if (!wrong.isEmpty()) {
@@ -68,19 +81,26 @@
         final Path folder = Path.of(cl.getOptionValue("folder", "run/fleet"));
         if (!cl.hasOption("keep") && Files.exists(folder)) {
             try (var paths = Files.walk(folder)) {
-                for (final Path p : paths.sorted(java.util.Comparator.reverseOrder()).toList()) {
+                for (final Path p :
+                        paths.sorted(java.util.Comparator.reverseOrder()).toList()) {
                     Files.delete(p);
                 }
             }
         }
         final boolean day = cl.getOptionValue("scenario", "none").startsWith("day");
-        final long oneWayUs = Long.parseLong(cl.getOptionValue("zone-us", cl.getOptionValue("profile", "small").equals("sajha") ? "1500" : "500"));
+        final long oneWayUs = Long.parseLong(cl.getOptionValue(
+                "zone-us", cl.getOptionValue("profile", "small").equals("sajha") ? "1500" : "500"));
         // why: the zones of the two ends tell the delay; callers are in the zone of their front
-        final Relay relay = day || cl.hasOption("zone-us") ? new Relay((a, b) ->
-                a <= 0 || Fleet.zoneOf((int) a).equals(Fleet.zoneOf((int) b)) ? 0 : oneWayUs) : null;
+        final Relay relay = day || cl.hasOption("zone-us")
+                ? new Relay((a, b) -> a <= 0 || Fleet.zoneOf((int) a).equals(Fleet.zoneOf((int) b)) ? 0 : oneWayUs)
+                : null;
         final FleetDay.Platform platform = day ? new FleetDay.Platform() : null;
-        final Fleet fleet = new Fleet(folder, Integer.parseInt(cl.getOptionValue("port", "8000")), Integer.parseInt(cl.getOptionValue("fronts", "3")),
-                relay, platform == null ? "" : platform.url());
+        final Fleet fleet = new Fleet(
+                folder,
+                Integer.parseInt(cl.getOptionValue("port", "8000")),
+                Integer.parseInt(cl.getOptionValue("fronts", "3")),
+                relay,
+                platform == null ? "" : platform.url());
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             try {
                 fleet.close();
@@ -94,8 +114,9 @@
             System.err.println("fleet: not ready after a minute; see " + folder + "/out-*.txt");
             System.exit(1);
         }
-        System.out.println("fleet: ready after " + (System.nanoTime() - t0) / 1_000_000 + " ms; bailiffs on " + fleet.units().get(1).url("")
-                + " and the next two, fronts from " + fleet.fronts().get(0).url(""));
+        System.out.println("fleet: ready after " + (System.nanoTime() - t0) / 1_000_000 + " ms; bailiffs on "
+                + fleet.units().get(1).url("") + " and the next two, fronts from "
+                + fleet.fronts().get(0).url(""));
         final String scenario = cl.getOptionValue("scenario", "none");
         if (scenario.equals("none")) {
             Thread.currentThread().join();
@@ -105,15 +126,29 @@
             case "sajha" -> Profile.SAJHA;
             default -> Profile.SMALL;
         };
-        final boolean good = scenario(fleet, relay, platform, profile, scenario, Integer.parseInt(cl.getOptionValue("seconds", "20")) * 1000L,
+        final boolean good = scenario(
+                fleet,
+                relay,
+                platform,
+                profile,
+                scenario,
+                Integer.parseInt(cl.getOptionValue("seconds", "20")) * 1000L,
                 Long.parseLong(cl.getOptionValue("seed", "1")));
         System.exit(good ? 0 : 1);
     }
 
-    private static boolean scenario(final Fleet fleet, final Relay relay, final FleetDay.Platform platform, final Profile profile, final String scenario,
-                                    final long ms, final long seed) throws Exception {
+    private static boolean scenario(
+            final Fleet fleet,
+            final Relay relay,
+            final FleetDay.Platform platform,
+            final Profile profile,
+            final String scenario,
+            final long ms,
+            final long seed)
+            throws Exception {
         final var change = fleet.post(fleet.units().get(2), "/v1/changes", profile.document(0, "fleet-first"));
-        System.out.println("change: " + change.statusCode() + " " + change.body().strip());
+        System.out.println(
+                "change: " + change.statusCode() + " " + change.body().strip());
         try (Load load = new Load(fleet, profile, seed)) {
             Thread.sleep(500);
             load.subscribe();
@@ -126,7 +161,11 @@
             load.measureFromHere();
             if (scenario.startsWith("day")) {
                 try (FleetDay day = new FleetDay(fleet, load, profile, relay, platform, seed)) {
-                    day.live(ms, scenario.equals("day") ? List.of(FleetDay.Strike.values()) : List.of(FleetDay.Strike.valueOf(scenario.substring(4))));
+                    day.live(
+                            ms,
+                            scenario.equals("day")
+                                    ? List.of(FleetDay.Strike.values())
+                                    : List.of(FleetDay.Strike.valueOf(scenario.substring(4))));
                 }
             } else {
                 Thread.sleep(ms / 2);
@@ -146,8 +185,10 @@
             System.out.println(load.report());
             history.violations().forEach(v -> System.out.println("VIOLATION " + v));
             // why: a run in which nothing was done proves nothing
-            final boolean worked = history.accepted() > ms / 1000 * profile.perSecond() / 2 && history.delivered() > history.accepted();
-            System.out.println("fleet: " + scenario + (history.violations().isEmpty() && worked ? " good" : worked ? " BAD" : " DID TOO LITTLE"));
+            final boolean worked = history.accepted() > ms / 1000.0 * profile.perSecond() / 2
+                    && history.delivered() > history.accepted();
+            System.out.println("fleet: " + scenario
+                    + (history.violations().isEmpty() && worked ? " good" : worked ? " BAD" : " DID TOO LITTLE"));
             return history.violations().isEmpty() && worked;
         }
     }
@@ -163,7 +204,8 @@
                 }
             }
         }
-        System.out.println("between zones: " + all + " bytes, " + all * 1_000 / Math.max(1, load.clock()) + " a second; " + pairs);
+        System.out.println(
+                "between zones: " + all + " bytes, " + all * 1_000 / Math.max(1, load.clock()) + " a second; " + pairs);
     }
 
     private static void strike(final Fleet fleet, final Load load, final String scenario) throws Exception {
@@ -190,7 +232,10 @@
             case "retire" -> {
                 final Fleet.Unit leaving = busiest(fleet);
                 final long at = load.clock();
-                System.out.println("retire node " + leaving.node + ": " + fleet.post(fleet.units().get(1), "/v1/storages/" + leaving.node + "/retire", "").body().strip());
+                System.out.println("retire node " + leaving.node + ": "
+                        + fleet.post(fleet.units().get(1), "/v1/storages/" + leaving.node + "/retire", "")
+                                .body()
+                                .strip());
                 while (!fleet.get(leaving, "/v1/status").contains("\"groups\":[]") && load.clock() < at + 60_000) {
                     Thread.sleep(50);
                 }
@@ -213,7 +258,11 @@
                     u.start(false);
                 }
                 Thread.sleep(15_000);
-                gaps(load, at, new TreeSet<>(List.of(0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15)), "all restarted");
+                gaps(
+                        load,
+                        at,
+                        new TreeSet<>(List.of(0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15)),
+                        "all restarted");
             }
             default -> {
                 // why: steady means that nothing happens
@@ -222,7 +271,8 @@
     }
 
     /** Polls the members until each of the groups has an acting master again; says when, and why. */
-    private static void awaitActing(final Fleet fleet, final Load load, final long at, final TreeSet<Integer> groups) throws InterruptedException {
+    private static void awaitActing(final Fleet fleet, final Load load, final long at, final TreeSet<Integer> groups)
+            throws InterruptedException {
         final TreeMap<Integer, String> acting = new TreeMap<>();
         while (acting.size() < groups.size() && load.clock() < at + 12_000) {
             for (final Fleet.Unit u : fleet.storages()) {
@@ -234,7 +284,9 @@
                     for (final JsonValue v : rd.readObject().getJsonArray("groups")) {
                         final JsonObject g = v.asJsonObject();
                         if (g.getBoolean("mayAct") && groups.contains(g.getInt("group"))) {
-                            acting.putIfAbsent(g.getInt("group"), (load.clock() - at) + " ms: node " + u.node + " " + g.getString("why"));
+                            acting.putIfAbsent(
+                                    g.getInt("group"),
+                                    (load.clock() - at) + " ms: node " + u.node + " " + g.getString("why"));
                         }
                     }
                 }
--- a/trial/src/main/java/brookpath/trial/fleet/Load.java
+++ b/trial/src/main/java/brookpath/trial/fleet/Load.java
@@ -60,13 +60,17 @@
         }
 
         public String document(final long basedOn, final String changeId, final boolean withShaky) {
-            final StringBuilder sb = new StringBuilder("{\"basedOn\":" + basedOn + ",\"changeId\":\"" + changeId + "\",\"spaces\":["
-                    + "{\"name\":\"permits\",\"keepingSeconds\":30},{\"name\":\"closures\",\"keepingSeconds\":30},"
-                    + "{\"name\":\"clues\",\"keepingSeconds\":30,\"order\":\"one\"}],\"tenants\":[");
+            final StringBuilder sb =
+                    new StringBuilder("{\"basedOn\":" + basedOn + ",\"changeId\":\"" + changeId + "\",\"spaces\":["
+                            + "{\"name\":\"permits\",\"keepingSeconds\":30},{\"name\":\"closures\",\"keepingSeconds\":30},"
+                            + "{\"name\":\"clues\",\"keepingSeconds\":30,\"order\":\"one\"}],\"tenants\":[");
             for (int i = 0; i < tenants; i++) {
-                sb.append(i == 0 ? "" : ",").append("{\"name\":\"tenant-").append(i)
+                sb.append(i == 0 ? "" : ",")
+                        .append("{\"name\":\"tenant-")
+                        .append(i)
                         .append("\",\"spaces\":[\"permits\",\"closures\",\"clues\"],\"keys\":[")
-                        .append(i == tenants - 1 && !withShaky ? "" : "\"key-tenant-" + i + "\"").append("]}");
+                        .append(i == tenants - 1 && !withShaky ? "" : "\"key-tenant-" + i + "\"")
+                        .append("]}");
             }
             return sb.append("]}").toString();
         }
@@ -76,7 +80,10 @@
     private final Fleet fleet;
     private final History history = new History();
     private final ScheduledExecutorService timer = Executors.newScheduledThreadPool(2);
-    private final HttpClient http = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).connectTimeout(Duration.ofSeconds(1)).build();
+    private final HttpClient http = HttpClient.newBuilder()
+            .version(HttpClient.Version.HTTP_1_1)
+            .connectTimeout(Duration.ofSeconds(1))
+            .build();
     private final SplittableRandom rnd;
     private final Histogram delivery = new Histogram(60_000_000, 3);
     private final Histogram acceptance = new Histogram(60_000_000, 3);
@@ -189,7 +196,11 @@
             key = profile.key(session);
             final long seq = seqs.merge(line, 1L, Long::sum);
             synchronized (history) {
-                s = history.sending(topic, "s" + session, seq, "message " + seq + " of " + session + " about the weir at the old mill");
+                s = history.sending(
+                        topic,
+                        "s" + session,
+                        seq,
+                        "message " + seq + " of " + session + " about the weir at the old mill");
                 s.sentAt = now();
             }
         }
@@ -201,19 +212,30 @@
     private void go(final Sent s, final String key, final int goes) {
         count("publish goes");
         final long at = System.nanoTime();
-        final String body = "{\"sender\":\"" + s.sender + "\",\"sequence\":" + s.seq + ",\"message\":\"" + s.text + "\"}";
-        http.sendAsync(HttpRequest.newBuilder(URI.create(anyFront().callersUrl("/v1/topics/" + s.topic + "/messages"))).timeout(Duration.ofSeconds(3))
-                .header("Authorization", "Bearer " + key).POST(HttpRequest.BodyPublishers.ofString(body)).build(),
-                HttpResponse.BodyHandlers.ofString()).whenComplete((r, ex) -> {
+        final String body =
+                "{\"sender\":\"" + s.sender + "\",\"sequence\":" + s.seq + ",\"message\":\"" + s.text + "\"}";
+        http.sendAsync(
+                        HttpRequest.newBuilder(URI.create(anyFront().callersUrl("/v1/topics/" + s.topic + "/messages")))
+                                .timeout(Duration.ofSeconds(3))
+                                .header("Authorization", "Bearer " + key)
+                                .POST(HttpRequest.BodyPublishers.ofString(body))
+                                .build(),
+                        HttpResponse.BodyHandlers.ofString())
+                .whenComplete((r, ex) -> {
                     final int status = r == null ? 0 : r.statusCode();
                     if (status == 200) {
                         synchronized (this) {
                             acceptance.recordValue((System.nanoTime() - at) / 1000);
-                            acceptedTopics.computeIfAbsent(now(), k -> new ArrayList<>()).add(s.topic);
+                            acceptedTopics
+                                    .computeIfAbsent(now(), k -> new ArrayList<>())
+                                    .add(s.topic);
                         }
                         synchronized (history) {
                             keyWorked(key, "published");
-                            history.accepted(now(), s, json(r.body()).getJsonNumber("position").longValue());
+                            history.accepted(
+                                    now(),
+                                    s,
+                                    json(r.body()).getJsonNumber("position").longValue());
                         }
                         done(s);
                         return;
@@ -227,14 +249,21 @@
                         return;
                     }
                     count(status == 0 ? "resets and time-outs" : "status " + status);
-                    if (status == 409 || status >= 400 && status < 500 || goes > 60) {
+                    if (status == 409 || (status >= 400 && status < 500) || goes > 60) {
                         synchronized (history) {
-                            history.violation(now(), s.topic + "|" + s.sender + "|" + s.seq + " ended with status " + status + " after " + goes + " goes");
+                            history.violation(
+                                    now(),
+                                    s.topic + "|" + s.sender + "|" + s.seq + " ended with status " + status + " after "
+                                            + goes + " goes");
                         }
                         done(s);
                         return;
                     }
-                    final long wait = r == null ? 100 : r.headers().firstValueAsLong("Brookpath-Retry-After-Ms").orElse(200);
+                    final long wait = r == null
+                            ? 100
+                            : r.headers()
+                                    .firstValueAsLong("Brookpath-Retry-After-Ms")
+                                    .orElse(200);
                     timer.schedule(() -> go(s, key, goes + 1), wait / 2 + (at & 63), MILLISECONDS);
                 });
     }
@@ -271,22 +300,27 @@
         void connect() {
             final StringBuilder path = new StringBuilder("/v1/stream?cursor=").append(cursor == null ? "" : cursor);
             topics.forEach(t -> path.append("&topic=").append(t));
-            http.sendAsync(HttpRequest.newBuilder(URI.create(anyFront().callersUrl(path.toString()))).header("Authorization", "Bearer " + key).build(),
-                    info -> {
-                        if (info.statusCode() != 200) {
-                            count("subscribe status " + info.statusCode());
-                            if (info.statusCode() == 410) {
-                                synchronized (history) {
-                                    history.refusedResume(now(), listener, 30_000);
-                                    listener.entitled = false;
+            http.sendAsync(
+                            HttpRequest.newBuilder(URI.create(anyFront().callersUrl(path.toString())))
+                                    .header("Authorization", "Bearer " + key)
+                                    .build(),
+                            info -> {
+                                if (info.statusCode() != 200) {
+                                    count("subscribe status " + info.statusCode());
+                                    if (info.statusCode() == 410) {
+                                        synchronized (history) {
+                                            history.refusedResume(now(), listener, 30_000);
+                                            listener.entitled = false;
+                                        }
+                                    } else if (info.statusCode() == 401) {
+                                        listener.entitled = false;
+                                    }
                                 }
-                            } else if (info.statusCode() == 401) {
-                                listener.entitled = false;
-                            }
-                        }
-                        return info.statusCode() == 200 ? HttpResponse.BodySubscribers.fromLineSubscriber(new Lines())
-                                : HttpResponse.BodySubscribers.replacing(null);
-                    }).whenComplete((r, ex) -> {
+                                return info.statusCode() == 200
+                                        ? HttpResponse.BodySubscribers.fromLineSubscriber(new Lines())
+                                        : HttpResponse.BodySubscribers.replacing(null);
+                            })
+                    .whenComplete((r, ex) -> {
                         listening = false;
                         if (!timer.isShutdown()) {
                             count("sessions ended");
@@ -315,7 +349,16 @@
                     final String sender = obj.getString("sender");
                     final long seq = obj.getJsonNumber("sequence").longValue();
                     history.begunIfNot(now(), listener, topic, position);
-                    history.delivered(now(), listener, topic, position, sender, seq, obj.getString("message"), topic.startsWith("clues/"), -1);
+                    history.delivered(
+                            now(),
+                            listener,
+                            topic,
+                            position,
+                            sender,
+                            seq,
+                            obj.getString("message"),
+                            topic.startsWith("clues/"),
+                            -1);
                     final Long sent = sentAt.get(topic + "|" + sender + "|" + seq);
                     // why: who was away when it was sent gets it on coming back, which says nothing of the delivery
                     if (sent != null && sent >= listeningSince) {
@@ -325,7 +368,9 @@
                 } else {
                     final Map<String, Long> from = new HashMap<>();
                     for (final String part : new String(Base64.getUrlDecoder().decode(cursor), UTF_8).split(",")) {
-                        from.put(part.substring(0, part.indexOf('@')), Long.parseLong(part.substring(part.indexOf('@') + 1)));
+                        from.put(
+                                part.substring(0, part.indexOf('@')),
+                                Long.parseLong(part.substring(part.indexOf('@') + 1)));
                     }
                     history.begun(now(), listener, from);
                 }
@@ -366,7 +411,8 @@
     /** How long after the given time the next acceptance on an affected topic came; -1 for never. */
     public synchronized long gapAfter(final long time, final java.util.function.Predicate<String> affected) {
         long first = -1;
-        for (final Map.Entry<Long, List<String>> e : acceptedTopics.tailMap(time + 1).entrySet()) {
+        for (final Map.Entry<Long, List<String>> e :
+                acceptedTopics.tailMap(time + 1).entrySet()) {
             if (e.getValue().stream().anyMatch(affected)) {
                 first = e.getKey() - time;
                 break;
@@ -397,18 +443,33 @@
         synchronized (history) {
             for (int i = 0; i < profile.tenants; i++) {
                 final String key = "key-tenant-" + i;
-                history.usage.settle(now(), "tenant-" + i, s -> profile.key(Integer.parseInt(s.sender.substring(1))).equals(key));
+                history.usage.settle(
+                        now(),
+                        "tenant-" + i,
+                        s -> profile.key(Integer.parseInt(s.sender.substring(1)))
+                                .equals(key));
             }
         }
     }
 
     public synchronized String report() {
         final Histogram d = delivery;
-        return String.format("%s: accepted %d, delivered %d, %d of them to listeners after more than 2 s; publish-to-delivery ms median %.1f p99 %.1f max %.1f (p99 %.2f of 150 ms, max %.2f of 2 s); "
-                + "acceptance ms median %.1f p99 %.1f max %.1f; %s", profile.name, history.accepted(), history.delivered(), late,
-                d.getValueAtPercentile(50) / 1000.0, d.getValueAtPercentile(99) / 1000.0, d.getMaxValue() / 1000.0,
-                d.getValueAtPercentile(99) / 150_000.0, d.getMaxValue() / 2_000_000.0, acceptance.getValueAtPercentile(50) / 1000.0,
-                acceptance.getValueAtPercentile(99) / 1000.0, acceptance.getMaxValue() / 1000.0, counts);
+        return String.format(
+                "%s: accepted %d, delivered %d, %d of them to listeners after more than 2 s; publish-to-delivery ms median %.1f p99 %.1f max %.1f (p99 %.2f of 150 ms, max %.2f of 2 s); "
+                        + "acceptance ms median %.1f p99 %.1f max %.1f; %s",
+                profile.name,
+                history.accepted(),
+                history.delivered(),
+                late,
+                d.getValueAtPercentile(50) / 1000.0,
+                d.getValueAtPercentile(99) / 1000.0,
+                d.getMaxValue() / 1000.0,
+                d.getValueAtPercentile(99) / 150_000.0,
+                d.getMaxValue() / 2_000_000.0,
+                acceptance.getValueAtPercentile(50) / 1000.0,
+                acceptance.getValueAtPercentile(99) / 1000.0,
+                acceptance.getMaxValue() / 1000.0,
+                counts);
     }
 
     @Override
--- a/trial/src/main/java/brookpath/trial/mutate/Mutants.java
+++ b/trial/src/main/java/brookpath/trial/mutate/Mutants.java
@@ -13,19 +13,19 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import javax.tools.JavaCompiler;
 import javax.tools.ToolProvider;
 
 /**
- * Breaks the production code on purpose, one rule at a time, and looks whether a check goes red: first the staged scenes, then a sweep.
- * {@code bin/mutants [SEEDS [NAME-PART]]}. Outside CI. Exits 1 where a mutant lived.
+ * Breaks the production code on purpose, one rule at a time, and looks whether a check goes red: first the staged
+ * scenes, then a sweep. {@code bin/mutants [SEEDS [NAME-PART]]}. Outside CI. Exits 1 where a mutant lived.
  */
 public final class Mutants {
-    private record Mutant(String name, String file, String find, String replace, String faults) {
-    }
+    private record Mutant(String name, String file, String find, String replace, String faults) {}
 
-    private Mutants() {
-    }
+    private Mutants() {}
 
     public static void main(final String[] args) throws Exception {
         final String seeds = args.length > 0 ? args[0] : "24";
@@ -39,8 +39,17 @@
             }
         }
         // why: a check that is red without a mutant says nothing of mutants
-        final String whole = run(Files.createTempDirectory("whole"), System.getProperty("java.class.path"), "AssertionError",
-                "org.testng.TestNG", "-usedefaultlisteners", "false", "-verbose", "2", "-testclass", "brookpath.trial.sim.ScenesTest");
+        final String whole = run(
+                Files.createTempDirectory("whole"),
+                System.getProperty("java.class.path"),
+                "AssertionError",
+                "org.testng.TestNG",
+                "-usedefaultlisteners",
+                "false",
+                "-verbose",
+                "2",
+                "-testclass",
+                "brookpath.trial.sim.ScenesTest");
         if (whole != null) {
             System.err.println("mutants: the scenes are red without any mutant: " + whole);
             System.exit(1);
@@ -65,16 +74,27 @@
         return s.trim().replace("\u0001", "|").replace("\\n", "\n");
     }
 
+    /** A pattern for the text however the formatter breaks its lines. */
+    private static String anyLayout(final String text) {
+        final StringBuilder pattern = new StringBuilder();
+        text.chars()
+                .filter(c -> !Character.isWhitespace(c))
+                .forEach(c -> pattern.append(pattern.length() == 0 ? "" : "\\s*")
+                        .append(Pattern.quote(Character.toString(c))));
+        return pattern.toString();
+    }
+
     private static String row(final Mutant m, final String seeds) throws IOException, InterruptedException {
         final Path src = Path.of("coordination/src/main/java/brookpath/coordination", m.file);
         final String code = Files.readString(src);
-        if (!code.contains(m.find)) {
+        final Matcher found = Pattern.compile(anyLayout(m.find)).matcher(code);
+        if (!found.find()) {
             throw new IllegalStateException(m.name + ": its text is not in " + src);
         }
         final Path work = Files.createTempDirectory("mutant");
         final Path mutated = work.resolve("src").resolve(m.file);
         Files.createDirectories(mutated.getParent());
-        Files.writeString(mutated, code.replace(m.find, m.replace));
+        Files.writeString(mutated, found.replaceAll(Matcher.quoteReplacement(m.replace)));
         final Path out = Files.createDirectories(work.resolve("classes"));
         final String cp = System.getProperty("java.class.path");
         final JavaCompiler javac = ToolProvider.getSystemJavaCompiler();
@@ -82,8 +102,19 @@
             throw new IllegalStateException(m.name + ": does not compile");
         }
         final String mutatedCp = out + File.pathSeparator + cp;
-        String seen = run(work, mutatedCp, "AssertionError", "org.testng.TestNG", "-usedefaultlisteners", "false", "-verbose", "2",
-                "-d", work.resolve("testng").toString(), "-testclass", "brookpath.trial.sim.ScenesTest");
+        String seen = run(
+                work,
+                mutatedCp,
+                "AssertionError",
+                "org.testng.TestNG",
+                "-usedefaultlisteners",
+                "false",
+                "-verbose",
+                "2",
+                "-d",
+                work.resolve("testng").toString(),
+                "-testclass",
+                "brookpath.trial.sim.ScenesTest");
         if (seen != null) {
             return "| " + m.name + " | scene | " + seen + " |";
         }
@@ -91,17 +122,29 @@
         if (seen != null) {
             return "| " + m.name + " | group fuzz | " + seen + " |";
         }
-        seen = run(work, mutatedCp, "^(  [0-9]+:|seed [0-9]+: java).*", "brookpath.trial.sim.Sweep", "1", seeds, m.faults);
-        return seen != null ? "| " + m.name + " | sweep " + m.faults + " | " + seen + " |" : "| " + m.name + " | NOT SEEN | |";
+        seen = run(
+                work, mutatedCp, "^(  [0-9]+:|seed [0-9]+: java).*", "brookpath.trial.sim.Sweep", "1", seeds, m.faults);
+        return seen != null
+                ? "| " + m.name + " | sweep " + m.faults + " | " + seen + " |"
+                : "| " + m.name + " | NOT SEEN | |";
     }
 
     /** The first line that tells what went red, or null where the run was green. */
-    private static String run(final Path work, final String cp, final String mark, final String... cmd) throws IOException, InterruptedException {
-        final List<String> all = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-Djava.util.concurrent.ForkJoinPool.common.parallelism=2", "--add-opens", "java.base/jdk.internal.misc=ALL-UNNAMED", "-cp", cp));
+    private static String run(final Path work, final String cp, final String mark, final String... cmd)
+            throws IOException, InterruptedException {
+        final List<String> all = new ArrayList<>(List.of(
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-Djava.util.concurrent.ForkJoinPool.common.parallelism=2",
+                "--add-opens",
+                "java.base/jdk.internal.misc=ALL-UNNAMED",
+                "-cp",
+                cp));
         all.addAll(List.of(cmd));
         final File out = work.resolve("out-" + cmd[0] + ".txt").toFile();
-        final Process p = new ProcessBuilder(all).redirectErrorStream(true).redirectOutput(out).start();
+        final Process p = new ProcessBuilder(all)
+                .redirectErrorStream(true)
+                .redirectOutput(out)
+                .start();
         if (!p.waitFor(400, TimeUnit.SECONDS)) {
             p.destroyForcibly();
             return "the run did not end within 400 s";
--- a/trial/src/main/java/brookpath/trial/oracle/History.java
+++ b/trial/src/main/java/brookpath/trial/oracle/History.java
@@ -19,6 +19,7 @@
         public long position;
         /** When its first go began. */
         public long sentAt;
+
         public long acceptedAt = -1;
         public boolean maybeAppended;
         public boolean abandoned;
@@ -109,10 +110,14 @@
             accepted++;
             final String other = byPosition.put(s.topic + "@" + position, id(s.topic, s.sender, s.seq));
             if (other != null && !other.equals(id(s.topic, s.sender, s.seq))) {
-                violation(now, "position " + position + " of " + s.topic + " was given to " + other + " and to " + id(s.topic, s.sender, s.seq));
+                violation(
+                        now,
+                        "position " + position + " of " + s.topic + " was given to " + other + " and to "
+                                + id(s.topic, s.sender, s.seq));
             }
         } else if (s.position != position) {
-            violation(now, id(s.topic, s.sender, s.seq) + " was accepted at " + s.position + " and then at " + position);
+            violation(
+                    now, id(s.topic, s.sender, s.seq) + " was accepted at " + s.position + " and then at " + position);
         }
     }
 
@@ -137,8 +142,16 @@
         }
     }
 
-    public void delivered(final long now, final Listener l, final String topic, final long position, final String sender, final long seq,
-                          final String text, final boolean one, final long listeningSince) {
+    public void delivered(
+            final long now,
+            final Listener l,
+            final String topic,
+            final long position,
+            final String sender,
+            final long seq,
+            final String text,
+            final boolean one,
+            final long listeningSince) {
         final String id = id(topic, sender, seq);
         final Sent s = sent.get(id);
         l.delivered++;
@@ -162,10 +175,14 @@
         }
         final String other = byPosition.putIfAbsent(topic + "@" + position, id);
         if (other != null && !other.equals(id)) {
-            violation(now, "position " + position + " of " + topic + " is " + other + " for one and " + id + " for another");
+            violation(
+                    now,
+                    "position " + position + " of " + topic + " is " + other + " for one and " + id + " for another");
         }
         if (one) {
-            l.spaceOrder.computeIfAbsent(topic.substring(0, topic.indexOf('/')), k -> new ArrayList<>()).add(id);
+            l.spaceOrder
+                    .computeIfAbsent(topic.substring(0, topic.indexOf('/')), k -> new ArrayList<>())
+                    .add(id);
         }
         // why: who was away when it was accepted gets it on coming back, which says nothing of the delivery
         if (s.acceptedAt >= listeningSince && listeningSince >= 0) {
@@ -187,7 +204,9 @@
             }
         }
         if (now - oldest < keepingMs) {
-            violation(now, l.name + " could not resume, though the oldest that it missed was " + (now - oldest) + " ms old");
+            violation(
+                    now,
+                    l.name + " could not resume, though the oldest that it missed was " + (now - oldest) + " ms old");
         }
     }
 
@@ -205,10 +224,15 @@
                 }
             }
             for (final Sent s : sent.values()) {
-                if (l.entitled && s.acceptedAt >= 0 && l.topics.contains(s.topic) && s.position > l.from.getOrDefault(s.topic, Long.MAX_VALUE)
+                if (l.entitled
+                        && s.acceptedAt >= 0
+                        && l.topics.contains(s.topic)
+                        && s.position > l.from.getOrDefault(s.topic, Long.MAX_VALUE)
                         && !l.got.contains(id(s.topic, s.sender, s.seq))) {
-                    violation(now, l.name + " never got accepted " + id(s.topic, s.sender, s.seq) + " at " + s.position + ", accepted at time "
-                            + s.acceptedAt + "; it began at " + l.from.get(s.topic));
+                    violation(
+                            now,
+                            l.name + " never got accepted " + id(s.topic, s.sender, s.seq) + " at " + s.position
+                                    + ", accepted at time " + s.acceptedAt + "; it began at " + l.from.get(s.topic));
                 }
             }
         }
--- a/trial/src/main/java/brookpath/trial/oracle/UsageBook.java
+++ b/trial/src/main/java/brookpath/trial/oracle/UsageBook.java
@@ -6,14 +6,17 @@
 import java.util.TreeMap;
 import java.util.function.Predicate;
 
-/** What the platform was told, per window, against what the senders know, the clock on the wall, and what each bailiff would tell. */
+/**
+ * What the platform was told, per window, against what the senders know, the clock on the wall, and what each bailiff
+ * would tell.
+ */
 public final class UsageBook {
     /** How far the fleet's clock may be from the true one. */
     private static final long CLOCK = 1_000;
+
     private static final long PUNCTUAL = 10_000;
 
-    private record Report(long publishes, long bytes, boolean late) {
-    }
+    private record Report(long publishes, long bytes, boolean late) {}
 
     private final History history;
     private final TreeMap<String, TreeMap<Long, Report>> reports = new TreeMap<>();
@@ -26,35 +29,62 @@
         this.history = history;
     }
 
-    /** A report as the platform got it, with the true end of its window. Again under the same key it must say the same. */
-    public void reported(final long now, final String tenant, final long end, final long publishes, final long bytes, final boolean late) {
+    /**
+     * A report as the platform got it, with the true end of its window. Again under the same key it must say the same.
+     */
+    public void reported(
+            final long now,
+            final String tenant,
+            final long end,
+            final long publishes,
+            final long bytes,
+            final boolean late) {
         final Report r = new Report(publishes, bytes, late);
-        final Report other = reports.computeIfAbsent(tenant, k -> new TreeMap<>()).putIfAbsent(end, r);
+        final Report other =
+                reports.computeIfAbsent(tenant, k -> new TreeMap<>()).putIfAbsent(end, r);
         if (other == null) {
             firstEnd = Math.min(firstEnd, end);
             lateReports += late ? 1 : 0;
             latest = Math.max(latest, now - end);
             agrees(now, "the platform", tenant, end, publishes, bytes);
         } else if (!other.equals(r)) {
-            history.violation(now, "tenant " + tenant + " window ending " + end + " was reported as " + other + " and as " + r);
+            history.violation(
+                    now, "tenant " + tenant + " window ending " + end + " was reported as " + other + " and as " + r);
         }
     }
 
     /** What one bailiff holds as a window's total, posted or not: all must hold the same, at all times. */
-    public void agrees(final long now, final String where, final String tenant, final long end, final long publishes, final long bytes) {
+    public void agrees(
+            final long now,
+            final String where,
+            final String tenant,
+            final long end,
+            final long publishes,
+            final long bytes) {
         final String numbers = publishes + " publishes, " + bytes + " bytes";
         final String other = totals.putIfAbsent(tenant + "/" + end, numbers);
         if (other != null && !other.equals(numbers)) {
-            history.violation(now, where + " has for tenant " + tenant + " window ending " + end + " " + numbers + ", another had " + other);
+            history.violation(
+                    now,
+                    where + " has for tenant " + tenant + " window ending " + end + " " + numbers + ", another had "
+                            + other);
         }
     }
 
-    /** Each window of each tenant has been reported once its time is up. @param excusedUntil platform or control plane out until then */
+    /**
+     * Each window of each tenant has been reported once its time is up.
+     *
+     * @param excusedUntil platform or control plane out until then
+     */
     public void punctual(final long now, final List<String> tenants, final long windowMs, final long excusedUntil) {
         for (long end = firstEnd; Math.max(end, excusedUntil) + PUNCTUAL < now; end += windowMs) {
             for (final String tenant : tenants) {
-                if (reports.computeIfAbsent(tenant, k -> new TreeMap<>()).putIfAbsent(end, new Report(-1, -1, false)) == null) {
-                    history.violation(now, "tenant " + tenant + " window ending " + end + " was not reported " + (now - end) + " ms after its end");
+                if (reports.computeIfAbsent(tenant, k -> new TreeMap<>()).putIfAbsent(end, new Report(-1, -1, false))
+                        == null) {
+                    history.violation(
+                            now,
+                            "tenant " + tenant + " window ending " + end + " was not reported " + (now - end)
+                                    + " ms after its end");
                 }
             }
         }
@@ -74,8 +104,8 @@
     }
 
     /**
-     * Counts window by window: through each window no more is reported than had been sent, and no less than had been accepted, unless a later
-     * report says that it holds late counts. In the end everything accepted is counted once.
+     * Counts window by window: through each window no more is reported than had been sent, and no less than had been
+     * accepted, unless a later report says that it holds late counts. In the end everything accepted is counted once.
      */
     public void settle(final long now, final String tenant, final Predicate<History.Sent> of) {
         final List<Long> sentAt = new ArrayList<>();
@@ -95,20 +125,27 @@
             told += Math.max(0, e.getValue().publishes);
             final long most = sentAt.stream().filter(t -> t < end + CLOCK).count();
             if (told > most) {
-                history.violation(now, "tenant " + tenant + " was reported " + told + " publishes through the window ending " + end + ", at most " + most
-                        + " had been sent by then");
+                history.violation(
+                        now,
+                        "tenant " + tenant + " was reported " + told + " publishes through the window ending " + end
+                                + ", at most " + most + " had been sent by then");
             }
             final long upTo = end;
             final long least = acceptedAt.stream().filter(t -> t < upTo - CLOCK).count();
             final boolean comesLate = mine.tailMap(end, false).values().stream().anyMatch(r -> r.late);
             if (told < least && !comesLate) {
-                history.violation(now, "tenant " + tenant + " was reported " + told + " publishes through the window ending " + end + ", " + least
-                        + " were accepted by then, and no later report says that it holds late ones");
+                history.violation(
+                        now,
+                        "tenant " + tenant + " was reported " + told + " publishes through the window ending " + end
+                                + ", " + least
+                                + " were accepted by then, and no later report says that it holds late ones");
             }
         }
         if (told < acceptedAt.size() || told > sentAt.size()) {
-            history.violation(now, "tenant " + tenant + " was reported " + told + " publishes, had " + acceptedAt.size() + " accepted and at most "
-                    + sentAt.size() + " in the logs");
+            history.violation(
+                    now,
+                    "tenant " + tenant + " was reported " + told + " publishes, had " + acceptedAt.size()
+                            + " accepted and at most " + sentAt.size() + " in the logs");
         }
     }
 }
--- a/trial/src/main/java/brookpath/trial/relay/Relay.java
+++ b/trial/src/main/java/brookpath/trial/relay/Relay.java
@@ -26,8 +26,9 @@
 import java.util.function.LongBinaryOperator;
 
 /**
- * Stands between real processes, and between callers and fronts: delays, loses, cuts in one direction, stalls and resets what passes. A lost packet is felt as TCP
- * lets it be felt: what follows waits for the repeat. Whoever dials a sibling says its number in its first frame; callers are node 0.
+ * Stands between real processes, and between callers and fronts: delays, loses, cuts in one direction, stalls and
+ * resets what passes. A lost packet is felt as TCP lets it be felt: what follows waits for the repeat. Whoever dials a
+ * sibling says its number in its first frame; callers are node 0.
  */
 public final class Relay implements AutoCloseable {
     private static final long REPEAT_US = 200_000;
@@ -51,15 +52,26 @@
         return (long) from << 32 | to;
     }
 
-    /** A port that leads to the process. @param siblings whether frames pass there, which tell who dials */
+    /**
+     * A port that leads to the process.
+     *
+     * @param siblings whether frames pass there, which tell who dials
+     */
     public int open(final int node, final int port, final boolean siblings) throws InterruptedException {
-        final Channel server = new ServerBootstrap().group(loops).channel(NioServerSocketChannel.class).childOption(ChannelOption.AUTO_READ, false)
-                .childOption(ChannelOption.TCP_NODELAY, true).childHandler(new ChannelInitializer<SocketChannel>() {
+        final Channel server = new ServerBootstrap()
+                .group(loops)
+                .channel(NioServerSocketChannel.class)
+                .childOption(ChannelOption.AUTO_READ, false)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(final SocketChannel ch) {
                         new Pipe(ch, node, port, siblings).begin();
                     }
-                }).bind(HOST, 0).sync().channel();
+                })
+                .bind(HOST, 0)
+                .sync()
+                .channel();
         return ((InetSocketAddress) server.localAddress()).getPort();
     }
 
@@ -122,8 +134,14 @@
             near.pipeline().addLast(new Way(this, true));
             near.closeFuture().addListener(f -> end());
             // why: both ends on one loop, so that one thread sees to the order of what passes
-            new Bootstrap().group(near.eventLoop()).channel(NioSocketChannel.class).option(ChannelOption.AUTO_READ, false)
-                    .option(ChannelOption.TCP_NODELAY, true).handler(new Way(this, false)).connect(HOST, port).addListener(f -> {
+            new Bootstrap()
+                    .group(near.eventLoop())
+                    .channel(NioSocketChannel.class)
+                    .option(ChannelOption.AUTO_READ, false)
+                    .option(ChannelOption.TCP_NODELAY, true)
+                    .handler(new Way(this, false))
+                    .connect(HOST, port)
+                    .addListener(f -> {
                         if (!f.isSuccess()) {
                             end();
                             return;
@@ -179,7 +197,8 @@
             if (there && pipe.from < 0 && buf.readableBytes() >= 8) {
                 pipe.from = buf.getInt(buf.readerIndex() + 4);
             }
-            bytes.computeIfAbsent(link(source(), target()), k -> new LongAdder()).add(buf.readableBytes());
+            bytes.computeIfAbsent(link(source(), target()), k -> new LongAdder())
+                    .add(buf.readableBytes());
             held.add(buf);
             flushHeld();
         }
@@ -203,14 +222,19 @@
                 }
                 // why: bytes of one connection never overtake each other
                 lastAtUs = Math.max(lastAtUs, at);
-                pipe.near.eventLoop().schedule(() -> {
-                    final Channel on = there ? pipe.far : pipe.near;
-                    if (on != null && on.isActive()) {
-                        on.writeAndFlush(buf);
-                    } else {
-                        buf.release();
-                    }
-                }, lastAtUs - now, MICROSECONDS);
+                pipe.near
+                        .eventLoop()
+                        .schedule(
+                                () -> {
+                                    final Channel on = there ? pipe.far : pipe.near;
+                                    if (on != null && on.isActive()) {
+                                        on.writeAndFlush(buf);
+                                    } else {
+                                        buf.release();
+                                    }
+                                },
+                                lastAtUs - now,
+                                MICROSECONDS);
                 if (held.isEmpty()) {
                     final Channel of = there ? pipe.near : pipe.far;
                     if (of != null) {
--- a/trial/src/main/java/brookpath/trial/sim/Callers.java
+++ b/trial/src/main/java/brookpath/trial/sim/Callers.java
@@ -93,7 +93,9 @@
     }
 
     List<Subscriber> listeningTo(final String topic) {
-        return subscribers.stream().filter(s -> s.listeningSince >= 0 && s.listener.topics().contains(topic) && holds(s)).toList();
+        return subscribers.stream()
+                .filter(s -> s.listeningSince >= 0 && s.listener.topics().contains(topic) && holds(s))
+                .toList();
     }
 
     int groupOf(final String topic) {
@@ -124,7 +126,10 @@
             for (int g = 0; g < world.groups && !confirmedAt.isEmpty(); g++) {
                 final long at = world.now();
                 final String topic = topicIn(g);
-                ask(anyFront(), id -> new Job.Count(id, "key-members", topic, ""), r -> service.asked("count in group " + groupOf(topic), at, r.status() == 200));
+                ask(
+                        anyFront(),
+                        id -> new Job.Count(id, "key-members", topic, ""),
+                        r -> service.asked("count in group " + groupOf(topic), at, r.status() == 200));
             }
         }
         world.at(world.now() + 500, this::roll);
@@ -215,7 +220,8 @@
 
     /** One that takes connections at all. */
     private Proc anyBailiff() {
-        final List<Integer> from = world.bailiffs.stream().filter(id -> world.procs.get(id).alive).toList();
+        final List<Integer> from =
+                world.bailiffs.stream().filter(id -> world.procs.get(id).alive).toList();
         return world.procs.get(from.isEmpty() ? 1 : from.get(world.rnd.nextInt(from.size())));
     }
 
@@ -247,7 +253,9 @@
         final Long at = removedAt.get(key);
         // why: a change under way may give the key back before its operator hears of it
         if (at != null && grantsUnderWay.getOrDefault(key, 0) == 0 && world.now() > at + 5_000) {
-            world.history.violation(world.now(), "key " + key + " " + did + " " + (world.now() - at) + " ms after its removal was confirmed");
+            world.history.violation(
+                    world.now(),
+                    "key " + key + " " + did + " " + (world.now() - at) + " ms after its removal was confirmed");
         }
     }
 
@@ -258,14 +266,26 @@
         publishNext(sender, topic, key, every, patience, 1);
     }
 
-    private void publishNext(final String sender, final String topic, final String key, final long every, final int patience, final long seq) {
+    private void publishNext(
+            final String sender,
+            final String topic,
+            final String key,
+            final long every,
+            final int patience,
+            final long seq) {
         if (quiet) {
             return;
         }
         final Sent s = world.history.sending(topic, sender, seq, sender + " says " + seq);
         s.sentAt = world.now();
-        go(s, key, 0, patience, () -> world.at(world.now() + every / 2 + world.rnd.nextLong(every),
-                () -> publishNext(sender, topic, key, every, patience, seq + 1 + world.rnd.nextInt(2))));
+        go(
+                s,
+                key,
+                0,
+                patience,
+                () -> world.at(
+                        world.now() + every / 2 + world.rnd.nextLong(every),
+                        () -> publishNext(sender, topic, key, every, patience, seq + 1 + world.rnd.nextInt(2))));
     }
 
     private void go(final Sent s, final String key, final int goes, final int patience, final Runnable next) {
@@ -293,7 +313,10 @@
                 }
                 case 409 -> {
                     if (!s.maybeAppended) {
-                        world.history.violation(now, "sequence " + s.seq + " of " + s.topic + "|" + s.sender + " was refused for good at its first go");
+                        world.history.violation(
+                                now,
+                                "sequence " + s.seq + " of " + s.topic + "|" + s.sender
+                                        + " was refused for good at its first go");
                     }
                     next.run();
                 }
@@ -305,12 +328,14 @@
                     } else {
                         world.count("refused for now");
                     }
-                    if (goes + 1 >= patience || quiet && goes > 40) {
+                    if (goes + 1 >= patience || (quiet && goes > 40)) {
                         s.abandoned = true;
                         world.count("abandoned");
                         next.run();
                     } else {
-                        world.at(now + Math.max(100, r.retryAfterMs()) + world.rnd.nextInt(100), () -> go(s, key, goes + 1, patience, next));
+                        world.at(
+                                now + Math.max(100, r.retryAfterMs()) + world.rnd.nextInt(100),
+                                () -> go(s, key, goes + 1, patience, next));
                     }
                 }
             }
@@ -381,9 +406,19 @@
                 if (!listener.topics().contains(obj.getString("topic"))) {
                     world.history.violation(world.now(), name + " got an unasked topic");
                 }
-                world.history.begunIfNot(world.now(), listener, obj.getString("topic"), obj.getJsonNumber("position").longValue());
-                world.history.delivered(world.now(), listener, obj.getString("topic"), obj.getJsonNumber("position").longValue(),
-                        obj.getString("sender"), obj.getJsonNumber("sequence").longValue(), obj.getString("message"),
+                world.history.begunIfNot(
+                        world.now(),
+                        listener,
+                        obj.getString("topic"),
+                        obj.getJsonNumber("position").longValue());
+                world.history.delivered(
+                        world.now(),
+                        listener,
+                        obj.getString("topic"),
+                        obj.getJsonNumber("position").longValue(),
+                        obj.getString("sender"),
+                        obj.getJsonNumber("sequence").longValue(),
+                        obj.getString("message"),
                         oneOrder(obj.getString("topic")),
                         listeningSince < 0 ? -1 : Math.max(listeningSince, world.procs.get(front).frozenUntil));
             } else {
@@ -441,16 +476,26 @@
 
     /** The whole spec; the keys that may come and go are there where their tenant is in the list. */
     String document(final long basedOn, final String changeId, final List<String> withKeys) {
-        final StringBuilder sb = new StringBuilder("{\"basedOn\":" + basedOn + ",\"changeId\":\"" + changeId + "\",\"spaces\":[");
+        final StringBuilder sb =
+                new StringBuilder("{\"basedOn\":" + basedOn + ",\"changeId\":\"" + changeId + "\",\"spaces\":[");
         for (int i = 0; i < SPACES.length; i++) {
-            sb.append(i == 0 ? "" : ",").append("{\"name\":\"").append(SPACES[i]).append("\",\"keepingSeconds\":" + KEEPING_MS / 1_000 + ",\"order\":\"")
-                    .append(SPACES[i].equals("clues") ? "one" : "sender").append("\"}");
+            sb.append(i == 0 ? "" : ",")
+                    .append("{\"name\":\"")
+                    .append(SPACES[i])
+                    .append("\",\"keepingSeconds\":" + KEEPING_MS / 1_000 + ",\"order\":\"")
+                    .append(SPACES[i].equals("clues") ? "one" : "sender")
+                    .append("\"}");
         }
         sb.append("],\"tenants\":[");
         for (final String t : tenants()) {
-            sb.append(t.equals("members") ? "" : ",").append("{\"name\":\"").append(t).append("\",\"spaces\":[")
-                    .append(t.equals("guest") ? "\"permits\"" : "\"permits\",\"closures\",\"clues\"").append("],\"keys\":[")
-                    .append(SHAKY.contains(t) && !withKeys.contains(t) ? "" : "\"key-" + t + "\"").append("]}");
+            sb.append(t.equals("members") ? "" : ",")
+                    .append("{\"name\":\"")
+                    .append(t)
+                    .append("\",\"spaces\":[")
+                    .append(t.equals("guest") ? "\"permits\"" : "\"permits\",\"closures\",\"clues\"")
+                    .append("],\"keys\":[")
+                    .append(SHAKY.contains(t) && !withKeys.contains(t) ? "" : "\"key-" + t + "\"")
+                    .append("]}");
         }
         return sb.append("]}").toString();
     }
@@ -464,7 +509,7 @@
         final Proc p = anyBailiff();
         final long at = world.now();
         ask(p, id -> new Job.Operate(id, "change", doc.getBytes(UTF_8)), r -> {
-            service.asked("change", at, r.status() == 200 || r.status() >= 400 && r.status() < 500);
+            service.asked("change", at, r.status() == 200 || (r.status() >= 400 && r.status() < 500));
             if (r.status() == 200) {
                 final long version = json(r.json()).getInt("version");
                 world.history.confirmed(world.now(), version, changeId);
@@ -520,7 +565,8 @@
     /** One change that takes keys away or gives them back, by chance. */
     void turn(final long basedOn, final boolean nonsense) {
         final String changeId = "change-" + ++changes;
-        final List<String> keys = SHAKY.stream().filter(t -> world.rnd.nextInt(3) != 0).toList();
+        final List<String> keys =
+                SHAKY.stream().filter(t -> world.rnd.nextInt(3) != 0).toList();
         final String doc = document(basedOn, changeId, keys);
         keys.forEach(t -> grantsUnderWay.merge("key-" + t, 1, Integer::sum));
         change(nonsense ? doc.replace("\"keepingSeconds\":30", "\"keepingSeconds\":-3") : doc, changeId, res -> {
@@ -551,16 +597,22 @@
     /** What every data-plane process shows, against what was confirmed. */
     void watch() {
         for (final Proc p : world.procs.values()) {
-            final SpecClient c = !p.alive || p.frozen() ? null
+            final SpecClient c = !p.alive || p.frozen()
+                    ? null
                     : p.node instanceof FrontNode f ? f.client() : p.node instanceof StorageNode s ? s.client() : null;
             if (c == null) {
                 continue;
             }
             final long version = c.spec().version();
             final Map.Entry<Long, Long> missing = confirmedAt.higherEntry(version);
-            if (missing != null && world.now() > Math.max(missing.getValue(), world.wellness.specExcusedUntil(p.id)) + world.tempo.changeMs()) {
-                world.history.violation(world.now(), "node " + p.id + " has spec " + version + " still, " + (world.now() - missing.getValue()) + " ms after "
-                        + missing.getKey() + " was confirmed, and is not cut off");
+            if (missing != null
+                    && world.now()
+                            > Math.max(missing.getValue(), world.wellness.specExcusedUntil(p.id))
+                                    + world.tempo.changeMs()) {
+                world.history.violation(
+                        world.now(),
+                        "node " + p.id + " has spec " + version + " still, " + (world.now() - missing.getValue())
+                                + " ms after " + missing.getKey() + " was confirmed, and is not cut off");
             }
             if (!c.leased(p.mono())) {
                 continue;
@@ -571,11 +623,16 @@
             }
             final Map.Entry<Long, Long> newest = confirmedAt.lastEntry();
             if (newest != null && version < newest.getKey() && world.now() > newest.getValue()) {
-                world.history.violation(world.now(), "node " + p.id + " honours spec " + version + " while " + newest.getKey()
-                        + " was confirmed at " + newest.getValue());
+                world.history.violation(
+                        world.now(),
+                        "node " + p.id + " honours spec " + version + " while " + newest.getKey() + " was confirmed at "
+                                + newest.getValue());
             }
             if (version > 0 && refused.contains(c.spec().changeId())) {
-                world.history.violation(world.now(), "node " + p.id + " honours the refused change " + c.spec().changeId());
+                world.history.violation(
+                        world.now(),
+                        "node " + p.id + " honours the refused change "
+                                + c.spec().changeId());
             }
         }
     }
--- a/trial/src/main/java/brookpath/trial/sim/CrashPoint.java
+++ b/trial/src/main/java/brookpath/trial/sim/CrashPoint.java
@@ -52,11 +52,16 @@
 
     /** The point that is reached once this has left. */
     static CrashPoint ofAction(final Action action) {
-        if (action instanceof Action.Send s && s.msg() instanceof Msg.PublishReply r && r.outcome() == Msg.PublishReply.ACCEPTED) {
+        if (action instanceof Action.Send s
+                && s.msg() instanceof Msg.PublishReply r
+                && r.outcome() == Msg.PublishReply.ACCEPTED) {
             return ANSWER;
         }
-        final String told = action instanceof Action.Respond r ? r.response().json()
-                : action instanceof Action.Send s && s.msg() instanceof Msg.OpReply r ? new String(r.body(), UTF_8) : "";
+        final String told = action instanceof Action.Respond r
+                ? r.response().json()
+                : action instanceof Action.Send s && s.msg() instanceof Msg.OpReply r
+                        ? new String(r.body(), UTF_8)
+                        : "";
         return told.contains("\"confirmed\"") ? CONFIRM : null;
     }
 
--- a/trial/src/main/java/brookpath/trial/sim/Day.java
+++ b/trial/src/main/java/brookpath/trial/sim/Day.java
@@ -22,14 +22,53 @@
 
     /** What may go wrong in a day. */
     public enum Fault {
-        KILL, POWER, FREEZE, CUT, ONE_WAY, LOSS, SLOW_DISK, SYNC_FAILS, DISK_LOST, CORRUPT, CLOCK, RESETS, ROLLING, OWNER_DIES, SLOW_NET, BLACKOUT, PLATFORM,
-        FULL_DISK, STALLS, LINK_LOSS, RETIRE, SWITCHOVER, DRAIN, FRONTS_RESTART, RACE, LAST_ACT, ROT
+        KILL,
+        POWER,
+        FREEZE,
+        CUT,
+        ONE_WAY,
+        LOSS,
+        SLOW_DISK,
+        SYNC_FAILS,
+        DISK_LOST,
+        CORRUPT,
+        CLOCK,
+        RESETS,
+        ROLLING,
+        OWNER_DIES,
+        SLOW_NET,
+        BLACKOUT,
+        PLATFORM,
+        FULL_DISK,
+        STALLS,
+        LINK_LOSS,
+        RETIRE,
+        SWITCHOVER,
+        DRAIN,
+        FRONTS_RESTART,
+        RACE,
+        LAST_ACT,
+        ROT
     }
 
     /** What a day is made of. */
-    public record Plan(long seed, Shape shape, long lengthMs, long faultEveryMs, EnumSet<Fault> faults, EnumSet<Mutation> mutations, Ending ending) {
+    public record Plan(
+            long seed,
+            Shape shape,
+            long lengthMs,
+            long faultEveryMs,
+            EnumSet<Fault> faults,
+            EnumSet<Mutation> mutations,
+            Ending ending) {
         public static Plan of(final long seed, final EnumSet<Fault> faults) {
-            return new Plan(seed, Shape.SMALL, 60_000, 4_000, faults, EnumSet.noneOf(Mutation.class), faults.isEmpty() ? Ending.CALM : Ending.ON_A_FAULT);
+            return new Plan(
+                    seed,
+                    Shape.SMALL,
+                    60_000,
+                    4_000,
+                    faults,
+                    EnumSet.noneOf(Mutation.class),
+                    faults.isEmpty() ? Ending.CALM : Ending.ON_A_FAULT);
         }
 
         public Plan broken(final Mutation mutation) {
@@ -50,11 +89,25 @@
     }
 
     /** How a day ends: without a failure, on one, or on one whose victim, a disk machine, is never seen again. */
-    public enum Ending { CALM, ON_A_FAULT, ONE_GONE }
+    public enum Ending {
+        CALM,
+        ON_A_FAULT,
+        ONE_GONE
+    }
 
     /** What a day came to. */
-    public record Outcome(long seed, List<String> violations, int accepted, int delivered, TreeMap<String, Integer> counts, List<Long> latencies,
-                          List<Long> sendToAccept, List<Long> masterless, TreeMap<String, Long> crossZoneBytes, List<String> notes, long trace) {
+    public record Outcome(
+            long seed,
+            List<String> violations,
+            int accepted,
+            int delivered,
+            TreeMap<String, Integer> counts,
+            List<Long> latencies,
+            List<Long> sendToAccept,
+            List<Long> masterless,
+            TreeMap<String, Long> crossZoneBytes,
+            List<String> notes,
+            long trace) {
         public boolean good() {
             return violations.isEmpty();
         }
@@ -118,7 +171,10 @@
         while (world.now() < end && !faults.isEmpty()) {
             world.run(Math.min(end, next));
             // why: now and then a lull in which all machines are back, so that recovery is judged in mid-day, too
-            next = world.now() + plan.faultEveryMs / 2 + world.rnd.nextLong(plan.faultEveryMs) + (++strikes % 6 == 0 ? LULL : 0);
+            next = world.now()
+                    + plan.faultEveryMs / 2
+                    + world.rnd.nextLong(plan.faultEveryMs)
+                    + (++strikes % 6 == 0 ? LULL : 0);
             strike(faults.get(world.rnd.nextInt(faults.size())));
             if (world.rnd.nextInt(4) == 0) {
                 strike(faults.get(world.rnd.nextInt(faults.size())));
@@ -135,7 +191,10 @@
         return morningAfter();
     }
 
-    /** Two senders a topic at the shape's rate, one patient and one of any; half of the sessions live on a key that comes and goes. */
+    /**
+     * Two senders a topic at the shape's rate, one patient and one of any; half of the sessions live on a key that
+     * comes and goes.
+     */
     private void people() {
         final Shape shape = plan.shape;
         final long every = (long) (2_000 * shape.topics() / shape.perSecond());
@@ -149,8 +208,13 @@
             world.callers.publisher("half-" + i, Callers.topic(i), "key-half", 1_000, 5);
         }
         for (int i = 0; i < shape.sessions(); i++) {
-            world.callers.subscriber("sub-" + i, i % 2 == 0 ? "key-members" : "key-half",
-                    List.of(Callers.topic(i % shape.topics()), Callers.topic(world.rnd.nextInt(shape.topics()))).stream().distinct().toList());
+            world.callers.subscriber(
+                    "sub-" + i,
+                    i % 2 == 0 ? "key-members" : "key-half",
+                    List.of(Callers.topic(i % shape.topics()), Callers.topic(world.rnd.nextInt(shape.topics())))
+                            .stream()
+                            .distinct()
+                            .toList());
         }
         for (int i = 0; i < 3; i++) {
             world.callers.restless("restless-" + i, "key-members", List.of(Callers.topic(i), Callers.topic(i + 3)));
@@ -179,7 +243,10 @@
         }
     }
 
-    /** Machines come back; within the bound service is back too, for each kind of job; then everything accepted is read back. */
+    /**
+     * Machines come back; within the bound service is back too, for each kind of job; then everything accepted is read
+     * back.
+     */
     private Outcome morningAfter() {
         morning = true;
         world.armed = null;
@@ -207,12 +274,17 @@
         final boolean[] read = new boolean[1];
         world.callers.readSpec(r -> {
             read[0] = true;
-            try (var rd = jakarta.json.Json.createReader(new ByteArrayInputStream(r.json().getBytes(UTF_8)))) {
+            try (var rd = jakarta.json.Json.createReader(
+                    new ByteArrayInputStream(r.json().getBytes(UTF_8)))) {
                 final var obj = rd.readObject();
                 if (r.status() != 200 || obj.getInt("version") < newest) {
-                    world.history.violation(world.now(), "newest spec reads as " + r.status() + " " + r.json() + ", confirmed was " + newest);
+                    world.history.violation(
+                            world.now(),
+                            "newest spec reads as " + r.status() + " " + r.json() + ", confirmed was " + newest);
                 } else if (obj.getInt("version") == newest
-                        && !obj.getJsonObject("document").getString("changeId").equals(world.history.confirmedAs(newest))) {
+                        && !obj.getJsonObject("document")
+                                .getString("changeId")
+                                .equals(world.history.confirmedAs(newest))) {
                     world.history.violation(world.now(), "spec " + newest + " reads back as another change");
                 }
             }
@@ -229,8 +301,18 @@
         for (final String note : world.notes()) {
             trace = trace * 31 + note.hashCode();
         }
-        return new Outcome(plan.seed, world.history.violations(), world.history.accepted(), world.history.delivered(), world.counts,
-                world.history.latencies(), world.sendToAccept, world.masterless, world.net.crossZoneBytes, world.notes(), trace);
+        return new Outcome(
+                plan.seed,
+                world.history.violations(),
+                world.history.accepted(),
+                world.history.delivered(),
+                world.counts,
+                world.history.latencies(),
+                world.sendToAccept,
+                world.masterless,
+                world.net.crossZoneBytes,
+                world.notes(),
+                trace);
     }
 
     /** All members of a group hold the same record at the same accepted position. */
@@ -245,7 +327,8 @@
                     final Rec rec = s.group(g).rec(lsn);
                     final byte[] other = all.putIfAbsent(lsn, rec.bytes());
                     if (other != null && !java.util.Arrays.equals(other, rec.bytes())) {
-                        world.history.violation(world.now(), "group " + g + " has two records at accepted position " + lsn);
+                        world.history.violation(
+                                world.now(), "group " + g + " has two records at accepted position " + lsn);
                     }
                 }
             }
@@ -264,7 +347,9 @@
     }
 
     private boolean othersWell(final Proc p) {
-        final List<Integer> kin = world.bailiffs.contains(p.id) ? world.bailiffs : world.storages.contains(p.id) ? world.storages : world.fronts;
+        final List<Integer> kin = world.bailiffs.contains(p.id)
+                ? world.bailiffs
+                : world.storages.contains(p.id) ? world.storages : world.fronts;
         for (final int id : kin) {
             final Proc other = world.procs.get(id);
             if (id != p.id && (!other.alive || other.frozen() || sick(other))) {
@@ -298,9 +383,9 @@
         final Proc p = victim();
         final long span = 300 + world.rnd.nextLong(5_000);
         switch (fault) {
-            case KILL -> down(p, false, span, () -> { });
-            case POWER -> down(p, true, span, () -> { });
-            case OWNER_DIES -> down(owner(), world.rnd.nextBoolean(), span, () -> { });
+            case KILL -> down(p, false, span, () -> {});
+            case POWER -> down(p, true, span, () -> {});
+            case OWNER_DIES -> down(owner(), world.rnd.nextBoolean(), span, () -> {});
             case DISK_LOST -> {
                 if (p.disk != null) {
                     down(p, true, span, p.disk::wipe);
@@ -340,7 +425,10 @@
                         }
                     }
                 }
-                world.note(p.id, (fault == Fault.CUT ? "is cut off from " : "is not heard by ") + from + " for " + span, false);
+                world.note(
+                        p.id,
+                        (fault == Fault.CUT ? "is cut off from " : "is not heard by ") + from + " for " + span,
+                        false);
                 world.at(world.now() + span, world.net::heal);
             }
             case LOSS -> {
@@ -348,16 +436,17 @@
                 world.at(world.now() + span, () -> world.net.lossPerMille = 0);
             }
             case SLOW_NET -> {
-                world.net.extraDelay = 5 + world.rnd.nextInt(60);
+                world.net.extraDelay = 5L + world.rnd.nextInt(60);
                 world.at(world.now() + span, () -> world.net.extraDelay = 0);
             }
             case SLOW_DISK -> {
-                p.syncMs = 20 + world.rnd.nextInt(800);
+                p.syncMs = 20L + world.rnd.nextInt(800);
                 world.at(world.now() + span, () -> p.syncMs = 2);
             }
             case CLOCK -> {
                 // why: which clock is right is told by the most; a few wrong ones must not matter, wherever they are
-                final List<Proc> wrong = new ArrayList<>(world.procs.values().stream().filter(o -> o.skew != 0).toList());
+                final List<Proc> wrong = new ArrayList<>(
+                        world.procs.values().stream().filter(o -> o.skew != 0).toList());
                 if (wrong.size() >= MAX_WRONG_CLOCKS) {
                     any(wrong.stream().map(o -> o.id).toList()).skew = 0;
                 }
@@ -409,17 +498,27 @@
             case RETIRE -> {
                 final int node = any(world.storages).id;
                 world.callers.operate("retire", Pack.writer().num(node).num(1).done());
-                world.at(world.now() + 3 * span, () -> world.callers.operate("retire", Pack.writer().num(node).num(0).done()));
-            }
-            case SWITCHOVER -> world.callers.operate("handover",
-                    Pack.writer().num(world.rnd.nextInt(world.groups)).num(any(world.storages).id).done());
+                world.at(
+                        world.now() + 3 * span,
+                        () -> world.callers.operate(
+                                "retire", Pack.writer().num(node).num(0).done()));
+            }
+            case SWITCHOVER ->
+                world.callers.operate(
+                        "handover",
+                        Pack.writer()
+                                .num(world.rnd.nextInt(world.groups))
+                                .num(any(world.storages).id)
+                                .done());
             case DRAIN -> {
                 // why: who drains all fronts at once has asked for it
                 if (world.now() >= drainingUntil) {
                     final Proc front = any(world.fronts);
                     drainingUntil = world.now() + 2 * span + 1_000;
                     world.callers.asked(front, id -> new Job.Drain(id, true), r -> world.count("drains"));
-                    world.at(world.now() + 2 * span, () -> world.callers.asked(front, id -> new Job.Drain(id, false), r -> { }));
+                    world.at(
+                            world.now() + 2 * span,
+                            () -> world.callers.asked(front, id -> new Job.Drain(id, false), r -> {}));
                 }
             }
             case FRONTS_RESTART -> {
@@ -435,7 +534,9 @@
             }
             case RACE -> {
                 world.callers.race();
-                world.at(world.now() + 3 + world.rnd.nextInt(30), () -> down(controlMaster(), world.rnd.nextBoolean(), span, () -> { }));
+                world.at(
+                        world.now() + 3 + world.rnd.nextInt(30),
+                        () -> down(controlMaster(), world.rnd.nextBoolean(), span, () -> {}));
             }
             case ROT -> {
                 // why: one copy goes bad on a running machine, on its disk or in its memory
@@ -444,19 +545,24 @@
                 } else if (p.node() instanceof StorageNode s && othersWell(p)) {
                     final GroupMachine g = s.group(world.rnd.nextInt(world.groups));
                     if (g != null && g.accepted() > g.baseLsn()) {
-                        final byte[] rec = g.rec(g.baseLsn() + 1 + world.rnd.nextLong(g.accepted() - g.baseLsn())).bytes();
-                        rec[rec.length - 1 - world.rnd.nextInt(8)] ^= 1 << world.rnd.nextInt(8);
+                        final byte[] rec = g.rec(g.baseLsn() + 1 + world.rnd.nextLong(g.accepted() - g.baseLsn()))
+                                .bytes();
+                        final int at = rec.length - 1 - world.rnd.nextInt(8);
+                        rec[at] = (byte) (rec[at] ^ 1 << world.rnd.nextInt(8));
                         world.count("rotten records");
                     }
                 }
             }
-            case LAST_ACT -> world.armed = CrashPoint.values()[world.rnd.nextInt(CrashPoint.values().length)];
+            case LAST_ACT -> {
+                final List<CrashPoint> points = List.of(CrashPoint.values());
+                world.armed = points.get(world.rnd.nextInt(points.size()));
+            }
             case ROLLING -> {
                 world.count("rolling restarts");
                 long at = 0;
                 for (final Proc each : world.procs.values()) {
                     at += 1_500;
-                    world.at(world.now() + at, () -> down(each, false, 700, () -> { }));
+                    world.at(world.now() + at, () -> down(each, false, 700, () -> {}));
                 }
             }
         }
@@ -494,7 +600,10 @@
                         owners.add(p);
                     }
                 }
-            } else if (p.alive && !p.frozen() && p.node() instanceof BailiffNode b && b.group().mayAct(p.mono())) {
+            } else if (p.alive
+                    && !p.frozen()
+                    && p.node() instanceof BailiffNode b
+                    && b.group().mayAct(p.mono())) {
                 owners.add(p);
             }
         }
--- a/trial/src/main/java/brookpath/trial/sim/GroupFuzz.java
+++ b/trial/src/main/java/brookpath/trial/sim/GroupFuzz.java
@@ -19,21 +19,28 @@
 import java.util.TreeMap;
 
 /**
- * One replication group alone, on a network that loses, delays and reorders far more than TCP would, with members that freeze, lose power and
- * come back, always in numbers that may happen. Looks at the inside: masters per epoch, accepted records, acting masters.
+ * One replication group alone, on a network that loses, delays and reorders far more than TCP would, with members that
+ * freeze, lose power and come back, always in numbers that may happen. Looks at the inside: masters per epoch, accepted
+ * records, acting masters.
  */
 public final class GroupFuzz {
     private static final int GROUP = 0;
 
-    /** How the network and the members behave. @param dropPerMille of messages @param calmMs between failures @param maxLag between threads */
-    public record Style(int members, int dropPerMille, long maxDelay, long calmMs, long lengthMs, int lagPerMille, int maxLag) {
-    }
+    /**
+     * How the network and the members behave.
+     *
+     * @param dropPerMille of messages
+     * @param calmMs between failures
+     * @param maxLag between threads
+     */
+    public record Style(
+            int members, int dropPerMille, long maxDelay, long calmMs, long lengthMs, int lagPerMille, int maxLag) {}
 
-    public record Outcome(long seed, List<String> violations, long accepted, int masters, int crashes, List<String> trace) {
-    }
+    /** What one run came to. */
+    public record Outcome(
+            long seed, List<String> violations, long accepted, int masters, int crashes, List<String> trace) {}
 
-    private record Due(long at, long order, Runnable what) {
-    }
+    private record Due(long at, long order, Runnable what) {}
 
     private final class Unit {
         final int id;
@@ -89,7 +96,7 @@
         void tick(final int ofLife) {
             at(tempo.tick(), () -> {
                 if (alive && life == ofLife) {
-                    run(() -> { });
+                    run(() -> {});
                     tick(ofLife);
                 }
             });
@@ -188,7 +195,8 @@
     private final SplittableRandom rnd;
     private final List<Member> members = new ArrayList<>();
     private final TreeMap<Integer, Unit> units = new TreeMap<>();
-    private final PriorityQueue<Due> queue = new PriorityQueue<>((a, b) -> a.at != b.at ? Long.compare(a.at, b.at) : Long.compare(a.order, b.order));
+    private final PriorityQueue<Due> queue =
+            new PriorityQueue<>((a, b) -> a.at != b.at ? Long.compare(a.at, b.at) : Long.compare(a.order, b.order));
     private final TreeMap<Long, Integer> masterOf = new TreeMap<>();
     private final TreeMap<Long, byte[]> accepted = new TreeMap<>();
     private final TreeMap<Long, Long> acceptedIn = new TreeMap<>();
@@ -225,7 +233,9 @@
     }
 
     private void send(final int from, final int to, final Msg msg) {
-        if (rnd.nextInt(1000) < style.dropPerMille || from == cutUnit && rnd.nextInt(3) > 0 || to == cutUnit
+        if (rnd.nextInt(1000) < style.dropPerMille
+                || (from == cutUnit && rnd.nextInt(3) > 0)
+                || to == cutUnit
                 || cutPair == ((1 << from) | (1 << to))) {
             return;
         }
@@ -252,21 +262,28 @@
             }
             accepted.forEach((lsn, bytes) -> {
                 // why: a go that was won late, in an older epoch, may lack what a later master accepted; it cannot act
-                if (acceptedIn.get(lsn) < g.epoch() && (lsn > g.endLsn() || lsn > g.baseLsn() && !Arrays.equals(g.rec(lsn).bytes(), bytes))) {
+                if (acceptedIn.get(lsn) < g.epoch()
+                        && (lsn > g.endLsn()
+                                || (lsn > g.baseLsn()
+                                        && !Arrays.equals(g.rec(lsn).bytes(), bytes)))) {
                     violation("master " + u.id + " of epoch " + g.epoch() + " lacks accepted record " + lsn);
                 }
             });
         }
-        if (g.role() == GroupMachine.MASTER && u.lastRole == GroupMachine.MASTER && g.accepted() > u.lastAccepted && g.accepted() < g.openLsn()) {
+        if (g.role() == GroupMachine.MASTER
+                && u.lastRole == GroupMachine.MASTER
+                && g.accepted() > u.lastAccepted
+                && g.accepted() < g.openLsn()) {
             // why: what that can do shows only after three more changes of master, so the rule itself is looked at
-            violation("master " + u.id + " of epoch " + g.epoch() + " calls " + g.accepted() + " accepted before its own record at " + g.openLsn());
+            violation("master " + u.id + " of epoch " + g.epoch() + " calls " + g.accepted()
+                    + " accepted before its own record at " + g.openLsn());
         }
         u.lastAccepted = g.accepted();
         u.lastRole = g.role();
         if (!g.why().equals(u.lastWhy)) {
             u.lastWhy = g.why();
-            trace.add(now + " member " + u.id + " epoch " + g.epoch() + " accepted " + g.accepted() + " synced " + g.syncedLsn() + " end " + g.endLsn() + ": "
-                    + g.why());
+            trace.add(now + " member " + u.id + " epoch " + g.epoch() + " accepted " + g.accepted() + " synced "
+                    + g.syncedLsn() + " end " + g.endLsn() + ": " + g.why());
         }
         for (long lsn = accepted.isEmpty() ? 1 : Math.max(1, accepted.lastKey() - 3); lsn <= g.accepted(); lsn++) {
             if (lsn > g.baseLsn()) {
@@ -292,7 +309,11 @@
                 if (u.alive && now >= u.frozenUntil && u.g.mayAct(now)) {
                     u.run(() -> {
                         if (u.g.mayAct(now)) {
-                            u.g.append(Rec.PUBLISH, Rec.publishBody(order, 2, "t", "s/t", "a" + u.id, "x" + order), now, now);
+                            u.g.append(
+                                    Rec.PUBLISH,
+                                    Rec.publishBody(order, 2, "t", "s/t", "a" + u.id, "x" + order),
+                                    now,
+                                    now);
                         }
                     });
                 }
@@ -310,10 +331,12 @@
                     for (final Unit each : rnd.nextInt(3) == 0 ? units.values() : List.of(u)) {
                         if (each.alive) {
                             crashes++;
-                            trace.add(now + " member " + each.id + " loses power at synced " + each.g.syncedLsn() + " of " + each.g.endLsn());
+                            trace.add(now + " member " + each.id + " loses power at synced " + each.g.syncedLsn()
+                                    + " of " + each.g.endLsn());
                             each.alive = false;
                             each.life++;
-                            // why: a member that is back at once has forgotten what it answered, and others still count on it
+                            // why: a member that is back at once has forgotten what it answered, and others still count
+                            // on it
                             at(rnd.nextLong(rnd.nextBoolean() ? 150 : 1_500), () -> each.start(false));
                         }
                     }
@@ -326,7 +349,7 @@
                 }
                 case 5 -> {
                     // why: two that do not hear each other while a third hears both
-                    cutPair = (1 << u.id) | (1 << 1 + rnd.nextInt(style.members));
+                    cutPair = (1 << u.id) | (1 << (1 + rnd.nextInt(style.members)));
                     at(rnd.nextLong(3_000), () -> cutPair = 0);
                 }
                 default -> units.values().forEach(each -> each.syncMs = 1);
@@ -369,19 +392,27 @@
                     if (!o.violations.isEmpty()) {
                         bad[0]++;
                         if (count == 1) {
-                            o.trace.subList(Math.max(0, o.trace.size() - 60), o.trace.size()).forEach(System.out::println);
+                            o.trace
+                                    .subList(Math.max(0, o.trace.size() - 60), o.trace.size())
+                                    .forEach(System.out::println);
                         }
                         System.out.println("  " + o.violations.get(0) + " (seed " + s + ", " + style + ")");
                     }
                 }
             }
         });
-        System.out.println(count + " seeds, " + STYLES.size() + " styles: " + work[0] + " accepted, " + work[1] + " masters, " + bad[0] + " bad");
+        System.out.println(count + " seeds, " + STYLES.size() + " styles: " + work[0] + " accepted, " + work[1]
+                + " masters, " + bad[0] + " bad");
         System.exit(bad[0] == 0 ? 0 : 1);
     }
 
-    public static final List<Style> STYLES = List.of(new Style(3, 30, 400, 900, 60_000, 30, 40), new Style(5, 100, 1_500, 500, 60_000, 30, 40),
-            new Style(3, 5, 3_000, 2_500, 60_000, 30, 40), new Style(5, 250, 300, 1_500, 60_000, 30, 40),
-            // why: threads that are put aside for long, amid freezes about as long as the detection time, show what one thread must not assume of the other
-            new Style(3, 0, 3, 700, 60_000, 300, 200), new Style(5, 50, 300, 150, 30_000, 30, 40));
+    public static final List<Style> STYLES = List.of(
+            new Style(3, 30, 400, 900, 60_000, 30, 40),
+            new Style(5, 100, 1_500, 500, 60_000, 30, 40),
+            new Style(3, 5, 3_000, 2_500, 60_000, 30, 40),
+            new Style(5, 250, 300, 1_500, 60_000, 30, 40),
+            // why: threads that are put aside for long, amid freezes about as long as the detection time, show what one
+            // thread must not assume of the other
+            new Style(3, 0, 3, 700, 60_000, 300, 200),
+            new Style(5, 50, 300, 150, 30_000, 30, 40));
 }
--- a/trial/src/main/java/brookpath/trial/sim/Net.java
+++ b/trial/src/main/java/brookpath/trial/sim/Net.java
@@ -7,7 +7,9 @@
 import java.util.Map;
 import java.util.Set;
 
-/** The simulated network: ordered sessions with delay, cuts in one or both directions, and loss felt as late repeats. */
+/**
+ * The simulated network: ordered sessions with delay, cuts in one or both directions, and loss felt as late repeats.
+ */
 final class Net {
     private final World world;
     private final FrameCodec codec = new FrameCodec();
@@ -72,8 +74,15 @@
         return true;
     }
 
-    private void arrive(final Proc from, final long fromLife, final Proc to, final long toLife, final long link, final byte[] frame, final long at,
-                        final int goes) {
+    private void arrive(
+            final Proc from,
+            final long fromLife,
+            final Proc to,
+            final long toLife,
+            final long link,
+            final byte[] frame,
+            final long at,
+            final int goes) {
         world.at(at, () -> {
             if (!to.alive || to.life != toLife) {
                 return;
--- a/trial/src/main/java/brookpath/trial/sim/Platform.java
+++ b/trial/src/main/java/brookpath/trial/sim/Platform.java
@@ -10,7 +10,10 @@
 import jakarta.json.JsonObject;
 import java.io.ByteArrayInputStream;
 
-/** Stand-in for the users' platform: takes usage reports, and can be slow, fail, or hear a report whose sender never hears back. */
+/**
+ * Stand-in for the users' platform: takes usage reports, and can be slow, fail, or hear a report whose sender never
+ * hears back.
+ */
 public final class Platform {
     private final World world;
     private long troubleUntil;
@@ -57,7 +60,8 @@
                 return;
             }
         }
-        world.history.violation(world.now(), "node " + from.id + " posts " + post.key() + " before its log has accepted the total");
+        world.history.violation(
+                world.now(), "node " + from.id + " posts " + post.key() + " before its log has accepted the total");
     }
 
     private void take(final Action.Post post) {
@@ -65,21 +69,31 @@
         try (var rd = Json.createReader(new ByteArrayInputStream(post.json().getBytes(UTF_8)))) {
             final var obj = rd.readObject();
             final long end = obj.getJsonNumber("windowEndMs").longValue();
-            obj.getJsonArray("tenants").getValuesAs(JsonObject.class).forEach(t -> world.history.usage.reported(world.now(), t.getString("tenant"),
-                    end - World.WALL, t.getJsonNumber("publishes").longValue(), t.getJsonNumber("bytes").longValue(), t.getBoolean("late")));
+            obj.getJsonArray("tenants")
+                    .getValuesAs(JsonObject.class)
+                    .forEach(t -> world.history.usage.reported(
+                            world.now(),
+                            t.getString("tenant"),
+                            end - World.WALL,
+                            t.getJsonNumber("publishes").longValue(),
+                            t.getJsonNumber("bytes").longValue(),
+                            t.getBoolean("late")));
         }
     }
 
     /** Every so often: reports are punctual, and every bailiff that knows a window's total knows the same. */
     void watch() {
         final long excused = Math.max(troubleUntil, world.wellness.noControlUntil());
-        world.history.usage.punctual(world.now(), world.callers.tenants(), world.tempo.windowMs(), Math.min(excused, world.now()));
+        world.history.usage.punctual(
+                world.now(), world.callers.tenants(), world.tempo.windowMs(), Math.min(excused, world.now()));
         for (final int id : world.bailiffs) {
             if (world.procs.get(id).alive && world.procs.get(id).node instanceof BailiffNode b) {
                 for (final ControlState.Window w : ((ControlState) b.group().live()).windows()) {
                     final long end = (w.window() + 1) * world.tempo.windowMs() - World.WALL;
                     if (w.lsn() <= b.group().accepted()) {
-                        w.used().forEach(u -> world.history.usage.agrees(world.now(), "node " + id, u.tenant(), end, u.publishes(), u.bytes()));
+                        w.used()
+                                .forEach(u -> world.history.usage.agrees(
+                                        world.now(), "node " + id, u.tenant(), end, u.publishes(), u.bytes()));
                     }
                 }
             }
@@ -89,7 +103,8 @@
 
     void settle() {
         for (final String tenant : world.callers.tenants()) {
-            world.history.usage.settle(world.now(), tenant, s -> Callers.tenantOf(s.sender).equals(tenant));
+            world.history.usage.settle(
+                    world.now(), tenant, s -> Callers.tenantOf(s.sender).equals(tenant));
         }
     }
 }
