Name routes by the field's word: Path is Route, PathFinder is RouteFinder

A route is what a reader of messaging code looks for; the package, the two types and their uses are renamed, nothing else.

--- a/coordination/src/main/java/brookpath/coordination/node/FrontNode.java
+++ b/coordination/src/main/java/brookpath/coordination/node/FrontNode.java
@@ -17,8 +17,8 @@
 import brookpath.coordination.message.Response;
 import brookpath.coordination.node.front.Ferries;
 import brookpath.coordination.node.front.Subscriptions;
-import brookpath.coordination.path.Path;
-import brookpath.coordination.path.PathFinder;
+import brookpath.coordination.route.Route;
+import brookpath.coordination.route.RouteFinder;
 import brookpath.coordination.spec.Roster;
 import brookpath.coordination.spec.Spec;
 import brookpath.coordination.spec.SpecClient;
@@ -77,9 +77,9 @@
         // why: a reply meant for a former life of this process must not match a job of this one
         ids = firstId;
         client = new SpecClient(self, SpecPoll.FRONT, zone, address, name, seeds, tempo, out);
-        ferries = new Ferries(tempo, this::paths, () -> ++ids, out);
+        ferries = new Ferries(tempo, this::routes, () -> ++ids, out);
         subscriptions =
-                new Subscriptions(self, () -> client.spec().topicsPerSession(), tempo, this::paths, () -> ++ids, out);
+                new Subscriptions(self, () -> client.spec().topicsPerSession(), tempo, this::routes, () -> ++ids, out);
     }
 
     public SpecClient client() {
@@ -98,8 +98,8 @@
                 : tempo.beat();
     }
 
-    private PathFinder paths(final long now) {
-        return new PathFinder(client.spec(), client.roster(), table, client.leased(now), zone, tempo);
+    private RouteFinder routes(final long now) {
+        return new RouteFinder(client.spec(), client.roster(), table, client.leased(now), zone, tempo);
     }
 
     @Override
@@ -269,20 +269,20 @@
     }
 
     private String explain(final Job.Explain j, final long now) {
-        final PathFinder paths = paths(now);
-        final Path path = paths.publish(j.key(), j.topic(), now);
-        final Path admitted = paths.admit(j.key(), j.topic());
+        final RouteFinder routes = routes(now);
+        final Route route = routes.publish(j.key(), j.topic(), now);
+        final Route admitted = routes.admit(j.key(), j.topic());
         final var obj = Json.createObjectBuilder()
                 .add("node", self)
                 .add("topic", j.topic())
                 .add("specVersion", client.spec().version())
                 .add("specLeaseLeftMs", Math.max(0, client.leaseUntil() - now))
-                .add("because", path.because())
-                .add("status", path.refusal() == null ? 200 : path.refusal().status())
+                .add("because", route.because())
+                .add("status", route.refusal() == null ? 200 : route.refusal().status())
                 .add("group", admitted.group())
-                .add("master", path.node());
+                .add("master", route.node());
         if (admitted.group() >= 0) {
-            obj.add("readsFrom", paths.nearest(admitted.group(), n -> false, now));
+            obj.add("readsFrom", routes.nearest(admitted.group(), n -> false, now));
             final JsonArrayBuilder seen = Json.createArrayBuilder();
             client.roster()
                     .groups()
@@ -295,17 +295,17 @@
     }
 
     private void count(final Job.Count j, final long now) {
-        final Path path = paths(now).publish(j.key(), j.topic(), now);
-        if (path.refusal() != null) {
-            out.respond(j.jobId(), path.refusal());
+        final Route route = routes(now).publish(j.key(), j.topic(), now);
+        if (route.refusal() != null) {
+            out.respond(j.jobId(), route.refusal());
             return;
         }
         if (counts.size() >= MAX_COUNTS) {
             busy(j.jobId(), "busy", "too many counts are under way here");
             return;
         }
-        counts.put(++ids, new CountJob(j.jobId(), path.node(), now + tempo.ferryHorizon(), leaveOut(j)));
-        out.send(path.node(), new CountAsk(ids, path.group(), j.topic()));
+        counts.put(++ids, new CountJob(j.jobId(), route.node(), now + tempo.ferryHorizon(), leaveOut(j)));
+        out.send(route.node(), new CountAsk(ids, route.group(), j.topic()));
     }
 
     private boolean leaveOut(final Job.Count j) {
@@ -317,16 +317,16 @@
     }
 
     private void publish(final Job.Publish j, final long now) {
-        final Path path = paths(now).admit(j.key(), j.topic());
-        if (path.refusal() != null) {
+        final Route route = routes(now).admit(j.key(), j.topic());
+        if (route.refusal() != null) {
             out.note("publish " + j.topic() + " " + j.sender() + "/" + j.seq() + ": refused with "
-                    + path.refusal().status() + ", " + path.because());
-            out.respond(j.jobId(), path.refusal());
+                    + route.refusal().status() + ", " + route.because());
+            out.respond(j.jobId(), route.refusal());
             return;
         }
         ferries.add(
                 j,
-                path,
+                route,
                 client.spec().version(),
                 client.spec().spaceOf(j.topic()).answerMs(),
                 now);
@@ -417,15 +417,15 @@
 
     @Override
     public String statusJson(final Time time) {
-        final PathFinder paths = paths(time.mono());
+        final RouteFinder routes = routes(time.mono());
         final JsonArrayBuilder arr = Json.createArrayBuilder();
         for (final Roster.GroupInfo g : client.roster().groups()) {
-            final Path path = paths.toMaster(new Path(null, "", g.id(), 0, "group " + g.id()), time.mono());
+            final Route route = routes.toMaster(new Route(null, "", g.id(), 0, "group " + g.id()), time.mono());
             arr.add(Json.createObjectBuilder()
                     .add("group", g.id())
-                    .add("master", path.node())
-                    .add("why", path.because())
-                    .add("readsFrom", paths.nearest(g.id(), n -> false, time.mono()))
+                    .add("master", route.node())
+                    .add("why", route.because())
+                    .add("readsFrom", routes.nearest(g.id(), n -> false, time.mono()))
                     .add("founded", g.founded()));
         }
         final Spec spec = client.spec();
--- a/coordination/src/main/java/brookpath/coordination/node/front/Ferries.java
+++ b/coordination/src/main/java/brookpath/coordination/node/front/Ferries.java
@@ -6,9 +6,9 @@
 import brookpath.coordination.message.Msg.PublishReply;
 import brookpath.coordination.message.Response;
 import brookpath.coordination.node.Job;
-import brookpath.coordination.path.Path;
-import brookpath.coordination.path.PathFinder;
-import brookpath.coordination.path.PathFinder.Master;
+import brookpath.coordination.route.Route;
+import brookpath.coordination.route.RouteFinder;
+import brookpath.coordination.route.RouteFinder.Master;
 import jakarta.json.Json;
 import java.util.HashMap;
 import java.util.Iterator;
@@ -28,7 +28,7 @@
 
     private static final class Ferry {
         final Job.Publish job;
-        final Path path;
+        final Route route;
         final long horizon;
         final long specVersion;
         Master to = Master.NONE;
@@ -37,9 +37,9 @@
 
         String why = "the group has no master just now";
 
-        Ferry(final Job.Publish job, final Path path, final long specVersion, final long horizon) {
+        Ferry(final Job.Publish job, final Route route, final long specVersion, final long horizon) {
             this.job = job;
-            this.path = path;
+            this.route = route;
             this.specVersion = specVersion;
             this.horizon = horizon;
         }
@@ -57,7 +57,7 @@
     }
 
     private final Tempo tempo;
-    private final LongFunction<PathFinder> paths;
+    private final LongFunction<RouteFinder> routes;
     private final LongSupplier ids;
     private final Actions out;
     private final TreeMap<Integer, Pier> piers = new TreeMap<>();
@@ -68,9 +68,10 @@
     private long nextWatch = Long.MIN_VALUE;
 
     /** @param ids never the same twice, and rising */
-    public Ferries(final Tempo tempo, final LongFunction<PathFinder> paths, final LongSupplier ids, final Actions out) {
+    public Ferries(
+            final Tempo tempo, final LongFunction<RouteFinder> routes, final LongSupplier ids, final Actions out) {
         this.tempo = tempo;
-        this.paths = paths;
+        this.routes = routes;
         this.ids = ids;
         this.out = out;
     }
@@ -87,21 +88,21 @@
     }
 
     public void add(
-            final Job.Publish job, final Path path, final long specVersion, final long answerMs, final long now) {
+            final Job.Publish job, final Route route, final long specVersion, final long answerMs, final long now) {
         if (groupOf.size() >= MOST) {
             refused(job, "busy", "too many publishes are under way here");
             return;
         }
-        if (hopeless(path.group(), now)) {
-            refused(job, "master", "group " + path.group() + " has no master just now");
+        if (hopeless(route.group(), now)) {
+            refused(job, "master", "group " + route.group() + " has no master just now");
             return;
         }
         final long patience = answerMs == 0 ? tempo.ferryHorizon() : Math.min(tempo.ferryHorizon(), answerMs * 3 / 4);
         final long id = ids.getAsLong();
-        groupOf.put(id, path.group());
-        final Pier pier = piers.computeIfAbsent(path.group(), k -> new Pier());
-        pier.ferries.put(id, new Ferry(job, path, specVersion, now + patience));
-        drive(path.group(), pier, now);
+        groupOf.put(id, route.group());
+        final Pier pier = piers.computeIfAbsent(route.group(), k -> new Pier());
+        pier.ferries.put(id, new Ferry(job, route, specVersion, now + patience));
+        drive(route.group(), pier, now);
     }
 
     /**
@@ -112,7 +113,7 @@
             return;
         }
         nextWatch = now + tempo.beat() / 2;
-        final PathFinder finder = paths.apply(now);
+        final RouteFinder finder = routes.apply(now);
         for (int g = 0; g < groups; g++) {
             if (finder.master(g, now).node() == 0) {
                 masterlessSince.putIfAbsent(g, now);
@@ -156,7 +157,7 @@
         if (pier.ferries.isEmpty() || now < pier.pausedUntil) {
             return;
         }
-        Master master = paths.apply(now).master(group, now);
+        Master master = routes.apply(now).master(group, now);
         if (pier.hint != 0 && now < pier.hintUntil && master.node() != pier.hint) {
             // why: an epoch above all, so that what the beats tell of the old master does not turn the ferries back
             master = new Master(pier.hint, Long.MAX_VALUE);
@@ -179,7 +180,7 @@
                             group,
                             f.specVersion,
                             f.job.seq(),
-                            f.path.tenant(),
+                            f.route.tenant(),
                             f.job.topic(),
                             f.job.sender(),
                             f.job.text()));
--- a/coordination/src/main/java/brookpath/coordination/node/front/Subscriptions.java
+++ b/coordination/src/main/java/brookpath/coordination/node/front/Subscriptions.java
@@ -13,8 +13,8 @@
 import brookpath.coordination.node.Cursor;
 import brookpath.coordination.node.Job;
 import brookpath.coordination.node.front.Session.Part;
-import brookpath.coordination.path.Path;
-import brookpath.coordination.path.PathFinder;
+import brookpath.coordination.route.Route;
+import brookpath.coordination.route.RouteFinder;
 import brookpath.state.record.Rec;
 import jakarta.json.Json;
 import java.util.ArrayList;
@@ -37,7 +37,7 @@
     private final int self;
     private final IntSupplier mostTopics;
     private final Tempo tempo;
-    private final LongFunction<PathFinder> paths;
+    private final LongFunction<RouteFinder> routes;
     private final LongSupplier ids;
     private final Actions out;
     private final TreeMap<Long, Session> sessions = new TreeMap<>();
@@ -53,13 +53,13 @@
             final int self,
             final IntSupplier mostTopics,
             final Tempo tempo,
-            final LongFunction<PathFinder> paths,
+            final LongFunction<RouteFinder> routes,
             final LongSupplier ids,
             final Actions out) {
         this.self = self;
         this.mostTopics = mostTopics;
         this.tempo = tempo;
-        this.paths = paths;
+        this.routes = routes;
         this.ids = ids;
         this.out = out;
     }
@@ -118,16 +118,16 @@
                             "topics"));
             return;
         }
-        final Path path = paths.apply(now).admit(s.key, j.topic());
-        if (path.refusal() != null) {
-            out.respond(j.jobId(), path.refusal());
+        final Route route = routes.apply(now).admit(s.key, j.topic());
+        if (route.refusal() != null) {
+            out.respond(j.jobId(), route.refusal());
             return;
         }
         if (s.part(j.topic()) != null) {
             // why: asked anew, it begins anew, at the cursor that is asked for
             unlisten(s, s.part(j.topic()));
         }
-        final Part p = new Part(path.group(), j.jobId(), now + tempo.deliverMs() / 2);
+        final Part p = new Part(route.group(), j.jobId(), now + tempo.deliverMs() / 2);
         p.at.put(j.topic(), at);
         listen(s, p);
         catchUp(s, p, now);
@@ -164,16 +164,16 @@
             return;
         }
         final Session s = new Session(j.jobId(), j.key(), true, now + tempo.deliverMs());
-        final PathFinder finder = paths.apply(now);
+        final RouteFinder finder = routes.apply(now);
         // why: topics of one group are read together, for a space may promise one order over all its topics
         final TreeMap<Integer, Part> parts = new TreeMap<>();
         for (final String topic : new LinkedHashSet<>(j.topics())) {
-            final Path path = finder.admit(j.key(), topic);
-            if (path.refusal() != null) {
-                out.respond(j.jobId(), path.refusal());
+            final Route route = finder.admit(j.key(), topic);
+            if (route.refusal() != null) {
+                out.respond(j.jobId(), route.refusal());
                 return;
             }
-            parts.computeIfAbsent(path.group(), g -> new Part(g, 0, s.horizon))
+            parts.computeIfAbsent(route.group(), g -> new Part(g, 0, s.horizon))
                     .at
                     .put(topic, cursor.getOrDefault(topic, -1L));
         }
@@ -226,19 +226,19 @@
 
     /** A key or a space that a new spec took away ends what stood on it at once. */
     public void reconsider(final long now) {
-        final PathFinder finder = paths.apply(now);
+        final RouteFinder finder = routes.apply(now);
         for (final Session s : new ArrayList<>(sessions.values())) {
             reconsider(s, finder);
         }
     }
 
-    private void reconsider(final Session s, final PathFinder finder) {
+    private void reconsider(final Session s, final RouteFinder finder) {
         for (final Part p : s.parts()) {
             for (final String topic : p.at.keySet()) {
-                final Path path = finder.admit(s.key, topic);
-                final boolean moved = path.refusal() == null && p.group != path.group();
-                if ((path.refusal() != null && path.refusal().status() != 503) || moved) {
-                    if (end(s, p, moved, path)) {
+                final Route route = finder.admit(s.key, topic);
+                final boolean moved = route.refusal() == null && p.group != route.group();
+                if ((route.refusal() != null && route.refusal().status() != 503) || moved) {
+                    if (end(s, p, moved, route)) {
                         return;
                     }
                     break;
@@ -248,18 +248,18 @@
     }
 
     /** True where the whole session ended with it. */
-    private boolean end(final Session s, final Part p, final boolean moved, final Path path) {
+    private boolean end(final Session s, final Part p, final boolean moved, final Route route) {
         final Response why = moved
                 ? new Response(
                         503, tempo.retryAfterMs(), Ferries.outcome("refused", "moved", "the topic moved"), "moved")
-                : path.refusal();
+                : route.refusal();
         if (!s.whole) {
             ended(s, p, why);
             return false;
         }
         drop(s);
         if (s.begun) {
-            out.close(s.id, moved ? "topic moved" : path.because());
+            out.close(s.id, moved ? "topic moved" : route.because());
         } else {
             out.respond(s.id, why);
         }
@@ -349,7 +349,7 @@
     }
 
     private int nearest(final int group, final long now) {
-        return paths.apply(now).nearest(group, shunned::containsKey, now);
+        return routes.apply(now).nearest(group, shunned::containsKey, now);
     }
 
     // ---- fetches
@@ -658,7 +658,7 @@
      * still so.
      */
     public void tellListeners(final long now) {
-        final PathFinder finder = paths.apply(now);
+        final RouteFinder finder = routes.apply(now);
         for (final Feed f : feeds.values()) {
             final int master = finder.master(f.group, now).node();
             final boolean same = f.countsToldTo == master && f.countsToldChanges == f.changes;
--- a/coordination/src/main/java/brookpath/coordination/path/PathFinder.java
+++ b/coordination/src/main/java/brookpath/coordination/route/RouteFinder.java
@@ -1,6 +1,6 @@
-package brookpath.coordination.path;
+package brookpath.coordination.route;
 
-import static brookpath.coordination.path.Path.refused;
+import static brookpath.coordination.route.Route.refused;
 
 import brookpath.coordination.Tempo;
 import brookpath.coordination.beat.BeatTable;
@@ -14,7 +14,7 @@
 import java.util.function.IntPredicate;
 
 /** The decision object: asked where a job goes, from immutable tables alone. The executor obeys. */
-public final class PathFinder {
+public final class RouteFinder {
     /**
      * The refusal's code where no space has such a topic; callers over HTTP are not told it by status from a space that
      * is not theirs.
@@ -30,7 +30,7 @@
     private final String zone;
     private final Tempo tempo;
 
-    public PathFinder(
+    public RouteFinder(
             final Spec spec,
             final Roster roster,
             final BeatTable table,
@@ -46,7 +46,7 @@
     }
 
     /** May the key use the topic, and which group holds it? The node is left open. */
-    public Path admit(final String key, final String topic) {
+    public Route admit(final String key, final String topic) {
         if (!topic.matches(TOPIC)) {
             return refused(400, 0, "topic", "a topic is 1 to 200 printable characters without a space");
         }
@@ -70,7 +70,7 @@
             return refused(503, tempo.retryAfterMs(), "placement", "no groups are placed yet");
         }
         final int group = Placement.groupOf(topic, space, roster.groups().size());
-        return new Path(
+        return new Route(
                 null,
                 tenant == null ? "" : tenant.name(),
                 group,
@@ -79,9 +79,9 @@
     }
 
     /** Publishes go to the group's master, as the roles in the beats tell it. */
-    public Path publish(final String key, final String topic, final long now) {
-        final Path path = admit(key, topic);
-        return path.refusal() != null ? path : toMaster(path, now);
+    public Route publish(final String key, final String topic, final long now) {
+        final Route route = admit(key, topic);
+        return route.refusal() != null ? route : toMaster(route, now);
     }
 
     /** @param node 0 for none */
@@ -102,17 +102,17 @@
         return master;
     }
 
-    public Path toMaster(final Path path, final long now) {
-        final Master master = master(path.group(), now);
+    public Route toMaster(final Route route, final long now) {
+        final Master master = master(route.group(), now);
         if (master.node == 0) {
-            return refused(503, tempo.retryAfterMs(), "master", "group " + path.group() + " has no master just now");
+            return refused(503, tempo.retryAfterMs(), "master", "group " + route.group() + " has no master just now");
         }
-        return new Path(
+        return new Route(
                 null,
-                path.tenant(),
-                path.group(),
+                route.tenant(),
+                route.group(),
                 master.node,
-                path.because() + "; node " + master.node + " masters it in epoch " + master.epoch);
+                route.because() + "; node " + master.node + " masters it in epoch " + master.epoch);
     }
 
     /**
