--- a/coordination/src/main/java/brookpath/coordination/node/FrontNode.java
+++ b/coordination/src/main/java/brookpath/coordination/node/FrontNode.java
@@ -15,55 +15,58 @@
 import brookpath.coordination.message.Msg.SpecPoll;
 import brookpath.coordination.message.Msg.SpecReply;
 import brookpath.coordination.message.Response;
-import brookpath.coordination.node.front.Ferries;
+import brookpath.coordination.node.front.GatewayAddresses;
+import brookpath.coordination.node.front.LeaseQueue;
+import brookpath.coordination.node.front.ListenerCountRequests;
+import brookpath.coordination.node.front.PublishForwarder;
 import brookpath.coordination.node.front.Subscriptions;
+import brookpath.coordination.route.Refusals;
 import brookpath.coordination.route.Route;
 import brookpath.coordination.route.RouteFinder;
-import brookpath.coordination.spec.Roster;
-import brookpath.coordination.spec.Spec;
 import brookpath.coordination.spec.SpecClient;
-import brookpath.state.record.Pack;
-import jakarta.json.Json;
-import jakarta.json.JsonArrayBuilder;
-import java.util.ArrayDeque;
-import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.TreeMap;
 
-/** A front machine of the data plane: holds the callers' sessions. */
+/**
+ * The gateway: a node of the data plane that holds the callers' sessions and keeps nothing on disk. It forwards
+ * publishes to the groups' masters, reads what its sessions listen to, and serves only while it holds the lease on the
+ * configuration.
+ */
 public final class FrontNode extends Node {
+    /** The longest message that a caller may publish, in UTF-8 bytes. */
     public static final int MAX_TEXT = 16_384;
-    private static final int MAX_COUNTS = 4_096;
-    /** Beats of a front, which only watches: changes of masterships are told to it at once besides. */
-    private static final int BEATS = 4;
 
-    private record CountJob(long jobId, int node, long horizon, boolean leaveOut) {}
+    /** A gateway only watches, so its heartbeats are rarer: changes of masterships are told to it at once besides. */
+    private static final int HEARTBEAT_PERIODS = 4;
 
-    private record Arrival(Job job, long horizon) {}
+    /** A retreat spreads the sessions' moves over this part of the bound on recovery, a drain over half of it. */
+    private static final int RETREAT_DIVISOR = 12;
+
+    private static final int DRAIN_DIVISOR = 2;
+    private static final int OK = 200;
+    private static final int UNAUTHORIZED = 401;
 
     private final String zone;
     private final SpecClient client;
-    private final Ferries ferries;
+    private final PublishForwarder forwarder;
     private final Subscriptions subscriptions;
-    private final TreeMap<Long, CountJob> counts = new TreeMap<>();
-    /** Jobs that wait for the lease. */
-    private final ArrayDeque<Arrival> anteroom = new ArrayDeque<>();
+    private final ListenerCountRequests counts;
+    private final LeaseQueue leaseQueue;
+    private final GatewayAddresses otherGateways;
+    private final FrontStatus status;
 
-    private long leaselessSince = Long.MAX_VALUE / 2;
     private long ids;
-    private long nextListen;
+    private long nextListenerReport;
+    /** The request that asked for a retreat; 0 while this node stays. */
+    private long retreatRequest;
+
     /**
-     * The job that asked for a retreat, and until when other fronts' addresses are waited for; 0 while this node stays.
+     * @param address where callers reach this node, for those who are sent on to it; may be empty
+     * @param firstId the IDs of requests begin behind it, so that a reply meant for a former life of this process does
+     *     not match a request of this one
      */
-    private long retreat;
-
-    private long addressesUntil;
-    private List<String> elsewhere;
-
-    /** @param address where callers reach this front, for those who are sent on to it; may be empty */
     public FrontNode(
             final int self,
             final String zone,
@@ -74,67 +77,78 @@
             final long firstId) {
         super(self, tempo);
         this.zone = zone;
-        // why: a reply meant for a former life of this process must not match a job of this one
         ids = firstId;
         client = new SpecClient(self, SpecPoll.FRONT, zone, address, name, seeds, tempo, out);
-        ferries = new Ferries(tempo, this::routes, () -> ++ids, out);
+        forwarder = new PublishForwarder(tempo, this::routes, this::nextId, out);
         subscriptions =
-                new Subscriptions(self, () -> client.spec().topicsPerSession(), tempo, this::routes, () -> ++ids, out);
+                new Subscriptions(self, () -> client.spec().topicsPerSession(), tempo, this::routes, this::nextId, out);
+        counts = new ListenerCountRequests(tempo, this::nextId, out);
+        leaseQueue = new LeaseQueue(tempo);
+        otherGateways = new GatewayAddresses(self, zone, this::nextId);
+        status = new FrontStatus(self, zone, client);
     }
 
+    /** The copy of the configuration and the cluster's metadata that this node works by. */
     public SpecClient client() {
         return client;
     }
 
     @Override
     public long beatPeriod() {
-        return BEATS * tempo.beat();
+        return HEARTBEAT_PERIODS * tempo.beat();
     }
 
     @Override
     public long restMs(final Time time) {
-        return ferries.restless() || subscriptions.restless() || client.draining() || !client.leased(time.mono())
-                ? tempo.tick()
-                : tempo.beat();
+        final boolean needsTimer = forwarder.needsTimer()
+                || subscriptions.needsTimer()
+                || client.draining()
+                || !client.leased(time.mono());
+        return needsTimer ? tempo.tick() : tempo.beat();
+    }
+
+    private long nextId() {
+        ids++;
+        return ids;
     }
 
     private RouteFinder routes(final long now) {
         return new RouteFinder(client.spec(), client.roster(), table, client.leased(now), zone, tempo);
     }
 
+    /** Whether this node holds a configuration and the lease on it. */
+    private boolean serves(final long now) {
+        return client.leased(now) && client.spec().version() > 0;
+    }
+
     @Override
     public void replay(final byte[] entry, final Time time) {
         throw new IllegalStateException("a front keeps nothing on disk");
     }
 
-    // ---- wakeups
+    // ---- timers
 
     @Override
     protected void onTick(final Time time) {
         final long now = time.mono();
         client.tick(time);
-        admit(time);
-        ferries.watch(client.roster().groups().size(), now);
-        ferries.tick(now);
-        counts.values().removeIf(c -> {
-            if (now >= c.horizon) {
-                busy(c.jobId, "count", "no word from the master in time");
-            }
-            return now >= c.horizon;
-        });
+        releaseWaiting(now);
+        forwarder.checkMasters(client.roster().groups().size(), now);
+        forwarder.tick(now);
+        counts.tick(now);
         if (client.leased(now)) {
             subscriptions.tick(now);
         }
-        if (client.draining() && (elsewhere != null || now >= addressesUntil)) {
-            subscriptions.sendOn(elsewhere == null ? List.of() : elsewhere, now);
+        if (client.draining() && otherGateways.isSettled(now)) {
+            subscriptions.moveDue(otherGateways::next, now);
         }
-        if (retreat != 0 && subscriptions.size() == 0 && ferries.size() == 0) {
-            out.respond(retreat, new Response(200, 0, "{}"));
-            retreat = 0;
+        if (retreatRequest != 0 && subscriptions.size() == 0 && forwarder.size() == 0) {
+            out.respond(retreatRequest, new Response(OK, 0, "{}"));
+            retreatRequest = 0;
         }
-        if (now >= nextListen) {
-            nextListen = now + tempo.beat();
-            subscriptions.tellListeners(now);
+        if (now >= nextListenerReport) {
+            nextListenerReport = now + tempo.beat();
+            subscriptions.reportListeners(now);
         }
     }
 
@@ -143,259 +157,214 @@
     @Override
     protected void onMessage(final int from, final Msg msg, final Time time) {
         final long now = time.mono();
-        if (msg instanceof SpecReply m) {
-            if (client.onReply(m, time)) {
-                subscriptions.reconsider(now);
+        if (msg instanceof SpecReply reply) {
+            if (client.onReply(reply, time)) {
+                subscriptions.reviewPermissions(now);
             }
-            admit(time);
-        } else if (msg instanceof PublishReply m) {
-            ferries.reply(from, m, now);
-        } else if (msg instanceof FetchReply m) {
-            // why: delivery pauses with the lease; the cursors stay where they are
+            releaseWaiting(now);
+        } else if (msg instanceof PublishReply reply) {
+            forwarder.reply(from, reply, now);
+        } else if (msg instanceof FetchReply reply) {
+            // delivery pauses with the lease; the cursors stay where they are
             if (client.leased(now)) {
-                subscriptions.fetched(from, m, now);
-            }
-        } else if (msg instanceof OpReply m) {
-            elsewhere = m.status() == 200 ? read(m.body()) : List.of();
-        } else if (msg instanceof CountReply m) {
-            final CountJob c = counts.remove(m.jobId());
-            if (c != null && m.status() == CountReply.OK) {
-                final int others = Math.max(0, m.count() - (c.leaveOut ? 1 : 0));
-                out.respond(c.jobId, new Response(200, 0, "{\"listeners\":" + others + "}"));
-            } else if (c != null) {
-                busy(c.jobId, "master", "the master has no lease just now");
-            }
-        }
-    }
-
-    /** The addresses for callers of other fronts: those of this zone, else all. */
-    private List<String> read(final byte[] body) {
-        final List<String> near = new ArrayList<>();
-        final List<String> all = new ArrayList<>();
-        final Pack in = Pack.reader(body);
-        for (long n = in.num(); n > 0; n--) {
-            final int node = (int) in.num();
-            final boolean here = in.str().equals(zone);
-            final String address = in.str();
-            if (node != self && !address.isEmpty()) {
-                all.add(address);
-                if (here) {
-                    near.add(address);
-                }
+                subscriptions.fetched(from, reply, now);
             }
+        } else if (msg instanceof OpReply reply) {
+            addressesReceived(reply);
+        } else if (msg instanceof CountReply reply) {
+            counts.reply(reply);
         }
-        return near.isEmpty() ? all : near;
     }
 
-    // ---- jobs
-
-    /** What cannot be judged without a lease waits a moment for it, in its order, where one may be expected soon. */
-    private boolean waits(final Job job, final long now) {
-        if ((client.leased(now) && client.spec().version() > 0)
-                || now - leaselessSince > tempo.deliverMs()
-                || anteroom.size() >= MAX_COUNTS) {
-            return false;
+    private void addressesReceived(final OpReply reply) {
+        if (reply.status() == OK) {
+            otherGateways.received(reply.body());
+        } else {
+            otherGateways.unknown();
         }
-        anteroom.add(new Arrival(job, now + tempo.deliverMs() / 2));
-        return true;
     }
 
-    private void admit(final Time time) {
+    @Override
+    protected void onUnsent(final int to, final Msg msg, final Time time) {
         final long now = time.mono();
-        final boolean serves = client.leased(now) && client.spec().version() > 0;
-        if (serves) {
-            leaselessSince = Long.MAX_VALUE / 2;
-        } else if (leaselessSince > now) {
-            leaselessSince = now;
-        }
-        while (!anteroom.isEmpty()
-                && (serves || now >= anteroom.peek().horizon || now - leaselessSince > tempo.deliverMs())) {
-            take(anteroom.poll().job, now);
+        if (msg instanceof SpecPoll) {
+            client.unsent(to, now);
+        } else if (msg instanceof Publish message) {
+            forwarder.unsent(message, now);
+        } else if (msg instanceof Fetch message) {
+            subscriptions.unsent(to, message, now);
+        } else if (msg instanceof Listen message) {
+            subscriptions.unsent(message);
+        } else if (msg instanceof Op) {
+            otherGateways.unknown();
+        } else if (msg instanceof CountAsk message) {
+            counts.unsent(to, message);
         }
     }
 
-    private void take(final Job job, final long now) {
-        if (job instanceof Job.Publish j) {
-            publish(j, now);
-        } else if (job instanceof Job.Open j) {
-            open(j, now);
-        } else if (job instanceof Job.Join j) {
-            subscriptions.join(j, now);
-        } else if (job instanceof Job.Count j) {
-            count(j, now);
-        }
+    @Override
+    protected void onSessionLost(final int node, final Time time) {
+        client.unsent(node, time.mono());
+        forwarder.sessionLost(node, time.mono());
+        subscriptions.sessionLost(node, time.mono());
     }
 
+    // ---- requests
+
     @Override
     protected void onJob(final Job job, final Time time) {
         final long now = time.mono();
-        if (job instanceof Job.Publish
-                || job instanceof Job.Open
-                || job instanceof Job.Join
-                || job instanceof Job.Count) {
-            if (!waits(job, now)) {
-                take(job, now);
+        if (needsLease(job)) {
+            if (!leaseQueue.offer(job, serves(now), now)) {
+                handleLeased(job, now);
             }
-        } else if (job instanceof Job.Subscribe j) {
+        } else if (job instanceof Job.Subscribe request) {
             if (client.draining()) {
-                busy(j.jobId(), "draining", "this node drains; another takes new sessions");
+                refuseDraining(request.jobId());
             } else {
-                subscriptions.subscribe(j, Cursor.read(j.cursor()), now);
+                subscriptions.subscribe(request, Cursor.read(request.cursor()), now);
             }
-        } else if (job instanceof Job.Leave j) {
-            subscriptions.leave(j, now);
-        } else if (job instanceof Job.Unsubscribe j) {
-            anteroom.removeIf(a -> (a.job instanceof Job.Open o && o.jobId() == j.sessionId())
-                    || (a.job instanceof Job.Join i && i.sessionId() == j.sessionId()));
-            subscriptions.end(j.sessionId());
-        } else if (job instanceof Job.Explain j) {
-            out.respond(j.jobId(), new Response(200, 0, explain(j, now)));
-        } else if (job instanceof Job.Ready j) {
-            final Response ready = Ready.response(client.leased(now), client.draining());
-            // why: it is ready before it has anything to serve, and says so by a code for those who would rather wait
-            final boolean empty =
-                    client.spec().version() == 0 || client.roster().groups().isEmpty();
-            out.respond(
-                    j.jobId(), new Response(ready.status(), ready.retryAfterMs(), ready.json(), empty ? "empty" : ""));
-        } else if (job instanceof Job.Drain j) {
-            drain(j.on(), tempo.recoverMs() / 2, now);
-            out.respond(j.jobId(), new Response(200, 0, "{\"draining\":" + j.on() + "}"));
-        } else if (job instanceof Job.Retreat j) {
-            retreat = j.jobId();
-            drain(true, tempo.recoverMs() / 12, now);
-        } else if (job instanceof Job.Status j) {
-            out.respond(j.jobId(), new Response(200, 0, statusJson(time)));
+        } else if (job instanceof Job.Leave request) {
+            subscriptions.leave(request);
+        } else if (job instanceof Job.Unsubscribe request) {
+            leaseQueue.removeIf(waiting -> belongsTo(waiting, request.sessionId()));
+            subscriptions.end(request.sessionId());
+        } else {
+            handleOperator(job, time);
         }
     }
 
-    private String explain(final Job.Explain j, final long now) {
-        final RouteFinder routes = routes(now);
-        final Route route = routes.publish(j.key(), j.topic(), now);
-        final Route admitted = routes.admit(j.key(), j.topic());
-        final var obj = Json.createObjectBuilder()
-                .add("node", self)
-                .add("topic", j.topic())
-                .add("specVersion", client.spec().version())
-                .add("specLeaseLeftMs", Math.max(0, client.leaseUntil() - now))
-                .add("because", route.because())
-                .add("status", route.refusal() == null ? 200 : route.refusal().status())
-                .add("group", admitted.group())
-                .add("master", route.node());
-        if (admitted.group() >= 0) {
-            obj.add("readsFrom", routes.nearest(admitted.group(), n -> false, now));
-            final JsonArrayBuilder seen = Json.createArrayBuilder();
-            client.roster()
-                    .groups()
-                    .get(admitted.group())
-                    .members()
-                    .forEach(m -> seen.add(GroupStatus.row(m, table, admitted.group(), now, false)));
-            obj.add("table", seen);
-        }
-        return obj.build().toString();
+    /** Requests of callers that can be judged only with the lease on the configuration. */
+    private static boolean needsLease(final Job job) {
+        return job instanceof Job.Publish
+                || job instanceof Job.Open
+                || job instanceof Job.Join
+                || job instanceof Job.Count;
     }
 
-    private void count(final Job.Count j, final long now) {
-        final Route route = routes(now).publish(j.key(), j.topic(), now);
-        if (route.refusal() != null) {
-            out.respond(j.jobId(), route.refusal());
-            return;
+    private static boolean belongsTo(final Job job, final long sessionId) {
+        if (job instanceof Job.Open open) {
+            return open.jobId() == sessionId;
         }
-        if (counts.size() >= MAX_COUNTS) {
-            busy(j.jobId(), "busy", "too many counts are under way here");
-            return;
+        return job instanceof Job.Join join && join.sessionId() == sessionId;
+    }
+
+    private void releaseWaiting(final long now) {
+        leaseQueue.release(serves(now), now, job -> handleLeased(job, now));
+    }
+
+    private void handleLeased(final Job job, final long now) {
+        if (job instanceof Job.Publish request) {
+            publish(request, now);
+        } else if (job instanceof Job.Open request) {
+            open(request, now);
+        } else if (job instanceof Job.Join request) {
+            subscriptions.join(request, now);
+        } else if (job instanceof Job.Count request) {
+            count(request, now);
         }
-        counts.put(++ids, new CountJob(j.jobId(), route.node(), now + tempo.ferryHorizon(), leaveOut(j)));
-        out.send(route.node(), new CountAsk(ids, route.group(), j.topic()));
     }
 
-    private boolean leaveOut(final Job.Count j) {
-        if (j.session() == null || !j.session().startsWith(self + "-")) {
-            return j.session() != null && !j.session().isEmpty();
+    private void handleOperator(final Job job, final Time time) {
+        final long now = time.mono();
+        if (job instanceof Job.Explain request) {
+            final String page = status.explain(request, routes(now), table, now);
+            out.respond(request.jobId(), new Response(OK, 0, page));
+        } else if (job instanceof Job.Ready request) {
+            out.respond(request.jobId(), readiness(now));
+        } else if (job instanceof Job.Drain request) {
+            drain(request.on(), tempo.recoverMs() / DRAIN_DIVISOR, now);
+            out.respond(request.jobId(), new Response(OK, 0, "{\"draining\":" + request.on() + "}"));
+        } else if (job instanceof Job.Retreat request) {
+            retreatRequest = request.jobId();
+            drain(true, tempo.recoverMs() / RETREAT_DIVISOR, now);
+        } else if (job instanceof Job.Status request) {
+            out.respond(request.jobId(), new Response(OK, 0, statusJson(time)));
         }
-        return subscriptions.listens(
-                Long.parseLong(j.session().substring(j.session().indexOf('-') + 1)), j.topic());
     }
 
-    private void publish(final Job.Publish j, final long now) {
-        final Route route = routes(now).admit(j.key(), j.topic());
-        if (route.refusal() != null) {
-            out.note("publish " + j.topic() + " " + j.sender() + "/" + j.seq() + ": refused with "
+    private void publish(final Job.Publish request, final long now) {
+        final Route route = routes(now).admit(request.key(), request.topic());
+        if (route.isRefused()) {
+            out.note("publish " + request.topic() + " " + request.sender() + "/" + request.seq() + ": refused with "
                     + route.refusal().status() + ", " + route.because());
-            out.respond(j.jobId(), route.refusal());
+            out.respond(request.jobId(), route.refusal());
             return;
         }
-        ferries.add(
-                j,
-                route,
-                client.spec().version(),
-                client.spec().spaceOf(j.topic()).answerMs(),
-                now);
-    }
-
-    private void open(final Job.Open j, final long now) {
-        if (!client.leased(now) || client.spec().version() == 0) {
-            busy(j.jobId(), "spec", "this node has not heard from the control plane lately");
-        } else if (!j.key().isEmpty() && client.spec().tenantOf(j.key()) == null) {
-            out.respond(
-                    j.jobId(),
-                    new Response(401, 0, "{\"outcome\":\"refused\",\"code\":\"key\",\"why\":\"unknown key\"}", "key"));
+        final long answerMs = client.spec().spaceOf(request.topic()).answerMs();
+        forwarder.add(request, route, client.spec().version(), answerMs, now);
+    }
+
+    private void open(final Job.Open request, final long now) {
+        if (!serves(now)) {
+            refuse(request.jobId(), "spec", "this node has not heard from the control plane lately");
+        } else if (!request.key().isEmpty() && client.spec().tenantOf(request.key()) == null) {
+            out.respond(request.jobId(), Refusals.refused(UNAUTHORIZED, 0, "key", "unknown key"));
         } else if (client.draining()) {
-            busy(j.jobId(), "draining", "this node drains; another takes new sessions");
-            out.move(
-                    j.jobId(),
-                    elsewhere == null || elsewhere.isEmpty() ? "" : elsewhere.get((int) (++ids % elsewhere.size())));
+            refuseDraining(request.jobId());
+            out.move(request.jobId(), otherGateways.next());
         } else {
-            subscriptions.open(j, now);
+            subscriptions.open(request);
         }
     }
 
+    private void count(final Job.Count request, final long now) {
+        final Route route = routes(now).publish(request.key(), request.topic(), now);
+        if (route.isRefused()) {
+            out.respond(request.jobId(), route.refusal());
+        } else {
+            counts.ask(request.jobId(), route, request.topic(), excludesCaller(request), now);
+        }
+    }
+
+    /** Whether the caller's own session is among the listeners; one of another node is believed to be. */
+    private boolean excludesCaller(final Job.Count request) {
+        final String session = request.session();
+        if (session == null || session.isEmpty()) {
+            return false;
+        }
+        if (!session.startsWith(self + "-")) {
+            return true;
+        }
+        final long sessionId = Long.parseLong(session.substring(session.indexOf('-') + 1));
+        return subscriptions.listens(sessionId, request.topic());
+    }
+
+    /** It is ready before it has anything to serve, and says so by a code for those who would rather wait. */
+    private Response readiness(final long now) {
+        final Response ready = Ready.response(client.leased(now), client.draining());
+        final boolean empty =
+                client.spec().version() == 0 || client.roster().groups().isEmpty();
+        return new Response(ready.status(), ready.retryAfterMs(), ready.json(), empty ? "empty" : "");
+    }
+
     private void drain(final boolean on, final long over, final long now) {
         if (on && !client.draining()) {
-            // why: whoever is sent on is told where to, and only the control plane knows all fronts
-            elsewhere = null;
-            addressesUntil = now + tempo.down();
+            // whoever is sent on is told where to, and only the control plane knows all gateways
+            otherGateways.await(now + tempo.down());
             out.send(client.controlMaster(), new Op(0, "fronts", new byte[0]));
         }
         client.drain(on);
-        subscriptions.drain(on, over, now);
-    }
-
-    @Override
-    protected void onUnsent(final int to, final Msg msg, final Time time) {
-        if (msg instanceof SpecPoll) {
-            client.unsent(to, time.mono());
-        } else if (msg instanceof Publish m) {
-            ferries.unsent(m, time.mono());
-        } else if (msg instanceof Fetch m) {
-            subscriptions.unsent(to, m, time.mono());
-        } else if (msg instanceof Listen m) {
-            subscriptions.unsent(m);
-        } else if (msg instanceof Op) {
-            elsewhere = List.of();
-        } else if (msg instanceof CountAsk m) {
-            final CountJob c = counts.remove(m.jobId());
-            if (c != null) {
-                busy(c.jobId, "master", "no session to node " + to);
-            }
+        if (on) {
+            subscriptions.scheduleMoves(over, now);
+        } else {
+            subscriptions.cancelMoves();
         }
     }
 
-    @Override
-    protected void onSessionLost(final int node, final Time time) {
-        client.unsent(node, time.mono());
-        ferries.sessionLost(node, time.mono());
-        subscriptions.sessionLost(node, time.mono());
+    private void refuseDraining(final long requestId) {
+        refuse(requestId, "draining", "this node drains; another takes new sessions");
     }
 
-    private void busy(final long jobId, final String code, final String why) {
-        out.respond(jobId, Ferries.busy(tempo, code, why));
+    private void refuse(final long requestId, final String code, final String why) {
+        out.respond(requestId, Refusals.retryLater(tempo, code, why));
     }
 
     // ---- for the listener thread and the status page
 
     @Override
     protected void onSynced(final long number, final Time time) {
-        // why: nothing is written here
+        // nothing is written here
     }
 
     @Override
@@ -406,7 +375,7 @@
     @Override
     public Set<Integer> beatSiblings() {
         final Set<Integer> nodes = new HashSet<>();
-        client.roster().groups().forEach(g -> g.members().forEach(m -> nodes.add(m.node())));
+        client.roster().groups().forEach(group -> group.members().forEach(member -> nodes.add(member.node())));
         return nodes;
     }
 
@@ -417,31 +386,6 @@
 
     @Override
     public String statusJson(final Time time) {
-        final RouteFinder routes = routes(time.mono());
-        final JsonArrayBuilder arr = Json.createArrayBuilder();
-        for (final Roster.GroupInfo g : client.roster().groups()) {
-            final Route route = routes.toMaster(new Route(null, "", g.id(), 0, "group " + g.id()), time.mono());
-            arr.add(Json.createObjectBuilder()
-                    .add("group", g.id())
-                    .add("master", route.node())
-                    .add("why", route.because())
-                    .add("readsFrom", routes.nearest(g.id(), n -> false, time.mono()))
-                    .add("founded", g.founded()));
-        }
-        final Spec spec = client.spec();
-        return Json.createObjectBuilder()
-                .add("node", self)
-                .add("role", "front")
-                .add("zone", zone)
-                .add("specVersion", spec.version())
-                .add("rosterVersion", client.roster().version())
-                .add("specLeaseLeftMs", Math.max(0, client.leaseUntil() - time.mono()))
-                .add("controlMaster", client.controlMaster())
-                .add("draining", client.draining())
-                .add("sessions", subscriptions.size())
-                .add("ferries", ferries.size())
-                .add("groups", arr)
-                .build()
-                .toString();
+        return status.page(routes(time.mono()), subscriptions.size(), forwarder.size(), time.mono());
     }
 }
--- /dev/null
+++ b/coordination/src/main/java/brookpath/coordination/node/FrontStatus.java
@@ -0,0 +1,92 @@
+package brookpath.coordination.node;
+
+import brookpath.coordination.beat.BeatTable;
+import brookpath.coordination.route.Route;
+import brookpath.coordination.route.RouteFinder;
+import brookpath.coordination.spec.Roster;
+import brookpath.coordination.spec.SpecClient;
+import jakarta.json.Json;
+import jakarta.json.JsonArrayBuilder;
+import jakarta.json.JsonObjectBuilder;
+
+/** The pages on which a gateway tells operators how it stands and why requests go where they go. */
+final class FrontStatus {
+    private static final int OK = 200;
+
+    private final int self;
+    private final String zone;
+    private final SpecClient client;
+
+    FrontStatus(final int self, final String zone, final SpecClient client) {
+        this.self = self;
+        this.zone = zone;
+        this.client = client;
+    }
+
+    /** Why a publish to, or a subscription of, the topic would go where it goes. */
+    String explain(final Job.Explain request, final RouteFinder routes, final BeatTable table, final long now) {
+        final Route route = routes.publish(request.key(), request.topic(), now);
+        final int group = routes.admit(request.key(), request.topic()).group();
+        final JsonObjectBuilder page = Json.createObjectBuilder()
+                .add("node", self)
+                .add("topic", request.topic())
+                .add("specVersion", client.spec().version())
+                .add("specLeaseLeftMs", leaseLeft(now))
+                .add("because", route.because())
+                .add("status", route.isRefused() ? route.refusal().status() : OK)
+                .add("group", group)
+                .add("master", route.node());
+        if (group >= 0) {
+            final JsonArrayBuilder members = Json.createArrayBuilder();
+            client.roster()
+                    .groups()
+                    .get(group)
+                    .members()
+                    .forEach(member -> members.add(GroupStatus.row(member, table, group, now, false)));
+            page.add("readsFrom", routes.nearest(group, node -> false, now));
+            page.add("table", members);
+        }
+        return page.build().toString();
+    }
+
+    /**
+     * The status page.
+     *
+     * @param sessions how many callers' sessions there are
+     * @param publishes how many publishes are under way
+     */
+    String page(final RouteFinder routes, final int sessions, final int publishes, final long now) {
+        final JsonArrayBuilder groups = Json.createArrayBuilder();
+        for (final Roster.GroupInfo group : client.roster().groups()) {
+            groups.add(groupRow(group, routes, now));
+        }
+        return Json.createObjectBuilder()
+                .add("node", self)
+                .add("role", "front")
+                .add("zone", zone)
+                .add("specVersion", client.spec().version())
+                .add("rosterVersion", client.roster().version())
+                .add("specLeaseLeftMs", leaseLeft(now))
+                .add("controlMaster", client.controlMaster())
+                .add("draining", client.draining())
+                .add("sessions", sessions)
+                .add("ferries", publishes)
+                .add("groups", groups)
+                .build()
+                .toString();
+    }
+
+    private static JsonObjectBuilder groupRow(final Roster.GroupInfo group, final RouteFinder routes, final long now) {
+        final Route route = routes.toMaster(new Route(null, "", group.id(), 0, "group " + group.id()), now);
+        return Json.createObjectBuilder()
+                .add("group", group.id())
+                .add("master", route.node())
+                .add("why", route.because())
+                .add("readsFrom", routes.nearest(group.id(), node -> false, now))
+                .add("founded", group.founded());
+    }
+
+    private long leaseLeft(final long now) {
+        return Math.max(0, client.leaseUntil() - now);
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/brookpath/coordination/node/front/CatchUpFetcher.java
@@ -0,0 +1,192 @@
+package brookpath.coordination.node.front;
+
+import brookpath.coordination.Tempo;
+import brookpath.coordination.action.Actions;
+import brookpath.coordination.message.Msg.Fetch;
+import brookpath.coordination.message.Msg.FetchReply;
+import brookpath.coordination.message.Msg.TopicAt;
+import brookpath.state.record.Rec;
+import java.util.List;
+import java.util.function.LongSupplier;
+
+/** Brings sessions from their cursors to the groups' feeds by fetches of their own. */
+final class CatchUpFetcher {
+    private final SessionRegistry registry;
+    private final FetchSources sources;
+    private final FeedFetcher feeds;
+    private final SessionWriter writer;
+    private final SessionTerminator terminator;
+    private final Tempo tempo;
+    private final LongSupplier ids;
+    private final Actions out;
+
+    CatchUpFetcher(
+            final SessionRegistry registry,
+            final FetchSources sources,
+            final FeedFetcher feeds,
+            final SessionWriter writer,
+            final SessionTerminator terminator,
+            final Tempo tempo,
+            final LongSupplier ids,
+            final Actions out) {
+        this.registry = registry;
+        this.sources = sources;
+        this.feeds = feeds;
+        this.writer = writer;
+        this.terminator = terminator;
+        this.tempo = tempo;
+        this.ids = ids;
+        this.out = out;
+    }
+
+    /** Begins to read for a new subscription. */
+    void start(final Session session, final GroupSubscription subscription, final long now) {
+        fetch(session, subscription, now);
+        feeds.fetch(registry.feed(subscription.group), now);
+    }
+
+    /** Retries what has had no reply in time, or no member to be read from. */
+    void retryIfOverdue(final Session session, final GroupSubscription subscription, final long now) {
+        final boolean underWay = subscription.fetchId != 0;
+        if (subscription.live || (underWay && now - subscription.fetchSentAt <= tempo.down())) {
+            return;
+        }
+        if (underWay) {
+            sources.avoid(subscription.source, now);
+        }
+        fetch(session, subscription, now);
+    }
+
+    private void fetch(final Session session, final GroupSubscription subscription, final long now) {
+        registry.abandonCatchUp(subscription);
+        final Feed feed = registry.feed(subscription.group);
+        if (!session.sharedCursor && isCoveredBy(feed, subscription)) {
+            goLive(session, subscription, feed, feed.position, now);
+            return;
+        }
+        final int source = sources.select(subscription.group, now);
+        subscription.resolvingEnd = !subscription.knowsPositions();
+        // a shared cursor must name every topic, so no line goes out before all positions are known
+        final boolean mustWait = session.sharedCursor && !subscription.resolvingEnd && !session.knowsPositions();
+        if (source == 0 || mustWait) {
+            return;
+        }
+        subscription.fetchId = ids.getAsLong();
+        subscription.source = source;
+        subscription.fetchSentAt = now;
+        registry.catchUpSent(session, subscription);
+        final List<TopicAt> wanted = subscription.resolvingEnd ? List.of() : subscription.wanted();
+        out.send(
+                source,
+                new Fetch(subscription.fetchId, subscription.group, subscription.resolvingEnd, false, 0, 0, wanted));
+    }
+
+    /** The feed asks for the topic from its own position on, so nothing between is missed. */
+    private static boolean isCoveredBy(final Feed feed, final GroupSubscription subscription) {
+        final long position = subscription.position();
+        return feed.hasPosition() && (position < 0 || position >= feed.position);
+    }
+
+    private void goLive(
+            final Session session,
+            final GroupSubscription subscription,
+            final Feed feed,
+            final long position,
+            final long now) {
+        subscription.advanceAll(position);
+        subscription.live = true;
+        subscription.topics().forEach(topic -> feed.addLive(topic, session.id));
+        writer.confirmJoin(subscription);
+        if (session.sharedCursor && session.isLive()) {
+            writer.keepAlive(session, now);
+        }
+    }
+
+    /** The reply to a session's own fetch. */
+    void received(final int from, final FetchReply reply, final long now) {
+        final SessionRegistry.CatchUpFetch fetch = registry.completeCatchUp(reply.jobId());
+        if (fetch == null || fetch.subscription().fetchId != reply.jobId()) {
+            return;
+        }
+        final GroupSubscription subscription = fetch.subscription();
+        if (reply.status() != FetchReply.OK) {
+            sources.avoid(from, now);
+            retryAtNextTimer(subscription, now);
+            return;
+        }
+        subscription.fetchId = 0;
+        if (subscription.resolvingEnd) {
+            endResolved(fetch.session(), subscription, reply, now);
+        } else if (!reply.gone().isEmpty()) {
+            terminator.historyGone(fetch.session(), subscription, reply.gone());
+        } else {
+            recordsReceived(fetch.session(), subscription, reply, now);
+        }
+    }
+
+    private void endResolved(
+            final Session session, final GroupSubscription subscription, final FetchReply reply, final long now) {
+        subscription.resolveEnd(reply.scannedTo());
+        if (!session.sharedCursor) {
+            writer.confirmJoin(subscription);
+            joinFeed(session, subscription, reply, now);
+        } else if (session.knowsPositions()) {
+            session.subscriptions().forEach(each -> fetch(session, each, now));
+        }
+    }
+
+    private void recordsReceived(
+            final Session session, final GroupSubscription subscription, final FetchReply reply, final long now) {
+        if (session.sharedCursor && !session.started) {
+            writer.start(session, now);
+        }
+        writer.confirmJoin(subscription);
+        for (final Rec rec : reply.recs()) {
+            writer.deliver(session, subscription, rec, now);
+        }
+        subscription.advanceAll(reply.scannedTo());
+        joinFeed(session, subscription, reply, now);
+    }
+
+    /**
+     * Goes on through the feed once that is no further, else catches up on. A source that is behind the feed and has
+     * nothing more is asked again at the next timer, not at once and for ever.
+     */
+    private void joinFeed(
+            final Session session, final GroupSubscription subscription, final FetchReply reply, final long now) {
+        final Feed feed = registry.feed(subscription.group);
+        if (!feed.hasPosition()) {
+            feed.position = reply.scannedTo();
+        }
+        if (reply.scannedTo() >= feed.position) {
+            goLive(session, subscription, feed, reply.scannedTo(), now);
+            feeds.fetch(feed, now);
+        } else if (!reply.recs().isEmpty()) {
+            fetch(session, subscription, now);
+        }
+    }
+
+    /** A fetch never left this process. */
+    void unsent(final Fetch message, final long now) {
+        final SessionRegistry.CatchUpFetch fetch = registry.catchUp(message.jobId());
+        if (fetch != null) {
+            retryAtNextTimer(fetch.subscription(), now);
+        }
+    }
+
+    /** The session with a node broke, so fetches under way there are not answered. */
+    void sessionLost(final int node) {
+        for (final Session session : registry.sessions()) {
+            for (final GroupSubscription subscription : session.subscriptions()) {
+                if (subscription.source == node) {
+                    registry.abandonCatchUp(subscription);
+                }
+            }
+        }
+    }
+
+    private void retryAtNextTimer(final GroupSubscription subscription, final long now) {
+        // so long ago that the fetch is overdue
+        subscription.fetchSentAt = now - tempo.deliverMs();
+    }
+}
--- a/coordination/src/main/java/brookpath/coordination/node/front/Feed.java
+++ b/coordination/src/main/java/brookpath/coordination/node/front/Feed.java
@@ -9,78 +9,91 @@
 
 /** The shared reading of one group: each topic is fetched once, however many sessions listen. */
 final class Feed {
-    /** Who listens to a topic: how many in all, and which sessions get it through the feed already. */
-    private static final class Interest {
+    private static final long UNKNOWN_POSITION = -1;
+
+    /** Who listens to a topic. */
+    private static final class Listeners {
         int sessions;
+        /** The sessions that get the topic through the feed already. */
         final TreeSet<Long> live = new TreeSet<>();
     }
 
     final int group;
-    private final TreeMap<String, Interest> interests = new TreeMap<>();
-    /** Of the set of topics; another one whenever it changes. */
-    long edition;
-
-    long at = -1;
+    private final TreeMap<String, Listeners> byTopic = new TreeMap<>();
+    /** What the group's master was told of the listeners. */
+    final ReportedListeners reported = new ReportedListeners();
+    /** Names the set of topics; another one whenever that changes. */
+    long topicsVersion;
+    /** Up to where the group's log was read; -1 before the first listener has caught up. */
+    long position = UNKNOWN_POSITION;
+    /** The fetch under way; 0 for none. */
     long fetchId;
+    /** The node that was asked last, and when. */
     int source;
-    long sentAt;
-    /** The edition that the source was told last. */
-    int toldSource;
-
-    long toldEdition;
-    /** Listener counts as the master was told them. */
-    long countsEdition;
-
-    int countsToldTo;
-    long countsToldAt;
-    Map<String, Integer> countsTold = Map.of();
-    long countsToldChanges;
-    /** How often a listener has come or gone. */
-    long changes;
+
+    long fetchSentAt;
+    /** The node that was told the topics last; 0 where none knows them. */
+    int sourceToldTopics;
+
+    long toldTopicsVersion;
+    private long changes;
 
     Feed(final int group) {
         this.group = group;
     }
 
-    boolean idle() {
-        return interests.isEmpty();
+    boolean hasPosition() {
+        return position >= 0;
+    }
+
+    boolean hasNoListener() {
+        return byTopic.isEmpty();
+    }
+
+    /** How often a listener has come or gone. */
+    long changes() {
+        return changes;
     }
 
     /** True where the topic is a new one, so that a fetch under way does not look for it. */
     boolean add(final String topic) {
         changes++;
-        return interests.computeIfAbsent(topic, k -> new Interest()).sessions++ == 0;
+        final Listeners listeners = byTopic.computeIfAbsent(topic, k -> new Listeners());
+        listeners.sessions++;
+        return listeners.sessions == 1;
     }
 
     /** True where nobody listens to the topic any more. */
     boolean remove(final String topic, final long session) {
         changes++;
-        final Interest i = interests.get(topic);
-        i.live.remove(session);
-        if (--i.sessions == 0) {
-            interests.remove(topic);
+        final Listeners listeners = byTopic.get(topic);
+        listeners.live.remove(session);
+        listeners.sessions--;
+        if (listeners.sessions == 0) {
+            byTopic.remove(topic);
             return true;
         }
         return false;
     }
 
-    void live(final String topic, final long session) {
-        interests.get(topic).live.add(session);
+    void addLive(final String topic, final long session) {
+        byTopic.get(topic).live.add(session);
     }
 
     /** A copy, for a session may end while its records are handed out. */
-    List<Long> live(final String topic) {
-        final Interest i = interests.get(topic);
-        return i == null ? List.of() : new ArrayList<>(i.live);
+    List<Long> liveSessions(final String topic) {
+        final Listeners listeners = byTopic.get(topic);
+        return listeners == null ? List.of() : new ArrayList<>(listeners.live);
     }
 
     Iterable<String> topics() {
-        return interests.keySet();
+        return byTopic.keySet();
     }
 
-    Map<String, Integer> counts() {
+    /** How many sessions listen, per topic. */
+    Map<String, Integer> listenerCounts() {
         final Map<String, Integer> counts = new HashMap<>();
-        interests.forEach((topic, i) -> counts.put(topic, i.sessions));
+        byTopic.forEach((topic, listeners) -> counts.put(topic, listeners.sessions));
         return counts;
     }
 }
--- /dev/null
+++ b/coordination/src/main/java/brookpath/coordination/node/front/FeedFetcher.java
@@ -0,0 +1,151 @@
+package brookpath.coordination.node.front;
+
+import brookpath.coordination.Tempo;
+import brookpath.coordination.action.Actions;
+import brookpath.coordination.message.Msg.Fetch;
+import brookpath.coordination.message.Msg.FetchReply;
+import brookpath.coordination.message.Msg.TopicAt;
+import brookpath.state.record.Rec;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.LongSupplier;
+
+/** Fetches the groups' feeds: for each group one fetch is held at a source, for all live sessions together. */
+final class FeedFetcher {
+    private final SessionRegistry registry;
+    private final FetchSources sources;
+    private final SessionWriter writer;
+    private final SessionTerminator terminator;
+    private final Tempo tempo;
+    private final LongSupplier ids;
+    private final Actions out;
+
+    FeedFetcher(
+            final SessionRegistry registry,
+            final FetchSources sources,
+            final SessionWriter writer,
+            final SessionTerminator terminator,
+            final Tempo tempo,
+            final LongSupplier ids,
+            final Actions out) {
+        this.registry = registry;
+        this.sources = sources;
+        this.writer = writer;
+        this.terminator = terminator;
+        this.tempo = tempo;
+        this.ids = ids;
+        this.out = out;
+    }
+
+    void tick(final long now) {
+        registry.feeds().forEach(feed -> fetch(feed, now));
+    }
+
+    /** Sends the next fetch, unless one is under way that asks for all that is wanted. */
+    void fetch(final Feed feed, final long now) {
+        if (!feed.hasPosition()) {
+            return;
+        }
+        final boolean underWay = feed.fetchId != 0;
+        // the source answers within the hold, so one that has not is avoided before its heartbeats are missed
+        final boolean overdue = underWay && now - feed.fetchSentAt > tempo.fetchHold() + tempo.beat();
+        if (underWay && !overdue && feed.toldTopicsVersion == feed.topicsVersion) {
+            return;
+        }
+        if (overdue) {
+            sources.avoid(feed.source, now);
+        }
+        final int source = sources.select(feed.group, now);
+        if (source == 0) {
+            feed.fetchId = 0;
+            return;
+        }
+        send(feed, source, now);
+    }
+
+    private void send(final Feed feed, final int source, final long now) {
+        feed.fetchId = ids.getAsLong();
+        feed.source = source;
+        feed.fetchSentAt = now;
+        final List<TopicAt> topics = new ArrayList<>();
+        if (feed.sourceToldTopics != source || feed.toldTopicsVersion != feed.topicsVersion) {
+            feed.topics().forEach(topic -> topics.add(new TopicAt(topic, 0)));
+            feed.sourceToldTopics = source;
+            feed.toldTopicsVersion = feed.topicsVersion;
+        }
+        out.send(source, new Fetch(feed.fetchId, feed.group, false, true, feed.position, feed.topicsVersion, topics));
+    }
+
+    /** The reply to a feed's fetch. */
+    void received(final Feed feed, final int from, final FetchReply reply, final long now) {
+        if (reply.status() == FetchReply.UNTOLD) {
+            feed.sourceToldTopics = 0;
+            feed.fetchId = 0;
+            fetch(feed, now);
+            return;
+        }
+        if (reply.status() != FetchReply.OK) {
+            fetchElsewhere(feed, from, now);
+            return;
+        }
+        feed.fetchId = 0;
+        endWhereHistoryIsGone(feed, reply);
+        for (final Rec rec : reply.recs()) {
+            deliver(feed, rec, now);
+        }
+        feed.position = Math.max(feed.position, reply.scannedTo());
+        if (!feed.hasNoListener()) {
+            fetch(feed, now);
+        }
+    }
+
+    /** The feed stood still for longer than history is kept; each session is told what it missed. */
+    private void endWhereHistoryIsGone(final Feed feed, final FetchReply reply) {
+        for (final String topic : reply.gone()) {
+            for (final long id : feed.liveSessions(topic)) {
+                final Session session = registry.get(id);
+                terminator.historyGone(session, session.subscription(topic), reply.gone());
+            }
+        }
+    }
+
+    private void deliver(final Feed feed, final Rec rec, final long now) {
+        for (final long id : feed.liveSessions(rec.topic())) {
+            final Session session = registry.get(id);
+            writer.deliver(session, session.subscription(rec.topic()), rec, now);
+        }
+    }
+
+    /** A member cannot be read just now: another is asked at once, or, where none is better, at the next timer. */
+    private void fetchElsewhere(final Feed feed, final int failed, final long now) {
+        sources.avoid(failed, now);
+        feed.fetchId = 0;
+        final int source = sources.select(feed.group, now);
+        if (source != 0 && !sources.isAvoided(source)) {
+            fetch(feed, now);
+        }
+    }
+
+    /** A fetch never left this process. */
+    void unsent(final int to, final Fetch message, final long now) {
+        registry.feeds().stream()
+                .filter(feed -> feed.fetchId == message.jobId())
+                .forEach(feed -> {
+                    feed.sourceToldTopics = 0;
+                    fetchElsewhere(feed, to, now);
+                });
+    }
+
+    /** The session with a node broke; what was told on it may not have arrived. */
+    void sessionLost(final int node, final long now) {
+        for (final Feed feed : registry.feeds()) {
+            if (feed.source == node && feed.fetchId != 0) {
+                fetchElsewhere(feed, node, now);
+            }
+            if (feed.sourceToldTopics == node) {
+                feed.sourceToldTopics = 0;
+            }
+            feed.reported.forget(node);
+        }
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/brookpath/coordination/node/front/FetchSources.java
@@ -0,0 +1,41 @@
+package brookpath.coordination.node.front;
+
+import brookpath.coordination.Tempo;
+import brookpath.coordination.route.RouteFinder;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.LongFunction;
+
+/** Selects the members that history is read from; those that did not respond lately are asked last. */
+final class FetchSources {
+    private final Tempo tempo;
+    private final LongFunction<RouteFinder> routes;
+    private final Map<Integer, Long> avoidedUntil = new HashMap<>();
+
+    FetchSources(final Tempo tempo, final LongFunction<RouteFinder> routes) {
+        this.tempo = tempo;
+        this.routes = routes;
+    }
+
+    /** The best member to read the group from; 0 for none. */
+    int select(final int group, final long now) {
+        return routes.apply(now).nearest(group, avoidedUntil::containsKey, now);
+    }
+
+    void avoid(final int node, final long now) {
+        avoidedUntil.put(node, now + tempo.recoverMs() / 4);
+    }
+
+    boolean isAvoided(final int node) {
+        return avoidedUntil.containsKey(node);
+    }
+
+    void responded(final int node) {
+        avoidedUntil.remove(node);
+    }
+
+    /** Forgets failures that are long past. */
+    void expire(final long now) {
+        avoidedUntil.values().removeIf(until -> now >= until);
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/brookpath/coordination/node/front/ForwardedPublish.java
@@ -0,0 +1,89 @@
+package brookpath.coordination.node.front;
+
+import brookpath.coordination.message.Msg.Publish;
+import brookpath.coordination.node.Job;
+import brookpath.coordination.route.Route;
+import brookpath.coordination.route.RouteFinder.Master;
+
+/** A caller's publish that has neither been accepted nor given back yet. */
+final class ForwardedPublish {
+    private final Job.Publish request;
+    private final Route route;
+    private final long specVersion;
+    private final long deadline;
+    private Master target = Master.NONE;
+    private boolean maybeAppended;
+    private String lastFailure = "the group has no master just now";
+
+    /** @param deadline when the publish is given back to its caller, on the monotonic clock in milliseconds */
+    ForwardedPublish(final Job.Publish request, final Route route, final long specVersion, final long deadline) {
+        this.request = request;
+        this.route = route;
+        this.specVersion = specVersion;
+        this.deadline = deadline;
+    }
+
+    Job.Publish request() {
+        return request;
+    }
+
+    /** Why the last attempt failed, in a sentence. */
+    String lastFailure() {
+        return lastFailure;
+    }
+
+    boolean expired(final long now) {
+        return now >= deadline;
+    }
+
+    /** Whether no attempt is under way. */
+    boolean isWaiting() {
+        return target.node() == 0;
+    }
+
+    boolean isWith(final int node) {
+        return target.node() == node;
+    }
+
+    /** Whether the publish may lie in a log, so that its outcome is unknown to the caller. */
+    boolean isUncertain() {
+        return maybeAppended || !isWaiting();
+    }
+
+    /** An attempt at the master begins; one that was under way at another may have succeeded. */
+    void beginAttempt(final Master master) {
+        maybeAppended = isUncertain();
+        target = master;
+    }
+
+    /** The attempt under way is over, and it may have succeeded. */
+    void endAttemptUncertain() {
+        maybeAppended = true;
+        target = Master.NONE;
+    }
+
+    /** The attempt under way is over, and it certainly did not succeed. */
+    void endAttempt() {
+        target = Master.NONE;
+    }
+
+    void markUncertain() {
+        maybeAppended = true;
+    }
+
+    void failed(final String why) {
+        lastFailure = why;
+    }
+
+    Publish message(final long id) {
+        return new Publish(
+                id,
+                route.group(),
+                specVersion,
+                request.seq(),
+                route.tenant(),
+                request.topic(),
+                request.sender(),
+                request.text());
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/brookpath/coordination/node/front/GatewayAddresses.java
@@ -0,0 +1,70 @@
+package brookpath.coordination.node.front;
+
+import brookpath.state.record.Pack;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.LongSupplier;
+
+/** Where callers reach the other gateways, as the control plane tells a gateway that drains. */
+public final class GatewayAddresses {
+    private final int self;
+    private final String zone;
+    private final LongSupplier ids;
+    private List<String> addresses = List.of();
+    private boolean awaited;
+    private long awaitedUntil;
+
+    /** @param ids by which callers are spread over the gateways */
+    public GatewayAddresses(final int self, final String zone, final LongSupplier ids) {
+        this.self = self;
+        this.zone = zone;
+        this.ids = ids;
+    }
+
+    /** The control plane is asked, and its reply is waited for no longer than this. */
+    public void await(final long until) {
+        addresses = List.of();
+        awaited = true;
+        awaitedUntil = until;
+    }
+
+    /** Whether callers need not wait for the addresses (any longer). */
+    public boolean isSettled(final long now) {
+        return !awaited || now >= awaitedUntil;
+    }
+
+    /** The control plane did not tell the addresses. */
+    public void unknown() {
+        addresses = List.of();
+        awaited = false;
+    }
+
+    /** The control plane's reply. The gateways of this node's zone are preferred to all others. */
+    public void received(final byte[] body) {
+        final List<String> near = new ArrayList<>();
+        final List<String> all = new ArrayList<>();
+        final Pack in = Pack.reader(body);
+        for (long left = in.num(); left > 0; left--) {
+            final int node = (int) in.num();
+            final boolean sameZone = in.str().equals(zone);
+            final String address = in.str();
+            if (node == self || address.isEmpty()) {
+                continue;
+            }
+            all.add(address);
+            if (sameZone) {
+                near.add(address);
+            }
+        }
+        addresses = near.isEmpty() ? all : near;
+        awaited = false;
+    }
+
+    /** The address for the next caller that is sent on; empty where none is known. */
+    public String next() {
+        if (addresses.isEmpty()) {
+            return "";
+        }
+        return addresses.get((int) Math.floorMod(ids.getAsLong(), (long) addresses.size()));
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/brookpath/coordination/node/front/LeaseQueue.java
@@ -0,0 +1,57 @@
+package brookpath.coordination.node.front;
+
+import brookpath.coordination.Tempo;
+import brookpath.coordination.node.Job;
+import java.util.ArrayDeque;
+import java.util.function.Consumer;
+import java.util.function.Predicate;
+
+/** Requests that cannot be judged without the configuration's lease and wait a moment for it, in their order. */
+public final class LeaseQueue {
+    private static final int MAX_REQUESTS = 4_096;
+    private static final long NEVER = Long.MAX_VALUE / 2;
+
+    private record WaitingRequest(Job request, long deadline) {}
+
+    private final Tempo tempo;
+    private final ArrayDeque<WaitingRequest> waiting = new ArrayDeque<>();
+    private long leaseMissingSince = NEVER;
+
+    public LeaseQueue(final Tempo tempo) {
+        this.tempo = tempo;
+    }
+
+    /**
+     * Takes the request where a lease may be expected soon.
+     *
+     * @return false where the request is to be judged at once
+     */
+    public boolean offer(final Job request, final boolean leased, final long now) {
+        if (leased || isLeaseGivenUp(now) || waiting.size() >= MAX_REQUESTS) {
+            return false;
+        }
+        waiting.add(new WaitingRequest(request, now + tempo.deliverMs() / 2));
+        return true;
+    }
+
+    /** Passes on what need not or cannot wait any longer. */
+    public void release(final boolean leased, final long now, final Consumer<Job> handler) {
+        if (leased) {
+            leaseMissingSince = NEVER;
+        } else if (leaseMissingSince > now) {
+            leaseMissingSince = now;
+        }
+        while (!waiting.isEmpty() && (leased || now >= waiting.peek().deadline || isLeaseGivenUp(now))) {
+            handler.accept(waiting.poll().request);
+        }
+    }
+
+    /** Nobody waits for the answers to these requests any more. */
+    public void removeIf(final Predicate<Job> abandoned) {
+        waiting.removeIf(entry -> abandoned.test(entry.request));
+    }
+
+    private boolean isLeaseGivenUp(final long now) {
+        return now - leaseMissingSince > tempo.deliverMs();
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/brookpath/coordination/node/front/ListenerCountRequests.java
@@ -0,0 +1,86 @@
+package brookpath.coordination.node.front;
+
+import brookpath.coordination.Tempo;
+import brookpath.coordination.action.Actions;
+import brookpath.coordination.message.Msg.CountAsk;
+import brookpath.coordination.message.Msg.CountReply;
+import brookpath.coordination.message.Response;
+import brookpath.coordination.route.Refusals;
+import brookpath.coordination.route.Route;
+import java.util.Iterator;
+import java.util.TreeMap;
+import java.util.function.LongSupplier;
+
+/** Callers' requests for the number of a topic's listeners that are under way to the groups' masters. */
+public final class ListenerCountRequests {
+    private static final int MAX_REQUESTS = 4_096;
+    private static final int OK = 200;
+
+    private record PendingCount(long requestId, long deadline, boolean excludesCaller) {}
+
+    private final Tempo tempo;
+    private final LongSupplier ids;
+    private final Actions out;
+    private final TreeMap<Long, PendingCount> pending = new TreeMap<>();
+
+    /** @param ids never the same twice, and rising */
+    public ListenerCountRequests(final Tempo tempo, final LongSupplier ids, final Actions out) {
+        this.tempo = tempo;
+        this.ids = ids;
+        this.out = out;
+    }
+
+    /**
+     * Asks the group's master.
+     *
+     * @param excludesCaller whether the caller is a listener itself, and is not counted
+     */
+    public void ask(
+            final long requestId, final Route route, final String topic, final boolean excludesCaller, final long now) {
+        if (pending.size() >= MAX_REQUESTS) {
+            refuse(requestId, "busy", "too many counts are under way here");
+            return;
+        }
+        final long id = ids.getAsLong();
+        pending.put(id, new PendingCount(requestId, now + tempo.ferryHorizon(), excludesCaller));
+        out.send(route.node(), new CountAsk(id, route.group(), topic));
+    }
+
+    /** The master's reply. */
+    public void reply(final CountReply reply) {
+        final PendingCount count = pending.remove(reply.jobId());
+        if (count == null) {
+            return;
+        }
+        if (reply.status() != CountReply.OK) {
+            refuse(count.requestId, "master", "the master has no lease just now");
+            return;
+        }
+        final int listeners = Math.max(0, reply.count() - (count.excludesCaller ? 1 : 0));
+        out.respond(count.requestId, new Response(OK, 0, "{\"listeners\":" + listeners + "}"));
+    }
+
+    /** The question never left this process. */
+    public void unsent(final int to, final CountAsk message) {
+        final PendingCount count = pending.remove(message.jobId());
+        if (count != null) {
+            refuse(count.requestId, "master", "no session to node " + to);
+        }
+    }
+
+    /** Gives up what is overdue. */
+    public void tick(final long now) {
+        final Iterator<PendingCount> counts = pending.values().iterator();
+        while (counts.hasNext()) {
+            final PendingCount count = counts.next();
+            if (now >= count.deadline) {
+                refuse(count.requestId, "count", "no word from the master in time");
+                counts.remove();
+            }
+        }
+    }
+
+    private void refuse(final long requestId, final String code, final String why) {
+        out.respond(requestId, Refusals.retryLater(tempo, code, why));
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/brookpath/coordination/node/front/PublishForwarder.java
@@ -0,0 +1,253 @@
+package brookpath.coordination.node.front;
+
+import brookpath.coordination.Tempo;
+import brookpath.coordination.action.Actions;
+import brookpath.coordination.message.Msg.Publish;
+import brookpath.coordination.message.Msg.PublishReply;
+import brookpath.coordination.message.Response;
+import brookpath.coordination.node.Job;
+import brookpath.coordination.route.Refusals;
+import brookpath.coordination.route.Route;
+import brookpath.coordination.route.RouteFinder;
+import brookpath.coordination.route.RouteFinder.Master;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.LongFunction;
+import java.util.function.LongSupplier;
+
+/**
+ * Forwards publishes to their groups' masters, in the order in which the callers sent them. What a master did not take,
+ * or what became unknown when a master or a session was lost, is retried with whoever masters the group then, for the
+ * sequence makes a repeat harmless. Only a publish whose deadline has passed is given back, as refused where it
+ * certainly was not appended, else as unsettled.
+ */
+public final class PublishForwarder {
+    /** The most publishes that are under way at a time. */
+    private static final int MAX_PUBLISHES = 4_096;
+
+    private static final int OK = 200;
+    private static final int CONFLICT = 409;
+    private static final int GATEWAY_TIMEOUT = 504;
+
+    private final Tempo tempo;
+    private final LongFunction<RouteFinder> routes;
+    private final LongSupplier ids;
+    private final Actions out;
+    private final MasterAvailability masters;
+    private final TreeMap<Integer, PublishQueue> queues = new TreeMap<>();
+    private final Map<Long, Integer> groupOf = new HashMap<>();
+
+    /**
+     * @param routes the routes as the tables stand at a time
+     * @param ids never the same twice, and rising
+     */
+    public PublishForwarder(
+            final Tempo tempo, final LongFunction<RouteFinder> routes, final LongSupplier ids, final Actions out) {
+        this.tempo = tempo;
+        this.routes = routes;
+        this.ids = ids;
+        this.out = out;
+        masters = new MasterAvailability(tempo, routes);
+    }
+
+    /** How many publishes are under way. */
+    public int size() {
+        return groupOf.size();
+    }
+
+    /** Whether something waits for a timer rather than for a reply. */
+    public boolean needsTimer() {
+        return queues.values().stream().anyMatch(PublishQueue::needsTimer);
+    }
+
+    /**
+     * Takes a publish that was admitted, and sends it if its group has a master.
+     *
+     * @param answerMs how long the caller waits for an answer; 0 where that is unknown
+     */
+    public void add(
+            final Job.Publish request, final Route route, final long specVersion, final long answerMs, final long now) {
+        if (groupOf.size() >= MAX_PUBLISHES) {
+            refuse(request, "busy", "too many publishes are under way here");
+            return;
+        }
+        if (masters.isGivenUp(route.group(), now)) {
+            refuse(request, "master", "group " + route.group() + " has no master just now");
+            return;
+        }
+        final long id = ids.getAsLong();
+        groupOf.put(id, route.group());
+        final PublishQueue queue = queues.computeIfAbsent(route.group(), group -> new PublishQueue());
+        queue.add(id, new ForwardedPublish(request, route, specVersion, now + patience(answerMs)));
+        send(route.group(), queue, now);
+    }
+
+    /** How long a publish is retried: no longer than leaves the caller time to hear of it. */
+    private long patience(final long answerMs) {
+        if (answerMs == 0) {
+            return tempo.ferryHorizon();
+        }
+        return Math.min(tempo.ferryHorizon(), answerMs * 3 / 4);
+    }
+
+    /** Looks which groups have a master: one that has been without for longer than an election is not waited for. */
+    public void checkMasters(final int groups, final long now) {
+        masters.check(groups, now);
+    }
+
+    /** Gives back what is overdue and retries the rest where its pause is over. */
+    public void tick(final long now) {
+        queues.forEach((group, queue) -> {
+            giveBackOverdue(group, queue, now);
+            send(group, queue, now);
+        });
+        queues.values().removeIf(queue -> queue.isEmpty() && !queue.isPaused(now));
+    }
+
+    private void giveBackOverdue(final int group, final PublishQueue queue, final long now) {
+        final Iterator<Map.Entry<Long, ForwardedPublish>> entries =
+                queue.publishes().entrySet().iterator();
+        while (entries.hasNext()) {
+            final Map.Entry<Long, ForwardedPublish> entry = entries.next();
+            final ForwardedPublish publish = entry.getValue();
+            if (!publish.expired(now) && !masters.isGivenUp(group, now)) {
+                continue;
+            }
+            entries.remove();
+            groupOf.remove(entry.getKey());
+            giveBack(publish);
+        }
+    }
+
+    private void giveBack(final ForwardedPublish publish) {
+        if (publish.isUncertain()) {
+            unsettled(publish.request(), "no word from the master in time: " + publish.lastFailure());
+        } else {
+            refuse(publish.request(), "master", publish.lastFailure());
+        }
+    }
+
+    /** Sends, in order, what is not with the group's present master. */
+    private void send(final int group, final PublishQueue queue, final long now) {
+        if (queue.isEmpty() || queue.isPaused(now)) {
+            return;
+        }
+        final Master fromHeartbeats = routes.apply(now).master(group, now);
+        final Master master = queue.masterToUse(fromHeartbeats, now);
+        if (master.node() == 0) {
+            return;
+        }
+        queue.publishes().forEach((id, publish) -> {
+            if (!publish.isWith(master.node())) {
+                publish.beginAttempt(master);
+                out.send(master.node(), publish.message(id));
+            }
+        });
+    }
+
+    /** A master's reply to a publish. */
+    public void reply(final int from, final PublishReply reply, final long now) {
+        final PublishQueue queue = queueOf(reply.jobId());
+        final ForwardedPublish publish = queue == null ? null : queue.get(reply.jobId());
+        if (publish == null) {
+            return;
+        }
+        switch (reply.outcome()) {
+            case PublishReply.ACCEPTED -> accepted(queue, publish, reply);
+            case PublishReply.REFUSED_FOR_GOOD -> refusedForGood(queue, publish, from, reply);
+            default -> notTaken(queue, publish, from, reply, now);
+        }
+    }
+
+    private void accepted(final PublishQueue queue, final ForwardedPublish publish, final PublishReply reply) {
+        remove(queue, reply.jobId());
+        queue.resetBackoff();
+        final String json = "{\"outcome\":\"accepted\",\"position\":" + reply.position() + "}";
+        out.respond(publish.request().jobId(), new Response(OK, 0, json));
+    }
+
+    private void refusedForGood(
+            final PublishQueue queue, final ForwardedPublish publish, final int from, final PublishReply reply) {
+        remove(queue, reply.jobId());
+        note(publish.request(), "node " + from + " said " + reply.why());
+        out.respond(publish.request().jobId(), Refusals.refused(CONFLICT, 0, "sequence", reply.why()));
+    }
+
+    private void notTaken(
+            final PublishQueue queue,
+            final ForwardedPublish publish,
+            final int from,
+            final PublishReply reply,
+            final long now) {
+        if (!publish.isWith(from)) {
+            // a late reply to an attempt that was given up since
+            return;
+        }
+        publish.failed(reply.why());
+        if (reply.outcome() == PublishReply.UNSETTLED) {
+            publish.markUncertain();
+        }
+        final boolean notMaster = reply.outcome() == PublishReply.NOT_MASTER;
+        final boolean namesAnother = reply.masterHint() != 0 && reply.masterHint() != from;
+        if (notMaster && namesAnother && !queue.isHinted(reply.masterHint())) {
+            queue.followHint(reply.masterHint(), now + tempo.down());
+        } else {
+            if (notMaster) {
+                queue.dropHint();
+            }
+            queue.pause(tempo, now);
+        }
+        queue.takeBackFrom(reply.jobId(), from);
+        send(groupOf.get(reply.jobId()), queue, now);
+    }
+
+    /** The message never left this process, so this attempt leaves nothing in doubt. */
+    public void unsent(final Publish message, final long now) {
+        final PublishQueue queue = queueOf(message.jobId());
+        final ForwardedPublish publish = queue == null ? null : queue.get(message.jobId());
+        if (publish != null) {
+            publish.endAttempt();
+            publish.failed("no session to the group's master");
+            queue.pause(tempo, now);
+        }
+    }
+
+    /** The session with a node broke: what was under way on it may or may not have arrived. */
+    public void sessionLost(final int node, final long now) {
+        final String why = "the session with node " + node + " broke";
+        for (final PublishQueue queue : queues.values()) {
+            if (queue.takeBackAll(node, why)) {
+                queue.pause(tempo, now);
+            }
+        }
+    }
+
+    private PublishQueue queueOf(final long id) {
+        final Integer group = groupOf.get(id);
+        return group == null ? null : queues.get(group);
+    }
+
+    private void remove(final PublishQueue queue, final long id) {
+        queue.remove(id);
+        groupOf.remove(id);
+    }
+
+    private void refuse(final Job.Publish request, final String code, final String why) {
+        note(request, why);
+        out.respond(request.jobId(), Refusals.retryLater(tempo, code, why));
+    }
+
+    private void unsettled(final Job.Publish request, final String why) {
+        note(request, why);
+        out.respond(
+                request.jobId(),
+                Refusals.response(GATEWAY_TIMEOUT, tempo.retryAfterMs(), "unsettled", "unsettled", why));
+    }
+
+    /** The notes are what is left to explain a publish from afterwards; accepted ones explain themselves. */
+    private void note(final Job.Publish request, final String how) {
+        out.note("publish " + request.topic() + " " + request.sender() + "/" + request.seq() + ": " + how);
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/brookpath/coordination/node/front/ReportedListeners.java
@@ -0,0 +1,72 @@
+package brookpath.coordination.node.front;
+
+import brookpath.coordination.message.Msg.TopicCount;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
+/** The listener counts of a group as its master was told them last. */
+final class ReportedListeners {
+    /** Names the counts that were told. */
+    private long version;
+
+    private int master;
+    private long sentAt;
+    private Map<String, Integer> counts = Map.of();
+    private long changes;
+
+    /** The counts' name where the master knows them, so that changes are enough; else 0. */
+    long baseFor(final int node) {
+        return master == node ? version : 0;
+    }
+
+    long version() {
+        return version;
+    }
+
+    boolean isCurrent(final int node, final long changesNow) {
+        return master == node && changes == changesNow;
+    }
+
+    boolean sentWithin(final long period, final long now) {
+        return now - sentAt < period;
+    }
+
+    void sent(final long now) {
+        sentAt = now;
+    }
+
+    /** Notes the counts that are about to be told to a master. */
+    void replace(final int node, final Map<String, Integer> newCounts, final long changesNow, final long newVersion) {
+        version = newVersion;
+        master = node;
+        counts = newCounts;
+        changes = changesNow;
+    }
+
+    /** What a master may not have received is told again, whole. */
+    void forget() {
+        master = 0;
+    }
+
+    void forget(final int node) {
+        if (master == node) {
+            master = 0;
+        }
+    }
+
+    /** The topics whose counts differ from those that the node knows. */
+    List<TopicCount> changedSince(final long base, final Map<String, Integer> newCounts) {
+        final Map<String, Integer> before = base == 0 ? Map.of() : counts;
+        final List<TopicCount> changed = new ArrayList<>();
+        newCounts.forEach((topic, count) -> {
+            if (!count.equals(before.get(topic))) {
+                changed.add(new TopicCount(topic, count));
+            }
+        });
+        before.keySet().stream()
+                .filter(topic -> !newCounts.containsKey(topic))
+                .forEach(topic -> changed.add(new TopicCount(topic, 0)));
+        return changed;
+    }
+}
--- a/coordination/src/main/java/brookpath/coordination/node/front/Session.java
+++ b/coordination/src/main/java/brookpath/coordination/node/front/Session.java
@@ -7,105 +7,73 @@
 
 /** A caller's session and what it listens to. */
 final class Session {
-    /** Topics of one group that the session reads together: catching up alone until they meet the group's feed. */
-    static final class Part {
-        final int group;
-        /** Per topic the position that the session has; -1 until the one to begin at is known. */
-        final TreeMap<String, Long> at = new TreeMap<>();
-
-        boolean live;
-        boolean tail;
-        long fetchId;
-        int source;
-        long sentAt;
-        /** Who waits for the first word on the topic; 0 for nobody. */
-        long answerTo;
-
-        final long horizon;
-
-        Part(final int group, final long answerTo, final long horizon) {
-            this.group = group;
-            this.answerTo = answerTo;
-            this.horizon = horizon;
-        }
-
-        boolean knowsPositions() {
-            return !at.containsValue(-1L);
-        }
-
-        /** Of a topic that was joined by itself. */
-        String topic() {
-            return at.firstKey();
-        }
-
-        long position() {
-            return at.firstEntry().getValue();
-        }
-
-        /** Nothing up to there is missing any more. */
-        void reached(final long position) {
-            at.replaceAll((topic, was) -> Math.max(was, position));
-        }
-    }
+    static final long NEVER = Long.MAX_VALUE;
 
     final long id;
     final String key;
-    /** All topics at once and one cursor over them, in lines; else they come and go, each with its own. */
-    final boolean whole;
+    /**
+     * Whether all topics were named at once, with one cursor over them, and are told in lines; else topics come and go,
+     * each with a cursor of its own.
+     */
+    final boolean sharedCursor;
+
+    /** When a session that has not started is given up, on the monotonic clock in milliseconds. */
+    final long deadline;
 
-    private final TreeMap<String, Part> byTopic = new TreeMap<>();
-    final long horizon;
-    boolean begun;
+    private final TreeMap<String, GroupSubscription> byTopic = new TreeMap<>();
+    boolean started;
     long lastLineAt;
-    long leaveAt = Long.MAX_VALUE;
+    /** When the caller is sent to another node. */
+    long moveAt = NEVER;
 
-    Session(final long id, final String key, final boolean whole, final long horizon) {
+    Session(final long id, final String key, final boolean sharedCursor, final long deadline) {
         this.id = id;
         this.key = key;
-        this.whole = whole;
-        this.horizon = horizon;
+        this.sharedCursor = sharedCursor;
+        this.deadline = deadline;
     }
 
-    void add(final Part p) {
-        p.at.keySet().forEach(topic -> byTopic.put(topic, p));
+    void add(final GroupSubscription subscription) {
+        subscription.topics().forEach(topic -> byTopic.put(topic, subscription));
     }
 
-    void remove(final Part p) {
-        p.at.keySet().forEach(byTopic::remove);
+    void remove(final GroupSubscription subscription) {
+        subscription.topics().forEach(byTopic::remove);
     }
 
-    Part part(final String topic) {
+    /** The subscription that the topic belongs to; null where the session does not listen to it. */
+    GroupSubscription subscription(final String topic) {
         return byTopic.get(topic);
     }
 
-    int topics() {
+    int topicCount() {
         return byTopic.size();
     }
 
-    /** A copy, each part once. */
-    List<Part> parts() {
-        final List<Part> parts = new ArrayList<>();
-        byTopic.values().forEach(p -> {
-            // why: few parts, and those of one group lie next to each other only by chance
-            if (!parts.contains(p)) {
-                parts.add(p);
+    /** A copy, each subscription once. */
+    List<GroupSubscription> subscriptions() {
+        final List<GroupSubscription> subscriptions = new ArrayList<>();
+        for (final GroupSubscription subscription : byTopic.values()) {
+            // there are few, and those of one group lie next to each other only by chance
+            if (!subscriptions.contains(subscription)) {
+                subscriptions.add(subscription);
             }
-        });
-        return parts;
+        }
+        return subscriptions;
     }
 
-    boolean allLive() {
-        return byTopic.values().stream().allMatch(p -> p.live);
+    boolean isLive() {
+        return byTopic.values().stream().allMatch(subscription -> subscription.live);
     }
 
-    boolean knowsAllPositions() {
-        return byTopic.values().stream().allMatch(Part::knowsPositions);
+    boolean knowsPositions() {
+        return byTopic.values().stream().allMatch(GroupSubscription::knowsPositions);
     }
 
-    /** The position of each topic, for the cursor of a whole session. */
+    /** The position of each topic, for the shared cursor. */
     Map<String, Long> positions() {
-        final TreeMap<String, Long> at = new TreeMap<>();
-        byTopic.forEach((topic, p) -> at.put(topic, p.at.get(topic)));
-        return at;
+        final TreeMap<String, Long> positions = new TreeMap<>();
+        byTopic.forEach((topic, subscription) -> positions.put(topic, subscription.position(topic)));
+        return positions;
     }
 }
--- /dev/null
+++ b/coordination/src/main/java/brookpath/coordination/node/front/SessionDrain.java
@@ -0,0 +1,48 @@
+package brookpath.coordination.node.front;
+
+import brookpath.coordination.action.Actions;
+import java.util.function.Supplier;
+
+/** Moves the sessions of a node that is to be emptied to other nodes. */
+final class SessionDrain {
+    private static final String CLOSE_REASON = "this node drains; go on elsewhere with the cursor";
+
+    private final SessionRegistry registry;
+    private final Actions out;
+
+    SessionDrain(final SessionRegistry registry, final Actions out) {
+        this.registry = registry;
+        this.out = out;
+    }
+
+    /** Spreads the sessions' moves over the time, so that the other nodes are not met by all at once. */
+    void schedule(final long over, final long now) {
+        int index = 0;
+        for (final Session session : registry.sessions()) {
+            session.moveAt = now + over * index / registry.size();
+            index++;
+        }
+    }
+
+    void cancel() {
+        registry.sessions().forEach(session -> session.moveAt = Session.NEVER);
+    }
+
+    /** Moves the sessions whose time has come. */
+    void moveDue(final Supplier<String> nextAddress, final long now) {
+        for (final Session session : registry.sessions()) {
+            if (session.started && now >= session.moveAt) {
+                move(session, nextAddress);
+            }
+        }
+    }
+
+    private void move(final Session session, final Supplier<String> nextAddress) {
+        registry.remove(session);
+        if (session.sharedCursor) {
+            out.close(session.id, CLOSE_REASON);
+        } else {
+            out.move(session.id, nextAddress.get());
+        }
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/brookpath/coordination/node/front/SessionRegistry.java
@@ -0,0 +1,130 @@
+package brookpath.coordination.node.front;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.function.LongSupplier;
+
+/** The sessions of this node, the groups' feeds that serve them, and the fetches by which sessions catch up. */
+final class SessionRegistry {
+    private static final int MAX_SESSIONS = 8_192;
+
+    /** A session's own fetch that is under way. */
+    record CatchUpFetch(Session session, GroupSubscription subscription) {}
+
+    private final LongSupplier ids;
+    private final TreeMap<Long, Session> sessions = new TreeMap<>();
+    private final TreeMap<Integer, Feed> feeds = new TreeMap<>();
+    private final Map<Long, CatchUpFetch> catchUpFetches = new HashMap<>();
+    /** Sessions with a shared cursor, and those with a topic that is not live yet. */
+    private final TreeSet<Long> needingTimer = new TreeSet<>();
+
+    SessionRegistry(final LongSupplier ids) {
+        this.ids = ids;
+    }
+
+    int size() {
+        return sessions.size();
+    }
+
+    boolean isFull() {
+        return sessions.size() >= MAX_SESSIONS;
+    }
+
+    /** The session; null where it has ended. */
+    Session get(final long id) {
+        return sessions.get(id);
+    }
+
+    /** A copy, for sessions may end while they are looked through. */
+    List<Session> sessions() {
+        return new ArrayList<>(sessions.values());
+    }
+
+    void add(final Session session) {
+        sessions.put(session.id, session);
+    }
+
+    /** Ends a session with all that it listens to. */
+    void remove(final Session session) {
+        sessions.remove(session.id);
+        needingTimer.remove(session.id);
+        session.subscriptions().forEach(subscription -> unsubscribe(session, subscription));
+    }
+
+    void subscribe(final Session session, final GroupSubscription subscription) {
+        session.add(subscription);
+        needingTimer.add(session.id);
+        final Feed feed = feeds.computeIfAbsent(subscription.group, Feed::new);
+        for (final String topic : subscription.topics()) {
+            if (feed.add(topic)) {
+                feed.topicsVersion = ids.getAsLong();
+            }
+        }
+    }
+
+    void unsubscribe(final Session session, final GroupSubscription subscription) {
+        session.remove(subscription);
+        catchUpFetches.remove(subscription.fetchId);
+        final Feed feed = feeds.get(subscription.group);
+        for (final String topic : subscription.topics()) {
+            if (feed.remove(topic, session.id)) {
+                // what is read too much does no harm until the next fetch, which says what is wanted then
+                feed.topicsVersion = ids.getAsLong();
+            }
+        }
+        if (feed.hasNoListener()) {
+            feeds.remove(subscription.group);
+        }
+    }
+
+    /** The group's feed; null where nobody listens to a topic of the group. */
+    Feed feed(final int group) {
+        return feeds.get(group);
+    }
+
+    Collection<Feed> feeds() {
+        return feeds.values();
+    }
+
+    /** A copy of the IDs of the sessions that a timer has something to do for. */
+    List<Long> needingTimer() {
+        return new ArrayList<>(needingTimer);
+    }
+
+    boolean needsTimer() {
+        return !needingTimer.isEmpty() || feeds.values().stream().anyMatch(feed -> feed.fetchId == 0);
+    }
+
+    void needsNoTimer(final Session session) {
+        needingTimer.remove(session.id);
+    }
+
+    /** Notes a session's own fetch; its request ID is the subscription's. */
+    void catchUpSent(final Session session, final GroupSubscription subscription) {
+        catchUpFetches.put(subscription.fetchId, new CatchUpFetch(session, subscription));
+    }
+
+    /** A reply to the subscription's fetch is waited for no longer. */
+    void abandonCatchUp(final GroupSubscription subscription) {
+        catchUpFetches.remove(subscription.fetchId);
+        subscription.fetchId = 0;
+    }
+
+    /** The fetch under way with this request ID; null for none, or where its session has ended. */
+    CatchUpFetch catchUp(final long fetchId) {
+        final CatchUpFetch fetch = catchUpFetches.get(fetchId);
+        return fetch == null || !sessions.containsKey(fetch.session.id) ? null : fetch;
+    }
+
+    /** As above, and the fetch is under way no longer. */
+    CatchUpFetch completeCatchUp(final long fetchId) {
+        final CatchUpFetch fetch = catchUp(fetchId);
+        catchUpFetches.remove(fetchId);
+        return fetch;
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/brookpath/coordination/node/front/SessionTerminator.java
@@ -0,0 +1,83 @@
+package brookpath.coordination.node.front;
+
+import brookpath.coordination.Tempo;
+import brookpath.coordination.action.Actions;
+import brookpath.coordination.message.Response;
+import brookpath.coordination.route.Refusals;
+import jakarta.json.Json;
+import java.util.List;
+
+/** Ends sessions, or single topics of them, and tells the callers why. */
+final class SessionTerminator {
+    private static final int GONE = 410;
+    private static final String NOT_READ_IN_TIME = "no member in sync could be read in time";
+    private static final String NO_LONGER_KEPT = "history after the cursor is no longer kept";
+
+    private final SessionRegistry registry;
+    private final Tempo tempo;
+    private final Actions out;
+
+    SessionTerminator(final SessionRegistry registry, final Tempo tempo, final Actions out) {
+        this.registry = registry;
+        this.tempo = tempo;
+        this.out = out;
+    }
+
+    /**
+     * Ends a subscription, and with a shared cursor the whole session.
+     *
+     * @param response for a caller that waits for a response, or whose topic ends
+     * @param closeReason for a caller whose session ends
+     * @return true where the whole session ended
+     */
+    boolean end(
+            final Session session,
+            final GroupSubscription subscription,
+            final Response response,
+            final String closeReason) {
+        if (!session.sharedCursor) {
+            endTopic(session, subscription, response);
+            return false;
+        }
+        registry.remove(session);
+        if (session.started) {
+            out.close(session.id, closeReason);
+        } else {
+            out.respond(session.id, response);
+        }
+        return true;
+    }
+
+    private void endTopic(final Session session, final GroupSubscription subscription, final Response response) {
+        registry.unsubscribe(session, subscription);
+        if (subscription.pendingJoin != 0) {
+            out.respond(subscription.pendingJoin, response);
+        } else {
+            out.ended(session.id, subscription.topic(), response);
+        }
+    }
+
+    /** Records after the session's position were trimmed before it read them. */
+    void historyGone(final Session session, final GroupSubscription subscription, final List<String> topics) {
+        final String json = Json.createObjectBuilder()
+                .add("outcome", "gone")
+                .add("code", "gone")
+                .add("why", NO_LONGER_KEPT)
+                .add("topics", Json.createArrayBuilder(topics))
+                .build()
+                .toString();
+        end(session, subscription, new Response(GONE, 0, json, "gone"), NO_LONGER_KEPT);
+    }
+
+    /** A session could not start in time. */
+    void sessionTimedOut(final Session session) {
+        registry.remove(session);
+        out.respond(session.id, Refusals.retryLater(tempo, "history", NOT_READ_IN_TIME));
+    }
+
+    /** A topic that was joined by itself could not begin in time. */
+    void joinTimedOut(final Session session, final GroupSubscription subscription) {
+        registry.unsubscribe(session, subscription);
+        out.respond(subscription.pendingJoin, Refusals.retryLater(tempo, "history", NOT_READ_IN_TIME));
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/brookpath/coordination/node/front/SessionWriter.java
@@ -0,0 +1,78 @@
+package brookpath.coordination.node.front;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import brookpath.coordination.action.Actions;
+import brookpath.coordination.message.Response;
+import brookpath.coordination.node.Cursor;
+import brookpath.state.record.Rec;
+import jakarta.json.Json;
+import jakarta.json.JsonObject;
+
+/** Writes to the callers: records, keep-alive lines, and the responses that begin sessions and topics. */
+final class SessionWriter {
+    private static final int OK = 200;
+
+    private final int self;
+    private final Actions out;
+
+    SessionWriter(final int self, final Actions out) {
+        this.self = self;
+        this.out = out;
+    }
+
+    /** Begins the stream of a session with a shared cursor. */
+    void start(final Session session, final long now) {
+        session.started = true;
+        session.lastLineAt = now;
+        final String hello = Json.createObjectBuilder()
+                .add("type", "hello")
+                .add("session", self + "-" + session.id)
+                .build()
+                .toString();
+        out.respond(session.id, new Response(OK, 0, hello));
+    }
+
+    /** Responds to the join request with the topic's cursor, unless that was done before. */
+    void confirmJoin(final GroupSubscription subscription) {
+        if (subscription.pendingJoin != 0) {
+            out.respond(subscription.pendingJoin, new Response(OK, 0, Cursor.one(subscription.position())));
+            subscription.pendingJoin = 0;
+        }
+    }
+
+    /** Hands out a record, unless the session has it already. */
+    void deliver(final Session session, final GroupSubscription subscription, final Rec rec, final long now) {
+        if (!subscription.advance(rec.topic(), rec.lsn())) {
+            return;
+        }
+        if (!session.sharedCursor) {
+            out.hand(session.id, rec);
+            return;
+        }
+        final JsonObject message = Json.createObjectBuilder()
+                .add("type", "message")
+                .add("topic", rec.topic())
+                .add("position", rec.lsn())
+                .add("sender", rec.sender())
+                .add("sequence", rec.seq())
+                .add("message", rec.text())
+                .add("cursor", Cursor.write(session.positions()))
+                .build();
+        writeLine(session, message, now);
+    }
+
+    /** Tells a session with a shared cursor that nothing was sent, and the cursor. */
+    void keepAlive(final Session session, final long now) {
+        final JsonObject alive = Json.createObjectBuilder()
+                .add("type", "alive")
+                .add("cursor", Cursor.write(session.positions()))
+                .build();
+        writeLine(session, alive, now);
+    }
+
+    private void writeLine(final Session session, final JsonObject json, final long now) {
+        session.lastLineAt = now;
+        out.deliver(session.id, (json + "\n").getBytes(UTF_8));
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/brookpath/coordination/route/Refusals.java
@@ -0,0 +1,45 @@
+package brookpath.coordination.route;
+
+import brookpath.coordination.Tempo;
+import brookpath.coordination.message.Response;
+import jakarta.json.Json;
+
+/** Builds the responses to requests that are not carried out. */
+public final class Refusals {
+    private static final int SERVICE_UNAVAILABLE = 503;
+
+    private Refusals() {}
+
+    /** A request that was certainly not carried out. */
+    public static Response refused(final int status, final int retryAfterMs, final String code, final String why) {
+        return response(status, retryAfterMs, "refused", code, why);
+    }
+
+    /** A request that was certainly not carried out and may be repeated after the time that the response names. */
+    public static Response retryLater(final Tempo tempo, final String code, final String why) {
+        return refused(SERVICE_UNAVAILABLE, tempo.retryAfterMs(), code, why);
+    }
+
+    /** Whether the same request may be carried out later. */
+    public static boolean isTemporary(final Response refusal) {
+        return refusal.status() == SERVICE_UNAVAILABLE;
+    }
+
+    /**
+     * A request that had any outcome but success.
+     *
+     * @param outcome "refused" where the request was certainly not carried out
+     * @param code the kind of the failure in one word
+     * @param why the reason in a sentence
+     */
+    public static Response response(
+            final int status, final int retryAfterMs, final String outcome, final String code, final String why) {
+        final String json = Json.createObjectBuilder()
+                .add("outcome", outcome)
+                .add("code", code)
+                .add("why", why)
+                .build()
+                .toString();
+        return new Response(status, retryAfterMs, json, code);
+    }
+}
--- a/coordination/src/main/java/brookpath/coordination/route/Route.java
+++ b/coordination/src/main/java/brookpath/coordination/route/Route.java
@@ -2,15 +2,25 @@
 
 import brookpath.coordination.message.Response;
 
-/** Where a job goes, and why; or the refusal it gets. */
+/**
+ * Where a request goes, and why; or the refusal that it gets.
+ *
+ * @param refusal null where the request may go on
+ * @param tenant the tenant whose key was given; empty where none was
+ * @param group the topic's group; -1 with a refusal
+ * @param node the node that takes the request; 0 where that is left open
+ * @param because the decision in a sentence, for operators
+ */
 public record Route(Response refusal, String tenant, int group, int node, String because) {
+    private static final int NO_GROUP = -1;
+
     static Route refused(final int status, final int retryAfterMs, final String code, final String because) {
-        final String json = jakarta.json.Json.createObjectBuilder()
-                .add("outcome", "refused")
-                .add("code", code)
-                .add("why", because)
-                .build()
-                .toString();
-        return new Route(new Response(status, retryAfterMs, json, code), "", -1, 0, because);
+        final Response refusal = Refusals.refused(status, retryAfterMs, code, because);
+        return new Route(refusal, "", NO_GROUP, 0, because);
+    }
+
+    /** Whether the request is refused. */
+    public boolean isRefused() {
+        return refusal != null;
     }
 }
