TopicState holds its two jobs apart: sender sequences, usage windows

The sequences of senders and the usage per window shared one class and bare long arrays; SenderSequences and UsageWindows have one job each, and records in place of the arrays.

--- /dev/null
+++ b/coordination/src/main/java/brookpath/coordination/topic/SenderSequences.java
@@ -0,0 +1,128 @@
+package brookpath.coordination.topic;
+
+import brookpath.state.record.Pack;
+import java.util.ArrayDeque;
+import java.util.Map;
+import java.util.TreeMap;
+
+/** Per topic, which sequences of which sender were appended and where, and up to where the history was trimmed. */
+final class SenderSequences {
+    /** So many of a sender's messages can be told from a sequence that was never seen. */
+    private static final int MAX_REMEMBERED = 256;
+
+    /** A message as it was appended. */
+    private record Appended(long seq, long position) {}
+
+    private static final class Sender {
+        long lastSeq;
+        /** When the last message was appended, by the log's own time. */
+        long lastStamp;
+
+        final ArrayDeque<Appended> recent = new ArrayDeque<>();
+    }
+
+    private static final class Topic {
+        long trimmedThrough;
+        final TreeMap<String, Sender> senders = new TreeMap<>();
+    }
+
+    private final TreeMap<String, Topic> topics = new TreeMap<>();
+    private int senderCount;
+
+    /** How many (topic, sender) pairs are remembered. */
+    int senderCount() {
+        return senderCount;
+    }
+
+    /** The position of a repeat, {@link TopicState#NEW} or {@link TopicState#TOO_LOW}. */
+    long lookUp(final String topic, final String name, final long seq) {
+        final Topic known = topics.get(topic);
+        final Sender sender = known == null ? null : known.senders.get(name);
+        if (sender == null || seq > sender.lastSeq) {
+            return TopicState.NEW;
+        }
+        for (final Appended appended : sender.recent) {
+            if (appended.seq == seq) {
+                return appended.position;
+            }
+        }
+        return TopicState.TOO_LOW;
+    }
+
+    void add(final String topic, final String name, final long seq, final long position, final long stamp) {
+        final Map<String, Sender> senders = topics.computeIfAbsent(topic, k -> new Topic()).senders;
+        Sender sender = senders.get(name);
+        if (sender == null) {
+            sender = new Sender();
+            senders.put(name, sender);
+            senderCount++;
+        }
+        sender.lastSeq = seq;
+        sender.lastStamp = stamp;
+        sender.recent.addLast(new Appended(seq, position));
+        if (sender.recent.size() > MAX_REMEMBERED) {
+            sender.recent.removeFirst();
+        }
+    }
+
+    /**
+     * Forgets the senders whose last message is older. What was trimmed of a topic stays remembered, for else a cursor
+     * from before would pass for a good one; it is one number.
+     */
+    void forget(final long before) {
+        for (final Topic topic : topics.values()) {
+            final int was = topic.senders.size();
+            topic.senders.values().removeIf(sender -> sender.lastStamp < before);
+            senderCount -= was - topic.senders.size();
+        }
+    }
+
+    /** The position of the topic's newest record that is no longer kept; 0 for none. */
+    long trimmedThrough(final String topic) {
+        final Topic known = topics.get(topic);
+        return known == null ? 0 : known.trimmedThrough;
+    }
+
+    void trimmed(final String topic, final long position) {
+        topics.computeIfAbsent(topic, k -> new Topic()).trimmedThrough = position;
+    }
+
+    void save(final Pack pack) {
+        pack.num(topics.size());
+        topics.forEach((name, topic) -> {
+            pack.str(name).num(topic.trimmedThrough).num(topic.senders.size());
+            topic.senders.forEach((senderName, sender) -> save(pack, senderName, sender));
+        });
+    }
+
+    private static void save(final Pack pack, final String name, final Sender sender) {
+        pack.str(name).num(sender.lastSeq).num(sender.lastStamp).num(sender.recent.size());
+        sender.recent.forEach(appended -> pack.num(appended.seq).num(appended.position));
+    }
+
+    void load(final Pack in) {
+        topics.clear();
+        senderCount = 0;
+        for (long left = in.num(); left > 0; left--) {
+            final Topic topic = new Topic();
+            topics.put(in.str(), topic);
+            topic.trimmedThrough = in.num();
+            for (long senders = in.num(); senders > 0; senders--) {
+                loadSender(in, topic);
+            }
+        }
+    }
+
+    private void loadSender(final Pack in, final Topic topic) {
+        final Sender sender = new Sender();
+        topic.senders.put(in.str(), sender);
+        sender.lastSeq = in.num();
+        sender.lastStamp = in.num();
+        senderCount++;
+        for (long left = in.num(); left > 0; left--) {
+            final long seq = in.num();
+            final long position = in.num();
+            sender.recent.add(new Appended(seq, position));
+        }
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/brookpath/coordination/topic/UsageWindows.java
@@ -0,0 +1,108 @@
+package brookpath.coordination.topic;
+
+import brookpath.coordination.topic.TopicState.Count;
+import brookpath.state.record.Pack;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/** What each tenant had accepted, per usage window, and which windows the log has closed. */
+final class UsageWindows {
+    /** The most windows that are kept, and the most closings. */
+    private static final int MAX_WINDOWS = 360;
+
+    /** What a tenant had accepted. */
+    private record Usage(long publishes, long bytes) {
+        static final Usage NONE = new Usage(0, 0);
+
+        Usage plus(final Usage other) {
+            return new Usage(publishes + other.publishes, bytes + other.bytes);
+        }
+    }
+
+    private final long windowMs;
+    private final TreeMap<Long, TreeMap<String, Usage>> byWindow = new TreeMap<>();
+    /** The position of each window's closing record. */
+    private final TreeMap<Long, Long> closedAt = new TreeMap<>();
+
+    UsageWindows(final long windowMs) {
+        this.windowMs = windowMs;
+    }
+
+    /** The newest window whose closing record lies at or before the position; -1 for none. */
+    long closed(final long position) {
+        for (final Map.Entry<Long, Long> entry : closedAt.descendingMap().entrySet()) {
+            if (entry.getValue() <= position) {
+                return entry.getKey();
+            }
+        }
+        return -1;
+    }
+
+    /** The counts of the windows after one, up to another. */
+    List<Count> counts(final long after, final long upTo) {
+        final List<Count> counts = new ArrayList<>();
+        byWindow.subMap(after, false, upTo, true)
+                .forEach((window, byTenant) -> byTenant.forEach(
+                        (tenant, usage) -> counts.add(new Count(window, tenant, usage.publishes, usage.bytes))));
+        return counts;
+    }
+
+    /** Counts a message. What a master with a slow clock stamps after a window was closed belongs to the next. */
+    void add(final long stamp, final String tenant, final long bytes) {
+        final long window = Math.max(stamp / windowMs, closedAt.isEmpty() ? 0 : closedAt.lastKey() + 1);
+        add(window, tenant, new Usage(1, bytes));
+    }
+
+    private void add(final long window, final String tenant, final Usage usage) {
+        final TreeMap<String, Usage> byTenant = byWindow.computeIfAbsent(window, k -> new TreeMap<>());
+        byTenant.put(tenant, byTenant.getOrDefault(tenant, Usage.NONE).plus(usage));
+        if (byWindow.size() > MAX_WINDOWS) {
+            mergeOldest();
+        }
+    }
+
+    /** Nothing may go uncounted however long the control plane is away, so the oldest are counted with the next. */
+    private void mergeOldest() {
+        final TreeMap<String, Usage> oldest = byWindow.pollFirstEntry().getValue();
+        oldest.forEach((tenant, usage) -> add(byWindow.firstKey(), tenant, usage));
+    }
+
+    void close(final long window, final long position) {
+        closedAt.put(window, position);
+        if (closedAt.size() > MAX_WINDOWS) {
+            closedAt.pollFirstEntry();
+        }
+    }
+
+    void save(final Pack pack) {
+        pack.num(byWindow.size());
+        byWindow.forEach((window, byTenant) -> {
+            pack.num(window).num(byTenant.size());
+            byTenant.forEach(
+                    (tenant, usage) -> pack.str(tenant).num(usage.publishes).num(usage.bytes));
+        });
+        pack.num(closedAt.size());
+        closedAt.forEach((window, position) -> pack.num(window).num(position));
+    }
+
+    void load(final Pack in) {
+        byWindow.clear();
+        closedAt.clear();
+        for (long windows = in.num(); windows > 0; windows--) {
+            final long window = in.num();
+            for (long tenants = in.num(); tenants > 0; tenants--) {
+                final String tenant = in.str();
+                final long publishes = in.num();
+                final long bytes = in.num();
+                add(window, tenant, new Usage(publishes, bytes));
+            }
+        }
+        for (long closings = in.num(); closings > 0; closings--) {
+            final long window = in.num();
+            final long position = in.num();
+            closedAt.put(window, position);
+        }
+    }
+}
