bin/clue is bin/explain; the tools share one command-line class

Parsing, findings, usage and exit codes stood in the two tools with flags; CommandLineTool has them once. What explain prints says "is forwarded" where it said "is ferried".

--- a/tools/src/main/java/brookpath/tools/creelcheck/CreelCheck.java
+++ b/tools/src/main/java/brookpath/tools/creelcheck/CreelCheck.java
@@ -231,7 +231,7 @@
 
                 @Override
                 public void close() {
-                    // why: nothing is held
+                    // nothing is held
                 }
             };
         }
--- /dev/null
+++ b/tools/src/main/java/brookpath/tools/explain/Explain.java
@@ -0,0 +1,208 @@
+package brookpath.tools.explain;
+
+import brookpath.coordination.spec.Finding;
+import brookpath.tools.ask.Ask;
+import brookpath.tools.cli.CommandLineTool;
+import jakarta.json.JsonArray;
+import jakarta.json.JsonObject;
+import jakarta.json.JsonValue;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.Options;
+
+/** Explains why a publish, a subscription or a change went, or would go, where it went. */
+public final class Explain {
+    private static final String TOOL = "explain";
+    private static final String TOPIC = "topic";
+    private static final String KEY = "key";
+    private static final String CHANGE = "change";
+    private static final String AT = "at";
+    private static final String RING = "ring";
+    private static final int UNKNOWN_GROUP = -1;
+    private static final int HTTP_OK = 200;
+
+    /** How the lines of the control group begin in the noted events. */
+    private static final String CONTROL_GROUP_LINE = "group 1000000:";
+
+    private final PrintStream out;
+    private final PrintStream err;
+    private final Ask ask = new Ask();
+
+    private Explain(final PrintStream out, final PrintStream err) {
+        this.out = out;
+        this.err = err;
+    }
+
+    /** Runs the tool and exits with its code. */
+    public static void main(final String[] args) throws InterruptedException {
+        System.exit(run(args, System.out, System.err));
+    }
+
+    private static Options options() {
+        return new Options()
+                .addOption(null, TOPIC, true, "explain a publish to, and a subscription of, this topic (space/name)")
+                .addOption(null, KEY, true, "the caller's key")
+                .addOption(null, CHANGE, true, "explain the change with this ID")
+                .addOption(
+                        null,
+                        AT,
+                        true,
+                        "HTTP addresses of running processes, host:port,...; any of them, of every kind")
+                .addOption(
+                        null,
+                        RING,
+                        true,
+                        "a ring.log that was written out; its lines on the topic, its group or the change")
+                .addOption("h", "help", false, "this text");
+    }
+
+    /** 0 where all was told, 1 where something could not be reached or read, 2 for wrong arguments. */
+    public static int run(final String[] args, final PrintStream out, final PrintStream err)
+            throws InterruptedException {
+        final Explain explain = new Explain(out, err);
+        return CommandLineTool.run(TOOL, options(), args, err, Explain::check, explain::execute);
+    }
+
+    private static void check(final CommandLine line, final List<Finding> findings) {
+        if (line.hasOption(TOPIC) == line.hasOption(CHANGE)) {
+            findings.add(new Finding("flags", "one of --topic and --change is needed"));
+        }
+        if (line.hasOption(TOPIC) && !line.getOptionValue(TOPIC).matches("[A-Za-z0-9._-]+/[A-Za-z0-9._-]+")) {
+            findings.add(new Finding("--topic", "must be space/name"));
+        }
+        if (!line.hasOption(AT) && !line.hasOption(RING)) {
+            findings.add(new Finding("flags", "--at or --ring is needed"));
+        }
+        if (line.hasOption(AT)) {
+            Ask.check("--at", line.getOptionValue(AT), findings);
+        }
+    }
+
+    private int execute(final CommandLine line) throws InterruptedException {
+        int group = UNKNOWN_GROUP;
+        if (line.hasOption(AT)) {
+            for (final String address : line.getOptionValue(AT).split(",")) {
+                group = Math.max(group, explainProcess(address, line, group));
+            }
+        }
+        if (line.hasOption(RING)) {
+            printNotedEvents(Path.of(line.getOptionValue(RING)), line, group);
+        }
+        CommandLineTool.print(TOOL, ask.missing(), err);
+        return ask.missing().isEmpty() ? CommandLineTool.OK : CommandLineTool.INCOMPLETE;
+    }
+
+    /** Asks one process for its part; returns the topic's group where it tells. */
+    private int explainProcess(final String address, final CommandLine line, final int group)
+            throws InterruptedException {
+        final JsonObject status = ask.get(address, "/v1/status", "");
+        if (status == null) {
+            return group;
+        }
+        final String role = status.getString("role", "?");
+        if (role.equals("front") && line.hasOption(TOPIC)) {
+            return explainGateway(address, line);
+        }
+        if (role.equals("storage") && line.hasOption(TOPIC)) {
+            explainStorage(address, status, group);
+        } else if (role.equals("bailiff")) {
+            explainController(address, status, line, group);
+        }
+        return group;
+    }
+
+    private int explainGateway(final String address, final CommandLine line) throws InterruptedException {
+        final String path = "/v1/explain?topic=" + line.getOptionValue(TOPIC);
+        final JsonObject page = ask.get(address, path, line.getOptionValue(KEY, ""));
+        if (page == null) {
+            return UNKNOWN_GROUP;
+        }
+        out.println("front " + page.getInt("node") + " (" + address + "), spec " + page.getJsonNumber("specVersion")
+                + ", lease left " + page.getJsonNumber("specLeaseLeftMs") + " ms");
+        final int status = page.getInt("status");
+        final String fate =
+                status == HTTP_OK ? "is forwarded to node " + page.getInt("master") : "is refused with " + status;
+        out.println("  a publish " + fate + ": " + page.getString("because"));
+        if (page.containsKey("table")) {
+            out.println("  a subscription reads group " + page.getInt("group") + " from node "
+                    + page.getInt("readsFrom") + "; the table as seen:");
+            printRows(page.getJsonArray("table"));
+        }
+        return page.getInt("group");
+    }
+
+    private void explainStorage(final String address, final JsonObject status, final int group) {
+        for (final JsonValue value : status.getJsonArray("groups")) {
+            if (value.asJsonObject().getInt("group") == group) {
+                out.println("storage " + status.getInt("node") + " (" + address + "), spec "
+                        + status.getJsonNumber("specVersion"));
+                printMember(value.asJsonObject());
+            }
+        }
+    }
+
+    private void explainController(
+            final String address, final JsonObject status, final CommandLine line, final int group)
+            throws InterruptedException {
+        out.println(
+                "bailiff " + status.getInt("node") + " (" + address + "), spec " + status.getJsonNumber("specVersion"));
+        printMember(status.getJsonObject("control"));
+        if (line.hasOption(CHANGE)) {
+            final String change = line.getOptionValue(CHANGE);
+            final JsonObject outcome = ask.get(address, "/v1/changes/" + change, "");
+            if (outcome != null) {
+                out.println("  change " + change + ": " + outcome);
+            }
+        }
+        for (final JsonValue value : status.getJsonArray("placement")) {
+            if (value.asJsonObject().getInt("group") == group) {
+                out.println("  placement: " + value);
+            }
+        }
+    }
+
+    private void printMember(final JsonObject group) {
+        final String obstacle = group.getString("obstacle", "");
+        out.println("  group " + group.getInt("group") + ": " + group.getString("role")
+                + (group.getBoolean("mayAct") ? " that may act" : "")
+                + ", epoch " + group.getJsonNumber("epoch")
+                + ", hears master " + group.getInt("master")
+                + ", accepted " + group.getJsonNumber("accepted") + " of " + group.getJsonNumber("endLsn")
+                + "; " + group.getString("why")
+                + (obstacle.isEmpty() ? "" : "; does not stand: " + obstacle));
+        printRows(group.getJsonArray("table"));
+    }
+
+    private void printRows(final JsonArray rows) {
+        rows.forEach(row -> out.println("    " + row));
+    }
+
+    private void printNotedEvents(final Path file, final CommandLine line, final int group) {
+        try {
+            out.println("ring " + file);
+            for (final String event : Files.readAllLines(file)) {
+                if (concerns(event, line, group)) {
+                    out.println("  " + event);
+                }
+            }
+        } catch (final IOException ex) {
+            ask.missing().add(new Finding(file.toString(), "cannot be read: " + ex));
+        }
+    }
+
+    /** Whether a noted event is on the topic, its group or the change. */
+    private static boolean concerns(final String event, final CommandLine line, final int group) {
+        if (line.hasOption(TOPIC) && event.contains("publish " + line.getOptionValue(TOPIC) + " ")) {
+            return true;
+        }
+        if (group != UNKNOWN_GROUP && event.contains("group " + group + ":")) {
+            return true;
+        }
+        return line.hasOption(CHANGE)
+                && (event.contains(line.getOptionValue(CHANGE)) || event.contains(CONTROL_GROUP_LINE));
+    }
+}
--- a/tools/src/main/java/brookpath/tools/plan/Plan.java
+++ b/tools/src/main/java/brookpath/tools/plan/Plan.java
@@ -13,13 +13,11 @@
 import brookpath.coordination.spec.Spec;
 import brookpath.coordination.spec.SpecReader;
 import brookpath.tools.ask.Ask;
+import brookpath.tools.cli.CommandLineTool;
 import jakarta.json.JsonObject;
 import jakarta.json.JsonValue;
-import java.io.BufferedWriter;
 import java.io.IOException;
-import java.io.OutputStreamWriter;
 import java.io.PrintStream;
-import java.io.PrintWriter;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -30,10 +28,7 @@
 import java.util.Set;
 import java.util.TreeSet;
 import org.apache.commons.cli.CommandLine;
-import org.apache.commons.cli.DefaultParser;
-import org.apache.commons.cli.HelpFormatter;
 import org.apache.commons.cli.Options;
-import org.apache.commons.cli.ParseException;
 
 /**
  * Tells what a retiring, a drain or a change would do, step by step, or why it would not be done. Changes nothing; the
@@ -41,8 +36,8 @@
  * reached or read. 2: wrong arguments.
  */
 public final class Plan {
-    private static final int WRONG_ARGUMENTS = 2;
-    private static final int MOST_STEPS = 10_000;
+    private static final String TOOL = "plan";
+    private static final int MAX_STEPS = 10_000;
 
     private final PrintStream out;
     private final PrintStream err;
@@ -54,6 +49,7 @@
         this.err = err;
     }
 
+    /** Runs the tool and exits with its code. */
     public static void main(final String[] args) throws InterruptedException {
         System.exit(run(args, System.out, System.err));
     }
@@ -68,53 +64,29 @@
                 .addOption("h", "help", false, "this text");
     }
 
+    /** 0 where it can be done, 1 where it would be refused or something could not be read, 2 for wrong arguments. */
     public static int run(final String[] args, final PrintStream out, final PrintStream err)
             throws InterruptedException {
-        return new Plan(out, err).run(args);
+        final Plan plan = new Plan(out, err);
+        return CommandLineTool.run(TOOL, options(), args, err, Plan::check, plan::execute);
     }
 
-    private int run(final String[] args) throws InterruptedException {
-        final List<Finding> findings = new ArrayList<>();
-        CommandLine cl = null;
-        try {
-            cl = new DefaultParser().parse(options(), args);
-            if (cl.hasOption("help")) {
-                new HelpFormatter().printHelp("plan", options());
-                return 0;
-            }
-            check(cl, findings);
-        } catch (final ParseException ex) {
-            findings.add(new Finding("flags", ex.getMessage()));
-        }
-        if (!findings.isEmpty()) {
-            findings.forEach(f -> err.println("plan: " + f));
-            new HelpFormatter()
-                    .printHelp(
-                            new PrintWriter(new BufferedWriter(new OutputStreamWriter(err, UTF_8)), true),
-                            120,
-                            "plan",
-                            null,
-                            options(),
-                            2,
-                            2,
-                            null);
-            return WRONG_ARGUMENTS;
-        }
+    private int execute(final CommandLine cl) throws InterruptedException {
         for (final String at : cl.getOptionValue("at").split(",")) {
             final JsonObject status = ask.get(at, "/v1/status", "");
             final JsonObject nodes = status == null ? null : ask.get(at, "/v1/nodes", "");
             if (nodes != null && nodes.containsKey("nodes") && status.containsKey("placement")) {
                 tell(cl, at, status, nodes);
-                whyNot.forEach(f -> out.println("not so: " + f));
-                ask.missing().forEach(f -> err.println("plan: " + f));
-                return whyNot.isEmpty() && ask.missing().isEmpty() ? 0 : 1;
+                whyNot.forEach(finding -> out.println("not so: " + finding));
+                CommandLineTool.print(TOOL, ask.missing(), err);
+                return whyNot.isEmpty() && ask.missing().isEmpty() ? CommandLineTool.OK : CommandLineTool.INCOMPLETE;
             }
             if (status != null) {
                 ask.missing().add(new Finding(at, "is no bailiff that hears a control master"));
             }
         }
-        ask.missing().forEach(f -> err.println("plan: " + f));
-        return 1;
+        CommandLineTool.print(TOOL, ask.missing(), err);
+        return CommandLineTool.INCOMPLETE;
     }
 
     private static void check(final CommandLine cl, final List<Finding> findings) {
@@ -134,7 +106,6 @@
         } else {
             findings.add(new Finding("--at", "is missing"));
         }
-        cl.getArgList().forEach(arg -> findings.add(new Finding("flags", "unexpected \"" + arg + "\"")));
     }
 
     private void tell(final CommandLine cl, final String at, final JsonObject status, final JsonObject nodes)
@@ -201,9 +172,9 @@
         }
         Roster now = r.then();
         int step = 0;
-        // why: without steady machines nothing moves for the mere spread, which is not what was asked
+        // without steady machines nothing moves for the mere spread, which is not what was asked
         for (List<MovePlan.Move> moves = MovePlan.next(now, alive, Set.of(), copies);
-                !moves.isEmpty() && step < MOST_STEPS;
+                !moves.isEmpty() && step < MAX_STEPS;
                 moves = MovePlan.next(now, alive, Set.of(), copies)) {
             for (final MovePlan.Move m : moves) {
                 final Roster then = MovePlan.after(now, m);
@@ -290,7 +261,7 @@
         final Spec present = version == 0
                 ? Spec.NONE
                 : SpecReader.stored(now.getJsonObject("document").toString().getBytes(UTF_8), version);
-        // why: the bailiff's floor follows from the copies and from one machine that may be lost, as its settings have
+        // the bailiff's floor follows from the copies and from one machine that may be lost, as its settings have
         // it by default
         final SpecReader.Reading r =
                 SpecReader.read(doc, version + 1, new SpecReader.Limits(copies, Copies.floor(copies, 1)), present);
--- a/trial/src/test/java/brookpath/trial/FleetSmokeTest.java
+++ b/trial/src/test/java/brookpath/trial/FleetSmokeTest.java
@@ -5,7 +5,7 @@
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
-import brookpath.tools.clue.Clue;
+import brookpath.tools.explain.Explain;
 import brookpath.tools.plan.Plan;
 import brookpath.trial.fleet.Fleet;
 import brookpath.trial.fleet.Fleet.Unit;
@@ -241,7 +241,7 @@
         final ByteArrayOutputStream out = new ByteArrayOutputStream();
         final ByteArrayOutputStream err = new ByteArrayOutputStream();
         assertEquals(
-                Clue.run(
+                Explain.run(
                         new String[] {"--topic", "permits/north", "--key", "key-jadran-1", "--at", at.toString()},
                         new PrintStream(out),
                         new PrintStream(err)),
@@ -252,7 +252,7 @@
                         && out.toString(UTF_8).contains("placement:"),
                 out.toString(UTF_8));
         assertEquals(
-                Clue.run(
+                Explain.run(
                         new String[] {"--change", "first", "--at", at + "," + Fleet.HOST + ":1"},
                         new PrintStream(out),
                         new PrintStream(err)),
@@ -261,7 +261,7 @@
                 out.toString(UTF_8).contains("confirmed") && err.toString(UTF_8).contains(":1: could not be reached"),
                 out + " " + err);
         assertEquals(
-                Clue.run(
+                Explain.run(
                         new String[] {"--topic", "odd", "--at", "nowhere", "stray"},
                         new PrintStream(out),
                         new PrintStream(err)),
