--- a/trial/src/main/java/brookpath/trial/fleet/Fleet.java
+++ b/trial/src/main/java/brookpath/trial/fleet/Fleet.java
@@ -24,16 +24,39 @@
 import java.util.concurrent.ThreadLocalRandom;
 
 /** A whole fleet as processes on loopback, each with its settings file and data folder. Stops only what it started. */
-@SuppressWarnings("try") // why: whoever interrupts the end of a fleet is told so
+@SuppressWarnings("try") // whoever interrupts the end of a fleet is told so
 public final class Fleet implements AutoCloseable {
+    /** Where all processes listen. */
     public static final String HOST = "127.0.0.1";
+
     private static final String[] ZONES = {"a", "b", "c", "d"};
+    /** The controllers, storage machines and gateways are numbered from here on. */
+    private static final int FIRST_CONTROLLER = 1;
+
+    private static final int FIRST_STORAGE = 11;
+    private static final int FIRST_GATEWAY = 31;
+    private static final int SEEDS = 3;
+    private static final int STORAGES = 4;
+    private static final int NO_PORT = 0;
+
+    /** Ports for other nodes lie so far below those for HTTP. */
+    private static final int PEER_PORT_OFFSET = 1_000;
 
     /**
      * The zone that a node of this fleet lies in, by its number alone; "" for callers, who are wherever the front is.
      */
     public static String zoneOf(final int node) {
-        return node <= 0 ? "" : ZONES[(node - (node >= 31 ? 31 : node >= 11 ? 11 : 1)) % 4];
+        if (node <= 0) {
+            return "";
+        }
+        return ZONES[(node - firstOfKind(node)) % ZONES.length];
+    }
+
+    private static int firstOfKind(final int node) {
+        if (node >= FIRST_GATEWAY) {
+            return FIRST_GATEWAY;
+        }
+        return node >= FIRST_STORAGE ? FIRST_STORAGE : FIRST_CONTROLLER;
     }
 
     /** One machine's program. */
@@ -42,59 +65,62 @@
         public final String zone;
         public final boolean bailiff;
         public final int httpPort;
-        private final int siblingPort;
+        private final int peerPort;
         private final int callersPort;
         private final Path settings;
         private Process process;
 
-        Unit(final int node, final String zone, final String role, final int siblingPort, final int httpPort)
+        Unit(final int node, final String zone, final String role, final int peerPort, final int httpPort)
                 throws IOException, InterruptedException {
             this.node = node;
             this.zone = zone;
             this.httpPort = httpPort;
-            this.siblingPort = siblingPort;
+            this.peerPort = peerPort;
             bailiff = role.equals("bailiff");
             callersPort = relay == null || !role.equals("front") ? httpPort : relay.open(node, httpPort, false);
             settings = folder.resolve(role + "-" + node + ".json");
-            final StringBuilder sb = new StringBuilder("{\"node\":" + node + ",\"zone\":\"" + zone + "\"");
+            Files.writeString(settings, settingsJson(role));
+        }
+
+        private String settingsJson(final String role) throws InterruptedException {
+            final StringBuilder json = new StringBuilder("{\"node\":" + node + ",\"zone\":\"" + zone + "\"");
             if (!bailiff) {
-                sb.append(",\"role\":\"").append(role).append('"');
+                json.append(",\"role\":").append(quoted(role));
             }
-            if (siblingPort > 0) {
-                sb.append(",\"siblings\":\"")
-                        .append(HOST)
-                        .append(':')
-                        .append(siblingPort)
-                        .append("\",\"data\":\"")
-                        .append(folder.resolve("data-" + node))
-                        .append('"');
+            if (peerPort > 0) {
+                json.append(",\"siblings\":").append(quoted(HOST + ":" + peerPort));
+                json.append(",\"data\":").append(quoted(folder.resolve("data-" + node)));
                 if (relay != null && !bailiff) {
-                    sb.append(",\"reachedAs\":\"")
-                            .append(HOST)
-                            .append(':')
-                            .append(relay.open(node, siblingPort, true))
-                            .append('"');
+                    final int relayPort = relay.open(node, peerPort, true);
+                    json.append(",\"reachedAs\":").append(quoted(HOST + ":" + relayPort));
                 }
             }
-            sb.append(",\"http\":\"").append(HOST).append(':').append(httpPort).append("\",\"seeds\":[");
-            for (int i = 1; i <= 3; i++) {
-                sb.append(i == 1 ? "" : ",")
-                        .append('"')
-                        .append(i)
-                        .append('@')
-                        .append(HOST)
-                        .append(':')
-                        .append(seedsReachedAs[i])
-                        .append('"');
-            }
-            sb.append(']');
+            json.append(",\"http\":").append(quoted(HOST + ":" + httpPort));
+            json.append(",\"seeds\":[").append(seeds()).append(']');
             if (bailiff) {
-                sb.append(",\"founding\":{\"groups\":16,\"copies\":3,\"storages\":4}")
-                        .append(platform.isEmpty() ? "" : ",\"platform\":\"" + platform + "\"");
+                json.append(",\"founding\":{\"groups\":16,\"copies\":3,\"storages\":4}");
+                json.append(platform.isEmpty() ? "" : ",\"platform\":" + quoted(platform));
             }
-            Files.writeString(settings, sb.append("}\n"));
+            return json.append("}\n").toString();
         }
 
+        private static String quoted(final Object value) {
+            return "\"" + value + "\"";
+        }
+
+        private String seeds() {
+            final List<String> seeds = new ArrayList<>();
+            for (int seed = 1; seed <= SEEDS; seed++) {
+                seeds.add(quoted(seed + "@" + HOST + ":" + seedsReachedAs[seed]));
+            }
+            return String.join(",", seeds);
+        }
+
+        /**
+         * Starts the process.
+         *
+         * @param found whether it founds the control group
+         */
         public void start(final boolean found) throws IOException {
             final List<String> cmd = new ArrayList<>(List.of(
                     Path.of(System.getProperty("java.home"), "bin", "java").toString(),
@@ -119,6 +145,7 @@
                     .start();
         }
 
+        /** Whether the process runs. */
         public boolean alive() {
             return process != null && process.isAlive();
         }
@@ -136,6 +163,7 @@
             }
         }
 
+        /** Sends a signal by its name, such as STOP. */
         public void signal(final String name) throws IOException, InterruptedException {
             new ProcessBuilder("kill", "-" + name, Long.toString(process.pid()))
                     .inheritIO()
@@ -143,12 +171,14 @@
                     .waitFor();
         }
 
+        /** The settings file. */
         public Path settings() {
             return settings;
         }
 
-        public int siblingPort() {
-            return siblingPort;
+        /** The port for other nodes. */
+        public int peerPort() {
+            return peerPort;
         }
 
         /** As callers reach it, through the relay where there is one. */
@@ -156,6 +186,7 @@
             return "http://" + HOST + ":" + callersPort + path;
         }
 
+        /** As operators reach it. */
         public String url(final String path) {
             return "http://" + HOST + ":" + httpPort + path;
         }
@@ -163,8 +194,8 @@
 
     private final Path folder;
     private final int base;
-    private final int[] seedPorts = new int[4];
-    private final int[] seedsReachedAs = new int[4];
+    private final int[] seedPorts = new int[SEEDS + 1];
+    private final int[] seedsReachedAs = new int[SEEDS + 1];
     private final Relay relay;
     private final String platform;
     private final Set<Integer> taken = new HashSet<>();
@@ -173,7 +204,7 @@
             HttpClient.newBuilder().connectTimeout(Duration.ofSeconds(1)).build();
 
     /**
-     * @param base HTTP ports begin here, siblings' a thousand below; 0 takes any that are free
+     * @param base HTTP ports begin here, other nodes' a thousand below; 0 takes any that are free
      * @param relay null for none between the processes
      */
     public Fleet(final Path folder, final int base, final int fronts, final Relay relay, final String platform)
@@ -182,26 +213,30 @@
         this.platform = platform;
         this.folder = Files.createDirectories(folder).toAbsolutePath();
         this.base = base;
-        for (int i = 1; i <= 3; i++) {
-            seedPorts[i] = port(base - 1000 + i);
+        for (int i = 1; i <= SEEDS; i++) {
+            seedPorts[i] = portForPeers(i);
             seedsReachedAs[i] = relay == null ? seedPorts[i] : relay.open(i, seedPorts[i], true);
         }
-        for (int i = 1; i <= 3; i++) {
-            units.put(i, new Unit(i, ZONES[i - 1], "bailiff", seedPorts[i], port(base + i)));
+        for (int node = FIRST_CONTROLLER; node <= SEEDS; node++) {
+            units.put(node, new Unit(node, zoneOf(node), "bailiff", seedPorts[node], port(base + node)));
         }
-        for (int i = 0; i < 4; i++) {
-            units.put(11 + i, new Unit(11 + i, ZONES[i], "storage", port(base - 1000 + 11 + i), port(base + 11 + i)));
+        for (int node = FIRST_STORAGE; node < FIRST_STORAGE + STORAGES; node++) {
+            units.put(node, new Unit(node, zoneOf(node), "storage", portForPeers(node), port(base + node)));
         }
-        for (int i = 0; i < fronts; i++) {
-            units.put(31 + i, new Unit(31 + i, ZONES[i % 4], "front", 0, port(base + 31 + i)));
+        for (int node = FIRST_GATEWAY; node < FIRST_GATEWAY + fronts; node++) {
+            units.put(node, new Unit(node, zoneOf(node), "front", NO_PORT, port(base + node)));
         }
     }
 
+    private int portForPeers(final int node) throws IOException {
+        return port(base - PEER_PORT_OFFSET + node);
+    }
+
     private int port(final int wanted) throws IOException {
         if (base > 0) {
             return wanted;
         }
-        // why: from below the range that the kernel takes for outgoing sessions, so that none of those can sit on it
+        // from below the range that the kernel takes for outgoing sessions, so that none of those can sit on it
         // meanwhile
         while (true) {
             final int port = ThreadLocalRandom.current().nextInt(12_000, 32_000);
@@ -210,25 +245,31 @@
                     return port;
                 }
             } catch (final BindException ex) {
-                // why: taken by somebody else; another one is drawn
+                // taken by somebody else; another one is drawn
             }
         }
     }
 
+    /** All machines by their numbers. */
     public Map<Integer, Unit> units() {
         return units;
     }
 
+    /** The gateways. */
     public List<Unit> fronts() {
-        return units.values().stream().filter(u -> u.node >= 31).toList();
+        return units.values().stream().filter(u -> u.node >= FIRST_GATEWAY).toList();
     }
 
+    /** The storage machines. */
     public List<Unit> storages() {
-        return units.values().stream().filter(u -> u.node >= 11 && u.node < 31).toList();
+        return units.values().stream()
+                .filter(u -> u.node >= FIRST_STORAGE && u.node < FIRST_GATEWAY)
+                .toList();
     }
 
+    /** Starts all processes; those without a data folder found their control group. */
     public void start() throws IOException {
-        // why: a data folder that is there already belongs to a control group that was founded
+        // a data folder that is there already belongs to a control group that was founded
         for (final Unit u : units.values()) {
             u.start(u.bailiff && !Files.exists(folder.resolve("data-" + u.node)));
         }
@@ -248,6 +289,7 @@
         }
     }
 
+    /** POSTs a text. */
     public HttpResponse<String> post(final Unit u, final String path, final String body)
             throws IOException, InterruptedException {
         return http.send(
--- /dev/null
+++ b/trial/src/main/java/brookpath/trial/fleet/GroupView.java
@@ -0,0 +1,25 @@
+package brookpath.trial.fleet;
+
+import jakarta.json.JsonObject;
+import java.util.ArrayList;
+import java.util.List;
+
+/** A group as a storage machine's status page shows it. */
+record GroupView(int group, boolean isMaster, boolean mayAct, String why) {
+    /** The groups of a status page; none where the page is empty. */
+    static List<GroupView> read(final String status) {
+        final List<GroupView> views = new ArrayList<>();
+        if (status.isEmpty()) {
+            return views;
+        }
+        for (final JsonObject group :
+                JsonText.parse(status).getJsonArray("groups").getValuesAs(JsonObject.class)) {
+            views.add(new GroupView(
+                    group.getInt("group"),
+                    group.getString("role").equals("master"),
+                    group.getBoolean("mayAct"),
+                    group.getString("why")));
+        }
+        return views;
+    }
+}
--- /dev/null
+++ b/trial/src/main/java/brookpath/trial/fleet/JsonText.java
@@ -0,0 +1,17 @@
+package brookpath.trial.fleet;
+
+import jakarta.json.Json;
+import jakarta.json.JsonObject;
+import jakarta.json.JsonReader;
+import java.io.StringReader;
+
+/** Reads JSON. */
+final class JsonText {
+    private JsonText() {}
+
+    static JsonObject parse(final String text) {
+        try (JsonReader reader = Json.createReader(new StringReader(text))) {
+            return reader.readObject();
+        }
+    }
+}
--- a/trial/src/main/java/brookpath/trial/oracle/History.java
+++ b/trial/src/main/java/brookpath/trial/oracle/History.java
@@ -60,6 +60,8 @@
         }
     }
 
+    private static final int MAX_VIOLATIONS = 40;
+
     private final Map<String, Sent> sent = new HashMap<>();
     private final Map<String, String> byPosition = new HashMap<>();
     private final List<Listener> listeners = new ArrayList<>();
@@ -69,8 +71,9 @@
     private int accepted;
     public final UsageBook usage = new UsageBook(this);
 
+    /** Notes that something was seen that may not be so; only the first ones are kept. */
     public void violation(final long now, final String what) {
-        if (violations.size() < 40) {
+        if (violations.size() < MAX_VIOLATIONS) {
             violations.add(now + ": " + what);
         }
     }
@@ -142,6 +145,12 @@
         }
     }
 
+    /**
+     * A message as a listener got it.
+     *
+     * @param one whether the topic's space promises one order over all its topics
+     * @param listeningSince since when the listener has been there, for its latency; negative where that is not judged
+     */
     public void delivered(
             final long now,
             final Listener l,
@@ -165,6 +174,27 @@
         if (!l.got.add(id)) {
             violation(now, l.name + " got " + id + " twice");
         }
+        judgeOrder(now, l, topic, position, sender, seq);
+        judgePosition(now, topic, position, id);
+        if (one) {
+            l.spaceOrder
+                    .computeIfAbsent(topic.substring(0, topic.indexOf('/')), k -> new ArrayList<>())
+                    .add(id);
+        }
+        // who was away when it was accepted gets it on coming back, which says nothing of the delivery
+        if (s.acceptedAt >= listeningSince && listeningSince >= 0) {
+            latencies.add(now - s.acceptedAt);
+        }
+    }
+
+    /** A sender's sequences and a topic's positions rise. */
+    private void judgeOrder(
+            final long now,
+            final Listener l,
+            final String topic,
+            final long position,
+            final String sender,
+            final long seq) {
         final Long lastSeq = l.lastSeq.put(topic + "|" + sender, seq);
         if (lastSeq != null && lastSeq >= seq) {
             violation(now, l.name + " got sequence " + seq + " of " + topic + "|" + sender + " after " + lastSeq);
@@ -173,21 +203,16 @@
         if (lastPos != null && lastPos >= position) {
             violation(now, l.name + " got position " + position + " of " + topic + " after " + lastPos);
         }
+    }
+
+    /** A position holds the same message for everyone. */
+    private void judgePosition(final long now, final String topic, final long position, final String id) {
         final String other = byPosition.putIfAbsent(topic + "@" + position, id);
         if (other != null && !other.equals(id)) {
             violation(
                     now,
                     "position " + position + " of " + topic + " is " + other + " for one and " + id + " for another");
         }
-        if (one) {
-            l.spaceOrder
-                    .computeIfAbsent(topic.substring(0, topic.indexOf('/')), k -> new ArrayList<>())
-                    .add(id);
-        }
-        // why: who was away when it was accepted gets it on coming back, which says nothing of the delivery
-        if (s.acceptedAt >= listeningSince && listeningSince >= 0) {
-            latencies.add(now - s.acceptedAt);
-        }
     }
 
     /** Told that it is too late to resume: only right where something that it missed was older than the space keeps. */
@@ -198,7 +223,7 @@
                 if (s.acceptedAt >= 0 && s.position > l.from.getOrDefault(s.topic, Long.MAX_VALUE)) {
                     oldest = Math.min(oldest, s.acceptedAt);
                 } else if (s.acceptedAt < 0 && s.maybeAppended) {
-                    // why: it may be in the log all the same, and no later than this
+                    // it may be in the log all the same, and no later than this
                     oldest = Math.min(oldest, s.sentAt);
                 }
             }
@@ -217,7 +242,7 @@
                 continue;
             }
             for (final String id : l.got) {
-                // why: only now are all responses in; a message may reach a listener before its sender hears of it
+                // only now are all responses in; a message may reach a listener before its sender hears of it
                 final Sent s = sent.get(id);
                 if (!s.maybeAppended && s.acceptedAt < 0) {
                     violation(now, l.name + " got " + id + " that was refused every time");
--- a/trial/src/main/java/brookpath/trial/oracle/UsageBook.java
+++ b/trial/src/main/java/brookpath/trial/oracle/UsageBook.java
@@ -12,9 +12,10 @@
  */
 public final class UsageBook {
     /** How far the fleet's clock may be from the true one. */
-    private static final long CLOCK = 1_000;
+    private static final long MAX_CLOCK_ERROR_MS = 1_000;
 
-    private static final long PUNCTUAL = 10_000;
+    /** A window is reported at most this long after its end. */
+    private static final long MAX_REPORT_DELAY_MS = 10_000;
 
     private record Report(long publishes, long bytes, boolean late) {}
 
@@ -77,7 +78,7 @@
      * @param excusedUntil platform or control plane out until then
      */
     public void punctual(final long now, final List<String> tenants, final long windowMs, final long excusedUntil) {
-        for (long end = firstEnd; Math.max(end, excusedUntil) + PUNCTUAL < now; end += windowMs) {
+        for (long end = firstEnd; Math.max(end, excusedUntil) + MAX_REPORT_DELAY_MS < now; end += windowMs) {
             for (final String tenant : tenants) {
                 if (reports.computeIfAbsent(tenant, k -> new TreeMap<>()).putIfAbsent(end, new Report(-1, -1, false))
                         == null) {
@@ -90,10 +91,12 @@
         }
     }
 
+    /** How many windows of tenants were reported. */
     public int reports() {
         return reports.values().stream().mapToInt(TreeMap::size).sum();
     }
 
+    /** How many reports said that they hold late counts. */
     public int lateReports() {
         return lateReports;
     }
@@ -118,28 +121,11 @@
                 acceptedAt.add(s.acceptedAt);
             }
         }
-        final TreeMap<Long, Report> mine = reports.getOrDefault(tenant, new TreeMap<>());
+        final TreeMap<Long, Report> reported = reports.getOrDefault(tenant, new TreeMap<>());
         long told = 0;
-        for (final Map.Entry<Long, Report> e : mine.entrySet()) {
-            final long end = e.getKey();
-            told += Math.max(0, e.getValue().publishes);
-            final long most = sentAt.stream().filter(t -> t < end + CLOCK).count();
-            if (told > most) {
-                history.violation(
-                        now,
-                        "tenant " + tenant + " was reported " + told + " publishes through the window ending " + end
-                                + ", at most " + most + " had been sent by then");
-            }
-            final long upTo = end;
-            final long least = acceptedAt.stream().filter(t -> t < upTo - CLOCK).count();
-            final boolean comesLate = mine.tailMap(end, false).values().stream().anyMatch(r -> r.late);
-            if (told < least && !comesLate) {
-                history.violation(
-                        now,
-                        "tenant " + tenant + " was reported " + told + " publishes through the window ending " + end
-                                + ", " + least
-                                + " were accepted by then, and no later report says that it holds late ones");
-            }
+        for (final Map.Entry<Long, Report> entry : reported.entrySet()) {
+            told += Math.max(0, entry.getValue().publishes);
+            settleWindow(now, tenant, entry.getKey(), told, sentAt, acceptedAt);
         }
         if (told < acceptedAt.size() || told > sentAt.size()) {
             history.violation(
@@ -148,4 +134,31 @@
                             + " accepted and at most " + sentAt.size() + " in the logs");
         }
     }
+
+    private void settleWindow(
+            final long now,
+            final String tenant,
+            final long end,
+            final long told,
+            final List<Long> sentAt,
+            final List<Long> acceptedAt) {
+        final String through =
+                "tenant " + tenant + " was reported " + told + " publishes through the window ending " + end;
+        final long most =
+                sentAt.stream().filter(time -> time < end + MAX_CLOCK_ERROR_MS).count();
+        if (told > most) {
+            history.violation(now, through + ", at most " + most + " had been sent by then");
+        }
+        final long least = acceptedAt.stream()
+                .filter(time -> time < end - MAX_CLOCK_ERROR_MS)
+                .count();
+        final boolean comesLate =
+                reports.get(tenant).tailMap(end, false).values().stream().anyMatch(report -> report.late);
+        if (told < least && !comesLate) {
+            history.violation(
+                    now,
+                    through + ", " + least
+                            + " were accepted by then, and no later report says that it holds late ones");
+        }
+    }
 }
--- a/trial/src/main/java/brookpath/trial/relay/Relay.java
+++ b/trial/src/main/java/brookpath/trial/relay/Relay.java
@@ -28,7 +28,7 @@
 /**
  * Stands between real processes, and between callers and fronts: delays, loses, cuts in one direction, stalls and
  * resets what passes. A lost packet is felt as TCP lets it be felt: what follows waits for the repeat. Whoever dials a
- * sibling says its number in its first frame; callers are node 0.
+ * peer says its number in its first frame; callers are node 0.
  */
 public final class Relay implements AutoCloseable {
     private static final long REPEAT_US = 200_000;
@@ -55,9 +55,9 @@
     /**
      * A port that leads to the process.
      *
-     * @param siblings whether frames pass there, which tell who dials
+     * @param peers whether frames pass there, which tell who dials
      */
-    public int open(final int node, final int port, final boolean siblings) throws InterruptedException {
+    public int open(final int node, final int port, final boolean peers) throws InterruptedException {
         final Channel server = new ServerBootstrap()
                 .group(loops)
                 .channel(NioServerSocketChannel.class)
@@ -66,7 +66,7 @@
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(final SocketChannel ch) {
-                        new Pipe(ch, node, port, siblings).begin();
+                        new Pipe(ch, node, port, peers).begin();
                     }
                 })
                 .bind(HOST, 0)
@@ -75,6 +75,7 @@
         return ((InetSocketAddress) server.localAddress()).getPort();
     }
 
+    /** Holds back what goes from one node to another. */
     public void cut(final int from, final int to) {
         cuts.add(link(from, to));
     }
@@ -86,6 +87,7 @@
         pipes.forEach(Pipe::wake);
     }
 
+    /** Loses packets, so many in a thousand. */
     public void loss(final int perMille) {
         lossPerMille = perMille;
     }
@@ -100,10 +102,12 @@
         }
     }
 
+    /** How many sessions were reset. */
     public long resets() {
         return resets.sum();
     }
 
+    /** How many packets were lost. */
     public long lost() {
         return lost.sum();
     }
@@ -122,18 +126,18 @@
         volatile int from;
         volatile Channel far;
 
-        Pipe(final Channel near, final int to, final int port, final boolean siblings) {
+        Pipe(final Channel near, final int to, final int port, final boolean peers) {
             this.near = near;
             this.to = to;
             this.port = port;
-            from = siblings ? -1 : 0;
+            from = peers ? -1 : 0;
         }
 
         void begin() {
             pipes.add(this);
             near.pipeline().addLast(new Way(this, true));
             near.closeFuture().addListener(f -> end());
-            // why: both ends on one loop, so that one thread sees to the order of what passes
+            // both ends on one loop, so that one thread sees to the order of what passes
             new Bootstrap()
                     .group(near.eventLoop())
                     .channel(NioSocketChannel.class)
@@ -205,7 +209,7 @@
 
         @Override
         public void channelReadComplete(final ChannelHandlerContext ctx) {
-            // why: while cut nothing more is read, so that the sender feels it as it would feel a full window
+            // while cut nothing more is read, so that the sender feels it as it would feel a full window
             if (held.isEmpty()) {
                 ctx.read();
             }
@@ -220,7 +224,7 @@
                     lost.increment();
                     at += REPEAT_US;
                 }
-                // why: bytes of one connection never overtake each other
+                // bytes of one connection never overtake each other
                 lastAtUs = Math.max(lastAtUs, at);
                 pipe.near
                         .eventLoop()
@@ -251,7 +255,7 @@
 
         @Override
         public void exceptionCaught(final ChannelHandlerContext ctx, final Throwable cause) {
-            // why: a reset on one side is a reset on the other
+            // a reset on one side is a reset on the other
             pipe.end();
         }
     }
--- a/trial/src/test/java/brookpath/trial/FleetSmokeTest.java
+++ b/trial/src/test/java/brookpath/trial/FleetSmokeTest.java
@@ -322,7 +322,7 @@
     @Test
     public void aMalformedFrameEndsItsSessionAlone() throws Exception {
         final Unit u = fleet.storages().get(3);
-        try (Socket s = new Socket(Fleet.HOST, u.siblingPort())) {
+        try (Socket s = new Socket(Fleet.HOST, u.peerPort())) {
             final OutputStream os = s.getOutputStream();
             os.write(new byte[] {0, 0, 0, 12, 0, 0, 0, 99, 1, 2, 3, 4, 5, 6, 7, 8});
             os.flush();
