--- a/coordination/src/main/java/brookpath/coordination/route/RouteFinder.java
+++ b/coordination/src/main/java/brookpath/coordination/route/RouteFinder.java
@@ -13,7 +13,7 @@
 import brookpath.coordination.spec.Spec;
 import java.util.function.IntPredicate;
 
-/** The decision object: asked where a job goes, from immutable tables alone. The executor obeys. */
+/** Decides where a request goes, from immutable tables alone. Whoever asks sends it there. */
 public final class RouteFinder {
     /**
      * The refusal's code where no space has such a topic; callers over HTTP are not told it by status from a space that
@@ -23,6 +23,12 @@
 
     private static final String TOPIC = "[!-~]{1,200}";
 
+    /** Members to read from are compared by these, the heaviest first. */
+    private static final int AVOIDED_PENALTY = 8;
+
+    private static final int OTHER_ZONE_PENALTY = 4;
+    private static final int MASTER_PENALTY = 1;
+
     private final Spec spec;
     private final Roster roster;
     private final BeatTable table;
@@ -30,6 +36,13 @@
     private final String zone;
     private final Tempo tempo;
 
+    /**
+     * @param spec the configuration
+     * @param roster the cluster's metadata: which members each group has
+     * @param table the newest heartbeats
+     * @param leased whether this node holds the lease on the configuration
+     * @param zone the zone of this node, where history is read from if it can be
+     */
     public RouteFinder(
             final Spec spec,
             final Roster roster,
@@ -51,12 +64,12 @@
             return refused(400, 0, "topic", "a topic is 1 to 200 printable characters without a space");
         }
         if (!leased) {
-            // why: the key may have been removed since; safety comes first
+            // the key may have been removed since; safety comes first
             return refused(503, tempo.retryAfterMs(), "spec", "this node has not heard from the control plane lately");
         }
         final Spec.Tenant tenant = spec.tenantOf(key);
         final Spec.Space space = spec.spaceOf(topic);
-        // why: the key is judged first; who has none learns nothing of the spaces but whether one is open
+        // the key is judged first; who has none learns nothing of the spaces but whether one is open
         if (tenant == null && (!key.isEmpty() || (space != null && !space.open()))) {
             return refused(401, 0, "key", key.isEmpty() ? "a key is needed" : "unknown key");
         }
@@ -81,11 +94,16 @@
     /** Publishes go to the group's master, as the roles in the beats tell it. */
     public Route publish(final String key, final String topic, final long now) {
         final Route route = admit(key, topic);
-        return route.refusal() != null ? route : toMaster(route, now);
+        return route.isRefused() ? route : toMaster(route, now);
     }
 
-    /** @param node 0 for none */
+    /**
+     * The master of a group.
+     *
+     * @param node 0 for none
+     */
     public record Master(int node, long epoch) {
+        /** A group without a master. */
         public static final Master NONE = new Master(0, -1);
     }
 
@@ -94,7 +112,7 @@
         Master master = Master.NONE;
         for (final Member m : groupOf(group).members()) {
             final BeatEntry e = table.fresh(m.node(), group, now);
-            // why: two may call themselves master for a moment; the later epoch is the true one
+            // two may call themselves master for a moment; the later epoch is the true one
             if (e != null && e.role() == GroupMachine.MASTER && e.epoch() > master.epoch && table.up(m.node())) {
                 master = new Master(m.node(), e.epoch());
             }
@@ -102,6 +120,7 @@
         return master;
     }
 
+    /** An admitted route to the group's master; refused for now where there is none. */
     public Route toMaster(final Route route, final long now) {
         final Master master = master(route.group(), now);
         if (master.node == 0) {
@@ -118,9 +137,9 @@
     /**
      * History is read from the nearest member that is in sync: same zone first, slaves before the master. 0 for none.
      *
-     * @param shunned those that have not responded lately are asked last
+     * @param avoided those that have not responded lately are asked last
      */
-    public int nearest(final int group, final IntPredicate shunned, final long now) {
+    public int nearest(final int group, final IntPredicate avoided, final long now) {
         int best = 0;
         int bestScore = Integer.MAX_VALUE;
         for (final Member m : groupOf(group).members()) {
@@ -128,9 +147,9 @@
             if (e == null || !table.up(m.node()) || e.sync() != GroupMachine.SYNC_PEER) {
                 continue;
             }
-            final int score = (m.zone().equals(zone) ? 0 : 4)
-                    + (e.role() == GroupMachine.MASTER ? 1 : 0)
-                    + (shunned.test(m.node()) ? 8 : 0);
+            final int score = (avoided.test(m.node()) ? AVOIDED_PENALTY : 0)
+                    + (m.zone().equals(zone) ? 0 : OTHER_ZONE_PENALTY)
+                    + (e.role() == GroupMachine.MASTER ? MASTER_PENALTY : 0);
             if (score < bestScore) {
                 bestScore = score;
                 best = m.node();
