--- /dev/null
+++ b/trial/src/main/java/brookpath/trial/model/Choices.java
@@ -0,0 +1,167 @@
+package brookpath.trial.model;
+
+import brookpath.coordination.Tempo;
+import brookpath.coordination.group.GroupMachine;
+import brookpath.coordination.group.Member;
+import brookpath.coordination.group.Membership;
+import brookpath.trial.model.Choice.Kind;
+import java.util.ArrayList;
+import java.util.List;
+
+/** What may happen next in a world. */
+final class Choices {
+    static final int TICK = (int) Tempo.DEFAULT.tick();
+    static final int BEAT = (int) Tempo.DEFAULT.beat();
+    static final int DOWN = (int) Tempo.DEFAULT.down() + 2 * TICK;
+
+    /** Two clocks differ by less than the detection time and the lease do. */
+    private static final int MOST_SKEW = 50;
+
+    private static final int MOST_DOWN = 2;
+    private static final int MOST_WIPES = 2;
+    private static final int MOST_CHANGES = 6;
+    /** With fewer, the loss of one disk is not tolerated. */
+    private static final int FEWEST_VOTERS = 3;
+
+    /** Only so many messages in flight are told apart at one step. */
+    private static final int MESSAGES = 4;
+
+    private final ModelWorld world;
+    private final List<Choice> list = new ArrayList<>();
+
+    private Choices(final ModelWorld world) {
+        this.world = world;
+    }
+
+    static List<Choice> of(final ModelWorld world) {
+        final Choices choices = new Choices(world);
+        for (final int milliseconds : new int[] {TICK, BEAT, DOWN}) {
+            choices.list.add(Choice.run(milliseconds));
+        }
+        choices.messages();
+        for (final ModelMember m : world.members) {
+            choices.member(m);
+        }
+        final ModelMember master = world.acting();
+        if (master != null) {
+            choices.master(master);
+        }
+        return choices.list;
+    }
+
+    private void messages() {
+        int told = 0;
+        for (int i = 0; i < world.flying.size() && told < MESSAGES; i++) {
+            final ModelWorld.InFlight f = world.flying.get(i);
+            if (!f.isBeat() && world.member(f.to()).runs()) {
+                told++;
+                list.add(Choice.of(Kind.DELIVER, i));
+                list.add(Choice.of(Kind.DROP, i));
+                if (world.flying.indexOf(f) == world.flying.lastIndexOf(f)) {
+                    list.add(Choice.of(Kind.DUPLICATE, i));
+                }
+            }
+        }
+    }
+
+    private void member(final ModelMember m) {
+        if (!m.alive) {
+            list.add(Choice.of(Kind.RESTART, m.id));
+            return;
+        }
+        if (m.frozen) {
+            list.add(Choice.of(Kind.THAW, m.id));
+            return;
+        }
+        disk(m);
+        network(m);
+        list.add(Choice.of(Kind.FREEZE, m.id));
+        if (m.skew < MOST_SKEW) {
+            list.add(Choice.of(Kind.SKEW, m.id));
+        }
+        if (world.members.stream().filter(other -> !other.alive).count() < MOST_DOWN) {
+            crashes(m);
+        }
+    }
+
+    private void disk(final ModelMember m) {
+        list.add(Choice.of(m.diskStalled ? Kind.RESUME_DISK : Kind.STALL_DISK, m.id));
+        if (m.hasUnsynced()) {
+            list.add(new Choice(Kind.SYNC, m.id, Choice.KEEP_ALL));
+            if (m.syncedEntries + 1 < m.entries.size()) {
+                list.add(new Choice(Kind.SYNC, m.id, Choice.KEEP_FIRST));
+            }
+        }
+    }
+
+    private void network(final ModelMember m) {
+        if (m.cutInbound || m.cutOutbound) {
+            list.add(Choice.of(Kind.HEAL, m.id));
+        } else {
+            list.add(Choice.of(Kind.CUT, m.id));
+            list.add(Choice.of(Kind.CUT_INBOUND, m.id));
+            list.add(Choice.of(Kind.CUT_OUTBOUND, m.id));
+        }
+        list.add(Choice.of(m.held ? Kind.RELEASE : Kind.HOLD, m.id));
+    }
+
+    private void crashes(final ModelMember m) {
+        list.add(new Choice(Kind.CRASH, m.id, Choice.KEEP_NOTHING));
+        if (m.hasUnsynced()) {
+            list.add(new Choice(Kind.CRASH, m.id, Choice.KEEP_ALL));
+            list.add(new Choice(Kind.CRASH, m.id, Choice.KEEP_FIRST));
+        }
+        if (mayLoseItsDisk(m)) {
+            list.add(Choice.of(Kind.WIPE, m.id));
+        }
+    }
+
+    /** One loss is tolerated: the next only once everyone has a whole copy again. */
+    private boolean mayLoseItsDisk(final ModelMember m) {
+        int wipes = 0;
+        for (final ModelMember other : world.members) {
+            wipes += other.wipes;
+            if (other != m && voter(other) && (!other.alive || other.rebuildTo > 0 || other.group.lost())) {
+                return false;
+            }
+        }
+        return voter(m) && wipes < MOST_WIPES;
+    }
+
+    private boolean voter(final ModelMember m) {
+        return Membership.find(world.placed.voters(), m.id) != null;
+    }
+
+    private void master(final ModelMember master) {
+        final GroupMachine g = master.group;
+        if (!History.full(world.appended)) {
+            list.add(Choice.of(Kind.APPEND, master.id));
+        }
+        for (final Member voter : g.membership().voters()) {
+            if (voter.node() != master.id) {
+                list.add(new Choice(Kind.HAND_OVER, master.id, voter.node()));
+            }
+        }
+        // Why: the callers' part of the contract: the last step is accepted and the roster has it.
+        if (g.membershipSettled()
+                && world.placed.version() >= g.membership().version()
+                && world.changes < MOST_CHANGES) {
+            steps(master);
+        }
+    }
+
+    private void steps(final ModelMember master) {
+        final Membership present = master.group.membership();
+        for (final ModelMember m : world.members) {
+            if (!present.holds(m.id)) {
+                list.add(new Choice(Kind.ADD_LEARNER, master.id, m.id));
+            } else if (Membership.find(present.learners(), m.id) != null) {
+                if (master.group.learnt(m.id) >= master.group.accepted()) {
+                    list.add(new Choice(Kind.PROMOTE, master.id, m.id));
+                }
+            } else if (m != master && present.voters().size() > FEWEST_VOTERS) {
+                list.add(new Choice(Kind.REMOVE, master.id, m.id));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/trial/src/main/java/brookpath/trial/model/History.java
@@ -0,0 +1,94 @@
+package brookpath.trial.model;
+
+import brookpath.coordination.group.GroupMachine;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.TreeMap;
+
+/** Records what callers of the group see: appends that are confirmed or stay unclear, and reads at acting masters. */
+final class History {
+    /** Reads beyond these are left out; the search over a history grows with its length. */
+    private static final int MOST_READS = 24;
+
+    private static final int MOST_APPENDS = 24;
+
+    private static final class Append {
+        final long invoked;
+        final int member;
+        final long epoch;
+        final long lsn;
+        long returned = Operation.UNCLEAR;
+
+        Append(final long invoked, final int member, final long epoch, final long lsn) {
+            this.invoked = invoked;
+            this.member = member;
+            this.epoch = epoch;
+            this.lsn = lsn;
+        }
+    }
+
+    private final TreeMap<Long, Append> appends = new TreeMap<>();
+    private final List<Operation> reads = new ArrayList<>();
+    private long position;
+    private boolean confirmed;
+    private boolean stopped;
+
+    static boolean full(final int appended) {
+        return appended >= MOST_APPENDS;
+    }
+
+    /** Nothing more is recorded: the log is about to lose its first values. */
+    void stop() {
+        appends.clear();
+        reads.clear();
+        stopped = true;
+    }
+
+    void invoked(final long value, final ModelMember m, final long lsn) {
+        if (stopped) {
+            return;
+        }
+        appends.put(value, new Append(++position, m.id, m.group.epoch(), lsn));
+    }
+
+    /** The master that took an append confirms it once it is accepted there in the same epoch. */
+    void accepted(final ModelMember m) {
+        final GroupMachine g = m.group;
+        if (g.role() != GroupMachine.MASTER) {
+            return;
+        }
+        position++;
+        for (final Append append : appends.values()) {
+            if (append.returned == Operation.UNCLEAR
+                    && append.member == m.id
+                    && append.epoch == g.epoch()
+                    && append.lsn <= g.accepted()) {
+                append.returned = position;
+                confirmed = true;
+            }
+        }
+    }
+
+    void read(final ModelMember m) {
+        // Why: a trimmed log no longer tells its first values.
+        if (stopped || m.group.baseLsn() > 0) {
+            return;
+        }
+        final List<Long> seen =
+                Arrays.stream(Invariants.values(m.group)).boxed().toList();
+        final boolean same =
+                !confirmed && !reads.isEmpty() && reads.get(reads.size() - 1).read().equals(seen);
+        if (!same && reads.size() < MOST_READS) {
+            position++;
+            confirmed = false;
+            reads.add(new Operation(position, position, 0, seen));
+        }
+    }
+
+    List<Operation> operations() {
+        final List<Operation> operations = new ArrayList<>(reads);
+        appends.forEach((value, a) -> operations.add(new Operation(a.invoked, a.returned, value, List.of())));
+        return operations;
+    }
+}
--- /dev/null
+++ b/trial/src/main/java/brookpath/trial/model/ModelMember.java
@@ -0,0 +1,134 @@
+package brookpath.trial.model;
+
+import brookpath.coordination.Tempo;
+import brookpath.coordination.action.Actions;
+import brookpath.coordination.beat.BeatMachine;
+import brookpath.coordination.beat.Pledges;
+import brookpath.coordination.group.GroupMachine;
+import brookpath.coordination.group.Membership;
+import brookpath.state.record.Pack;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
+
+/** One member: the production state machines, and a disk as a list of entries with a synced prefix. */
+final class ModelMember {
+    static final int GROUP = 0;
+    static final int TOLERATED_LOSSES = 1;
+
+    final int id;
+    private final long keepMs;
+    private final Set<Integer> others = new TreeSet<>();
+
+    final List<byte[]> entries = new ArrayList<>();
+    int syncedEntries;
+    private int entriesAtStart;
+
+    boolean alive;
+    boolean frozen;
+    boolean diskStalled;
+    boolean held;
+    boolean cutInbound;
+    boolean cutOutbound;
+    long skew;
+    int configuredVersion;
+
+    /** What the checks remember of this member. */
+    int lastRole;
+
+    long lastAccepted;
+    int wipes;
+    /** A wiped member may vote only once its durable log reaches this position; 0 where it was not wiped. */
+    long rebuildTo;
+
+    GroupMachine group;
+    BeatMachine beats;
+    Actions out;
+    Actions beatOut;
+
+    ModelMember(final int id, final int members, final long keepMs) {
+        this.id = id;
+        this.keepMs = keepMs;
+        for (int node = 1; node <= members; node++) {
+            if (node != id) {
+                others.add(node);
+            }
+        }
+    }
+
+    void start(final Membership placed, final boolean first, final long now) {
+        alive = true;
+        lastRole = GroupMachine.SLAVE;
+        entriesAtStart = entries.size();
+        out = new Actions();
+        beatOut = new Actions();
+        final Pledges pledges = new Pledges(Tempo.DEFAULT.down());
+        beats = new BeatMachine(Tempo.DEFAULT, Tempo.DEFAULT.beat(), pledges);
+        beats.siblings(others);
+        group = machine(pledges, out);
+        replay(group, entries.size(), now);
+        group.bornAt(now);
+        if (first) {
+            group.found();
+        }
+        configure(placed, now);
+        lastAccepted = group.accepted();
+    }
+
+    void configure(final Membership placed, final long now) {
+        configuredVersion = placed.version();
+        group.configure(placed, true, now);
+    }
+
+    /** What a restart right now would find on the synced part of the disk. */
+    GroupMachine durable() {
+        final GroupMachine machine = machine(new Pledges(Tempo.DEFAULT.down()), new Actions());
+        replay(machine, syncedEntries, 0);
+        return machine;
+    }
+
+    private GroupMachine machine(final Pledges pledges, final Actions actions) {
+        return new GroupMachine(
+                GROUP, id, Tempo.DEFAULT, TOLERATED_LOSSES, 1, () -> new DigestState(keepMs), pledges, actions);
+    }
+
+    private void replay(final GroupMachine machine, final int count, final long now) {
+        for (final byte[] entry : entries.subList(0, count)) {
+            final Pack in = Pack.reader(entry);
+            in.num();
+            machine.replay(in, now);
+        }
+    }
+
+    boolean hasUnsynced() {
+        return syncedEntries < entries.size();
+    }
+
+    /** Syncs up to this many entries; the number that the machine knows the last one by. */
+    long sync(final int upTo) {
+        syncedEntries = upTo;
+        return (long) upTo - entriesAtStart;
+    }
+
+    void crash(final int kept) {
+        alive = false;
+        frozen = false;
+        final int end = kept == Choice.KEEP_ALL
+                ? entries.size()
+                : Math.min(entries.size(), syncedEntries + (kept == Choice.KEEP_FIRST ? 1 : 0));
+        entries.subList(end, entries.size()).clear();
+        syncedEntries = end;
+    }
+
+    void wipe() {
+        crash(Choice.KEEP_NOTHING);
+        entries.clear();
+        syncedEntries = 0;
+        wipes++;
+    }
+
+    boolean runs() {
+        return alive && !frozen;
+    }
+}
--- /dev/null
+++ b/trial/src/main/java/brookpath/trial/model/ModelWorld.java
@@ -0,0 +1,267 @@
+package brookpath.trial.model;
+
+import brookpath.coordination.Tempo;
+import brookpath.coordination.action.Action;
+import brookpath.coordination.group.GroupMachine;
+import brookpath.coordination.group.Member;
+import brookpath.coordination.group.Membership;
+import brookpath.coordination.message.Msg;
+import brookpath.state.record.Rec;
+import java.util.ArrayList;
+import java.util.List;
+
+/** All members of one group, the messages in flight and the time. Does what a choice says, and nothing by itself. */
+final class ModelWorld {
+    /** A message that was sent and is neither delivered nor lost. */
+    record InFlight(int from, int to, Msg msg) {
+        boolean isBeat() {
+            return msg instanceof Msg.Beat;
+        }
+    }
+
+    static final int WEIGHT = 50;
+    private static final long START = 1_000;
+    private static final int MOST_IN_FLIGHT = 400;
+    private static final int SKEW_STEP = 25;
+
+    final List<ModelMember> members = new ArrayList<>();
+    final List<InFlight> flying = new ArrayList<>();
+    final Invariants invariants = new Invariants(this);
+    long now = START;
+    Membership placed;
+    int appended;
+    int changes;
+
+    ModelWorld(final int voters, final int spares, final long keepMs) {
+        final List<Member> first = new ArrayList<>();
+        for (int id = 1; id <= voters + spares; id++) {
+            members.add(new ModelMember(id, voters + spares, keepMs));
+            if (id <= voters) {
+                first.add(groupMember(id));
+            }
+        }
+        placed = new Membership(1, first, List.of());
+        for (final ModelMember m : members) {
+            m.start(placed, m.id <= voters, now);
+            obey(m);
+        }
+    }
+
+    static Member groupMember(final int id) {
+        return new Member(id, WEIGHT, "");
+    }
+
+    ModelMember member(final int id) {
+        return members.get(id - 1);
+    }
+
+    long clock(final ModelMember m) {
+        return now + m.skew;
+    }
+
+    ModelMember acting() {
+        for (final ModelMember m : members) {
+            if (m.runs() && m.group.mayAct(clock(m))) {
+                return m;
+            }
+        }
+        return null;
+    }
+
+    void apply(final Choice choice) {
+        final ModelMember m = choice.member() >= 1 && choice.member() <= members.size() ? member(choice.member()) : null;
+        switch (choice.kind()) {
+            case RUN -> run(choice.detail());
+            case DELIVER -> deliver(flying.remove(choice.member()));
+            case DUPLICATE -> flying.add(flying.get(choice.member()));
+            case DROP -> flying.remove(choice.member());
+            case SYNC -> sync(m, choice.detail() == Choice.KEEP_FIRST ? m.syncedEntries + 1 : m.entries.size());
+            case APPEND -> append(m);
+            case ADD_LEARNER, PROMOTE, REMOVE -> change(m, choice);
+            case HAND_OVER -> event(m, () -> m.group.handOver(choice.detail(), clock(m)));
+            default -> disturb(m, choice);
+        }
+        invariants.afterChoice();
+    }
+
+    private void disturb(final ModelMember m, final Choice choice) {
+        switch (choice.kind()) {
+            case STALL_DISK -> m.diskStalled = true;
+            case RESUME_DISK -> m.diskStalled = false;
+            case CRASH -> crash(m, choice.detail());
+            case RESTART -> restart(m);
+            case WIPE -> wipe(m);
+            case CUT -> cut(m, true, true);
+            case CUT_INBOUND -> cut(m, true, false);
+            case CUT_OUTBOUND -> cut(m, false, true);
+            case HEAL -> cut(m, false, false);
+            case FREEZE -> m.frozen = true;
+            case THAW -> m.frozen = false;
+            case HOLD -> m.held = true;
+            case RELEASE -> m.held = false;
+            case SKEW -> m.skew += SKEW_STEP;
+            default -> throw new IllegalArgumentException(choice.toString());
+        }
+    }
+
+    private static void cut(final ModelMember m, final boolean inbound, final boolean outbound) {
+        m.cutInbound = inbound;
+        m.cutOutbound = outbound;
+    }
+
+    private void crash(final ModelMember m, final int kept) {
+        m.crash(kept);
+        // Why: a process that dies takes its connections along; what it had sent before may still arrive.
+        flying.removeIf(f -> f.to == m.id);
+    }
+
+    private void restart(final ModelMember m) {
+        m.start(placed, false, clock(m));
+        obey(m);
+        invariants.afterEvent(m);
+    }
+
+    private void wipe(final ModelMember m) {
+        invariants.beforeWipe(m);
+        crash(m, Choice.KEEP_NOTHING);
+        m.wipe();
+    }
+
+    private void append(final ModelMember m) {
+        event(m, () -> {
+            final String text = "r" + ++appended;
+            final byte[] body = Rec.publishBody(appended, 0, "t", "s/t", "sender", text);
+            invariants.history.invoked(appended, m, m.group.append(Rec.PUBLISH, body, clock(m), now));
+        });
+    }
+
+    private void change(final ModelMember m, final Choice choice) {
+        changes++;
+        final Membership next = MembershipSteps.next(m.group.membership(), choice);
+        if (choice.kind() == Choice.Kind.PROMOTE) {
+            invariants.beforePromotion(m, member(choice.detail()));
+        }
+        event(m, () -> m.group.change(next, clock(m), now));
+    }
+
+    void run(final int milliseconds) {
+        final long end = now + milliseconds;
+        settle();
+        while (now < end) {
+            now = Math.min(end, now + Tempo.DEFAULT.tick());
+            invariants.afterTime();
+            for (final ModelMember m : members) {
+                if (m.runs()) {
+                    tick(m);
+                }
+            }
+            settle();
+        }
+    }
+
+    private void tick(final ModelMember m) {
+        place(m);
+        event(m, () -> {
+            m.beats.tick(clock(m), m.beatOut);
+            m.group.tick(clock(m), m.beats.table());
+        });
+    }
+
+    /** The roster follows the newest accepted membership, and each member is told of the roster. */
+    private void place(final ModelMember m) {
+        final GroupMachine g = m.group;
+        if (g.mayAct(clock(m))
+                && g.tellsMembers()
+                && g.membershipSettled()
+                && g.membership().version() > placed.version()) {
+            placed = g.membership();
+        }
+        if (placed.version() > m.configuredVersion) {
+            m.configure(placed, clock(m));
+        }
+    }
+
+    /** Delivers and syncs until nothing moves any more. */
+    private void settle() {
+        boolean moved = true;
+        for (int round = 0; moved && round < MOST_IN_FLIGHT; round++) {
+            moved = false;
+            final List<InFlight> batch = new ArrayList<>(flying);
+            flying.clear();
+            for (final InFlight f : batch) {
+                if (waits(f)) {
+                    flying.add(f);
+                } else {
+                    deliver(f);
+                    moved = true;
+                }
+            }
+            for (final ModelMember m : members) {
+                if (m.runs() && !m.diskStalled && m.hasUnsynced()) {
+                    sync(m, m.entries.size());
+                    moved = true;
+                }
+            }
+        }
+    }
+
+    private boolean waits(final InFlight f) {
+        final ModelMember to = member(f.to);
+        return to.alive && (to.frozen || (to.held && !f.isBeat()));
+    }
+
+    private void deliver(final InFlight f) {
+        final ModelMember to = member(f.to);
+        if (!to.runs() || to.cutInbound || member(f.from).cutOutbound) {
+            return;
+        }
+        event(to, () -> {
+            if (f.msg instanceof Msg.Beat beat) {
+                to.beats.onBeat(f.from, beat, clock(to), to.beatOut);
+                to.group.tick(clock(to), to.beats.table());
+            } else {
+                to.group.on(f.from, f.msg, clock(to));
+            }
+        });
+    }
+
+    private void sync(final ModelMember m, final int upTo) {
+        final long number = m.sync(upTo);
+        event(m, () -> m.group.synced(number, clock(m)));
+    }
+
+    private void event(final ModelMember m, final Runnable event) {
+        m.beats.own(List.of(m.group.entry(clock(m))));
+        event.run();
+        obey(m);
+        invariants.afterEvent(m);
+    }
+
+    private void obey(final ModelMember m) {
+        boolean beatNow = false;
+        final List<Action> actions = new ArrayList<>(m.out.drain());
+        actions.addAll(m.beatOut.drain());
+        for (final Action action : actions) {
+            if (action instanceof Action.Send send) {
+                invariants.onSend(m, send.node(), send.msg());
+                send(m, send);
+            } else if (action instanceof Action.Write write) {
+                m.entries.add(write.entry());
+            } else if (action instanceof Action.Note note && note.grave()) {
+                throw new Violation(note.text());
+            }
+            beatNow |= action instanceof Action.BeatNow;
+        }
+        if (beatNow) {
+            m.beats.own(List.of(m.group.entry(clock(m))));
+            m.beats.beatNow(clock(m), m.beatOut);
+            obey(m);
+        }
+    }
+
+    private void send(final ModelMember m, final Action.Send send) {
+        if (!m.cutOutbound && member(send.node()).alive && flying.size() < MOST_IN_FLIGHT) {
+            flying.add(new InFlight(m.id, send.node(), send.msg()));
+        }
+    }
+}
--- /dev/null
+++ b/trial/src/main/java/brookpath/trial/model/Operation.java
@@ -0,0 +1,21 @@
+package brookpath.trial.model;
+
+/**
+ * An operation on the shared log, as its caller saw it.
+ *
+ * @param invoked when it began, as a position in the history
+ * @param returned when it was confirmed; {@link #UNCLEAR} where it may or may not have taken effect
+ * @param value what an append wrote; 0 for a read
+ * @param read what a read saw; empty for an append
+ */
+record Operation(long invoked, long returned, long value, java.util.List<Long> read) {
+    static final long UNCLEAR = Long.MAX_VALUE;
+
+    boolean isAppend() {
+        return value != 0;
+    }
+
+    boolean isUnclear() {
+        return returned == UNCLEAR;
+    }
+}
