A membership is accepted by a majority of the new one, not by its floor

Cause: with three voters and a promoted fourth the floor is two copies, so the promotion and what follows were accepted by the master and the newcomer alone; two of the three voters before, who had not seen it, elected another master. Found by the model (promotion, the master cut off, eight choices): master 2 of epoch 2 lacks accepted record 6. Change: until the newest membership is accepted a record needs a majority of its voters, at least the floor. Ruled out: the floor of the larger one (5 to 4: 2 + 3 is not more than 5); joint majorities (not needed one step at a time).

--- a/coordination/src/main/java/brookpath/coordination/group/GroupMachine.java
+++ b/coordination/src/main/java/brookpath/coordination/group/GroupMachine.java
@@ -1139,7 +1139,7 @@
             }
         }
         Arrays.sort(synced);
-        final long lsn = synced[synced.length - floor()];
+        final long lsn = synced[synced.length - copiesNeeded()];
         if (lsn > accepted && lsn >= openLsn && epochAt(lsn) == epoch) {
             if (accepted < openLsn) {
                 // why: whoever only watches is told at once that it may be read from, and not with its own next beat
@@ -1150,6 +1150,14 @@
         }
     }
 
+    /**
+     * The floor holds against majorities of the same membership. Until a new one is accepted, a majority of the one
+     * before may still elect, and only a majority of the new one meets each of those.
+     */
+    private int copiesNeeded() {
+        return membershipSettled() ? floor() : Math.max(floor(), majority(members.size()));
+    }
+
     private void trim(final long now) {
         if (now < nextTrim) {
             return;
--- a/trial/src/main/java/brookpath/trial/model/StartState.java
+++ b/trial/src/main/java/brookpath/trial/model/StartState.java
@@ -105,8 +105,10 @@
         lead(world);
         final int spare = world.members.size();
         world.apply(new Choice(Kind.ADD_LEARNER, master(world).id, spare));
-        await(world, w -> w.placed.holds(spare)
-                && master(w).group.learnt(spare) >= master(w).group.accepted());
+        await(
+                world,
+                w -> w.placed.holds(spare)
+                        && master(w).group.learnt(spare) >= master(w).group.accepted());
         append(world);
         tick(world);
     }
