Members with different views of the membership follow one master and vote

Cause: four ways in which one lost member left the group without a master, or a member behind for ever, found by the model: a removal that was never accepted hid the later master that it would have removed; a membership of an earlier epoch made its holder refuse replies of a master with an older group version; a voter by the candidate's log that took itself for a learner, or did not know the candidate, did not vote; the record that removes a member was sent to it through a held pull. Besides: a member that rebuilds was told how far only when something was appended, and counted again before that was synced. Change: any node that says it masters the group in this epoch or a later one is heard; a vote is judged by epoch and log alone; the group version fences only where the newer membership is accepted or of the same epoch; held pulls of who is no member are forgotten; a rebuilding member asks with an unknown accepted position; it counts once the write is synced. Ruled out: answering each pull of a rebuilding member from the master's side (a busy loop while the disk stalls).

--- a/coordination/src/main/java/brookpath/coordination/group/GroupMachine.java
+++ b/coordination/src/main/java/brookpath/coordination/group/GroupMachine.java
@@ -125,6 +125,9 @@
     private boolean pulling;
     private boolean wantFull;
     private long joinTarget = -1;
+    /** The write that says that this copy is rebuilt, until it is synced; 0 for none. */
+    private long rebuiltWrite;
+
     private boolean inSync;
     private long behindSince = Long.MAX_VALUE;
 
@@ -341,7 +344,7 @@
         final List<byte[]> entries = new ArrayList<>();
         entries.add(entryOf(W_VOTE).num(epoch).num(votedFor).done());
         if (initialised) {
-            entries.add(entryOf(W_INIT).num(lost ? 1 : 0).done());
+            entries.add(entryOf(W_INIT).num(lost && rebuiltWrite == 0 ? 1 : 0).done());
         }
         entries.add(entryOf(W_IMAGE).bytes(image()).done());
         return entries;
@@ -396,6 +399,9 @@
         }
         members = membership.voters();
         groupVersion = membership.version();
+        // why: the record that removes a member must not end at that member, which could then neither stand nor help
+        // another with an older log
+        held.keySet().removeIf(node -> !membership.holds(node));
     }
 
     /** One step of a membership change, as a record; the caller has asked mayAct and membershipSettled. */
@@ -508,12 +514,16 @@
             damaged = false;
             why = "copy mended up to " + syncedLsn;
         }
-        if (lost() && joinTarget >= 0 && syncedLsn >= joinTarget && unsynced.isEmpty()) {
+        if (lost() && joinTarget >= 0 && syncedLsn >= joinTarget && unsynced.isEmpty() && rebuiltWrite == 0) {
+            rebuiltWrite = out.write(entryOf(W_INIT).num(0).done());
+        }
+        // why: whoever is told that this copy counts must find it counting after a crash, too
+        if (rebuiltWrite > 0 && number >= rebuiltWrite) {
+            rebuiltWrite = 0;
             lost = false;
             damaged = false;
             joinTarget = -1;
             why = "copy rebuilt up to " + syncedLsn;
-            out.write(entryOf(W_INIT).num(0).done());
         }
         if (role == MASTER) {
             advance(now);
@@ -523,10 +533,7 @@
     }
 
     public void on(final int from, final Msg msg, final long now) {
-        if (weight(from) < 0 && !(msg instanceof Pull && Membership.find(membership.learners(), from) != null)) {
-            return;
-        }
-        if (weight(self) < 0 && !(msg instanceof PullReply)) {
+        if (!concerns(from, msg)) {
             return;
         }
         if (msg instanceof Msg.StandNow m) {
@@ -544,6 +551,21 @@
         }
     }
 
+    /**
+     * Whose message counts. The membership here may be older or newer than the sender's: whoever asks for a vote is
+     * judged by its epoch and log alone, and counts the answer by its own membership; a master is obeyed by its epoch.
+     */
+    private boolean concerns(final int from, final Msg msg) {
+        if (msg instanceof PullReply) {
+            return true;
+        }
+        if (msg instanceof VoteAsk) {
+            return membership.holds(self);
+        }
+        return weight(self) >= 0
+                && (weight(from) >= 0 || (msg instanceof Pull && Membership.find(membership.learners(), from) != null));
+    }
+
     /** Appends a record as the master; the caller has asked {@link #mayAct}. */
     public long append(final int kind, final byte[] body, final long now, final long wall) {
         final long last = recs.isEmpty() ? 0 : recs.get(recs.size() - 1).stamp();
@@ -753,11 +775,12 @@
     private int liveMaster(final long now) {
         int master = 0;
         long best = epoch;
-        for (final Member m : members) {
-            final BeatEntry e = m.node() == self ? null : table.fresh(m.node(), id, now);
+        // why: a membership here that was never accepted may leave out whoever masters the group by now
+        for (final BeatTable.Row row : table.rows()) {
+            final BeatEntry e = row.node() == self ? null : table.fresh(row.node(), id, now);
             if (e != null && e.role() == MASTER && e.epoch() >= best) {
                 best = e.epoch();
-                master = m.node();
+                master = row.node();
             }
         }
         return master;
@@ -854,7 +877,7 @@
                         epochAt(endLsn()),
                         syncedLsn,
                         epochAt(syncedLsn),
-                        accepted,
+                        lost() && joinTarget < 0 ? Pull.UNKNOWN : accepted,
                         lost(),
                         chainAt(syncedLsn)));
     }
@@ -962,7 +985,9 @@
             part.add(rec(lsn));
             bytes += rec(lsn).bytes().length;
         }
-        if (part.isEmpty() && m.accepted() >= accepted && m.epoch() == epoch) {
+        // why: a member that rebuilds its copy has to hear from an acting master how far, also where nothing follows
+        final boolean news = m.accepted() == Pull.UNKNOWN ? lead == PullReply.ACTING_MASTER : m.accepted() < accepted;
+        if (part.isEmpty() && !news && m.epoch() == epoch) {
             return false;
         }
         out.send(
@@ -998,12 +1023,17 @@
         held.entrySet().removeIf(h -> reply(h.getKey(), h.getValue(), now));
     }
 
+    /**
+     * Whether the reply is older than a membership that its sender must know: one that is accepted, or that was made in
+     * this epoch. A record of an earlier master that was never accepted says nothing of this one.
+     */
+    private boolean olderGroup(final PullReply m) {
+        return m.groupVersion() < groupVersion && (membershipSettled() || epochAt(membershipLsn) == m.epoch());
+    }
+
     private void onPullReply(final int from, final PullReply m, final long now) {
         // why: the fence: whoever acts for an older epoch or an older group is not obeyed, however late it wakes
-        if (m.epoch() < epoch
-                || (m.epoch() == epoch && m.groupVersion() < groupVersion)
-                || role == MASTER
-                || from != pullSource) {
+        if (m.epoch() < epoch || (m.epoch() == epoch && olderGroup(m)) || role == MASTER || from != pullSource) {
             return;
         }
         if (m.epoch() > epoch) {
--- a/coordination/src/main/java/brookpath/coordination/message/Msg.java
+++ b/coordination/src/main/java/brookpath/coordination/message/Msg.java
@@ -63,6 +63,9 @@
     /**
      * A slave asks its source for the log; what it has synced is its copy's acknowledgement, and the chain tells
      * whether it is the same log.
+     *
+     * @param accepted how far the sender knows the log to be accepted; {@link #UNKNOWN} where it rebuilds its copy and
+     *     has to hear it from an acting master
      */
     record Pull(
             int group,
@@ -75,7 +78,9 @@
             long accepted,
             boolean lost,
             long chain)
-            implements Msg {}
+            implements Msg {
+        public static final long UNKNOWN = -1;
+    }
 
     /**
      * The asked LSN and epoch are the end of the log that the pull told of; only to that log do a cut and a full sync
