--- a/trial/src/main/java/brookpath/trial/mutate/Mutants.java
+++ b/trial/src/main/java/brookpath/trial/mutate/Mutants.java
@@ -20,41 +20,30 @@
 
 /**
  * Breaks the production code on purpose, one rule at a time, and looks whether a check goes red: first the staged
- * scenes, then a sweep. {@code bin/mutants [SEEDS [NAME-PART]]}. Outside CI. Exits 1 where a mutant lived.
+ * scenes, then a sweep. {@code bin/mutants [SEEDS [NAME-PART]]}; {@code bin/mutants model [NAME-PART]} takes the rules
+ * of one replication group, with the model as the check. Outside CI. Exits 1 where a mutant lived.
  */
 public final class Mutants {
     private record Mutant(String name, String file, String find, String replace, String faults) {}
 
+    private static final String MODEL = "model";
+    private static final int MOST_SHOWN = 110;
+
     private Mutants() {}
 
     public static void main(final String[] args) throws Exception {
         final String seeds = args.length > 0 ? args[0] : "24";
-        final List<Mutant> mutants = new ArrayList<>();
-        try (InputStream in = Mutants.class.getResourceAsStream("/brookpath/trial/mutants.txt")) {
-            for (final String line : new String(in.readAllBytes(), UTF_8).split("\n")) {
-                if (!line.startsWith("#") && !line.isBlank() && (args.length < 2 || line.contains(args[1]))) {
-                    final String[] p = line.replace("\\|", "\u0001").split(" \\| ");
-                    mutants.add(new Mutant(p[0].trim(), p[1].trim(), text(p[2]), text(p[3]), p[4].trim()));
-                }
-            }
-        }
+        final boolean model = seeds.equals(MODEL);
+        final List<Mutant> mutants = read(model ? "model-mutants.txt" : "mutants.txt", args.length < 2 ? "" : args[1]);
         // why: a check that is red without a mutant says nothing of mutants
-        final String whole = run(
-                Files.createTempDirectory("whole"),
-                System.getProperty("java.class.path"),
-                "AssertionError",
-                "org.testng.TestNG",
-                "-usedefaultlisteners",
-                "false",
-                "-verbose",
-                "2",
-                "-testclass",
-                "brookpath.trial.sim.ScenesTest");
+        final Path work = Files.createTempDirectory("whole");
+        final String classPath = System.getProperty("java.class.path");
+        final String whole = model ? byModel(work, classPath) : byScenes(work, classPath);
         if (whole != null) {
-            System.err.println("mutants: the scenes are red without any mutant: " + whole);
+            System.err.println("mutants: the check is red without any mutant: " + whole);
             System.exit(1);
         }
-        final ExecutorService pool = Executors.newFixedThreadPool(4);
+        final ExecutorService pool = Executors.newFixedThreadPool(model ? 1 : 4);
         final List<Future<String>> results = new ArrayList<>();
         for (final Mutant m : mutants) {
             results.add(pool.submit(() -> row(m, seeds)));
@@ -70,6 +59,39 @@
         System.exit(lived == 0 ? 0 : 1);
     }
 
+    private static List<Mutant> read(final String file, final String part) throws IOException {
+        final List<Mutant> mutants = new ArrayList<>();
+        try (InputStream in = Mutants.class.getResourceAsStream("/brookpath/trial/" + file)) {
+            for (final String line : new String(in.readAllBytes(), UTF_8).split("\n")) {
+                if (!line.startsWith("#") && !line.isBlank() && line.contains(part)) {
+                    final String[] p = line.replace("\\|", "\u0001").split(" \\| ");
+                    mutants.add(new Mutant(p[0].trim(), p[1].trim(), text(p[2]), text(p[3]), p[4].trim()));
+                }
+            }
+        }
+        return mutants;
+    }
+
+    private static String byScenes(final Path work, final String classPath) throws IOException, InterruptedException {
+        return run(
+                work,
+                classPath,
+                "AssertionError",
+                "org.testng.TestNG",
+                "-usedefaultlisteners",
+                "false",
+                "-verbose",
+                "2",
+                "-d",
+                work.resolve("testng").toString(),
+                "-testclass",
+                "brookpath.trial.sim.ScenesTest");
+    }
+
+    private static String byModel(final Path work, final String classPath) throws IOException, InterruptedException {
+        return run(work, classPath, "^VIOLATION.*", "brookpath.trial.model.ModelMain", "150", "1", "4000");
+    }
+
     private static String text(final String s) {
         return s.trim().replace("\u0001", "|").replace("\\n", "\n");
     }
@@ -102,19 +124,11 @@
             throw new IllegalStateException(m.name + ": does not compile");
         }
         final String mutatedCp = out + File.pathSeparator + cp;
-        String seen = run(
-                work,
-                mutatedCp,
-                "AssertionError",
-                "org.testng.TestNG",
-                "-usedefaultlisteners",
-                "false",
-                "-verbose",
-                "2",
-                "-d",
-                work.resolve("testng").toString(),
-                "-testclass",
-                "brookpath.trial.sim.ScenesTest");
+        if (seeds.equals(MODEL)) {
+            final String broken = byModel(work, mutatedCp);
+            return "| " + m.name + (broken == null ? " | NOT SEEN | |" : " | model | " + broken + " |");
+        }
+        String seen = byScenes(work, mutatedCp);
         if (seen != null) {
             return "| " + m.name + " | scene | " + seen + " |";
         }
@@ -155,7 +169,7 @@
         for (final String line : Files.readString(out.toPath()).split("\n")) {
             if (mark.startsWith("^") ? line.matches(mark) : line.contains(mark) || line.contains("Exception")) {
                 final String text = line.strip().replace('|', '/').replace("java.lang.AssertionError: ", "");
-                return text.substring(0, Math.min(110, text.length()));
+                return text.substring(0, Math.min(MOST_SHOWN, text.length()));
             }
         }
         return "a scene failed";
