A record is accepted by a majority, also where the number of voters is even

Cause: the floor n - M + 1 of four voters is two. A removal that was in one log and never accepted let two of the other three elect its holder, while the two that had accepted a record of a later epoch were not asked. Found by the model (walk from four voters and a learner, 45 choices): master 2 of epoch 4 lacks accepted record 7. Change: the floor is max(tolerated losses + 1, majority); for odd numbers it is what it was. A master that is no voter any more steps down, and a restarted member is bound by no mastership older than its last vote (a group without a master for ever: removed and added again as a learner while frozen). Ruled out: the floor of the newest membership in the log alone: the holder of the other one is the one that is not heard.

--- a/coordination/src/main/java/brookpath/coordination/group/Copies.java
+++ b/coordination/src/main/java/brookpath/coordination/group/Copies.java
@@ -8,9 +8,13 @@
         return members / 2 + 1;
     }
 
-    /** With this many copies synced, each majority that may elect a master holds the record. */
+    /**
+     * With this many copies synced, each majority that may elect a master holds the record: a majority of these members
+     * or of a membership that is one voter away, which may be in a log without being accepted. For an even number,
+     * members - majority + 1 would meet each majority of these members, but not of one voter fewer or more.
+     */
     public static int floor(final int members, final int toleratedLosses) {
-        return Math.min(members, Math.max(toleratedLosses + 1, members - majority(members) + 1));
+        return Math.min(members, Math.max(toleratedLosses + 1, majority(members)));
     }
 
     /** ReplSize as the source has it: -1 all active members, 0 all members, else that many; never under the floor. */
--- a/coordination/src/main/java/brookpath/coordination/group/GroupMachine.java
+++ b/coordination/src/main/java/brookpath/coordination/group/GroupMachine.java
@@ -372,6 +372,8 @@
     public void configure(final Membership placed, final boolean isFounded, final long now) {
         founding = placed;
         useMembership();
+        // why: whoever has voted in an epoch is bound by no master of an earlier one, also after a restart
+        pledges.raise(id, epoch, self, true, now);
         founded = isFounded;
         if (startedAt == Long.MIN_VALUE) {
             startedAt = now;
@@ -442,6 +444,9 @@
 
     public void tick(final long now, final BeatTable newTable) {
         table = newTable;
+        if (role != SLAVE && weight(self) < 0) {
+            stepDown("no voter any more");
+        }
         if (membership.holds(self) && weight(self) < 0) {
             masterHeard = liveMaster(now);
             pull(now);
@@ -1169,7 +1174,7 @@
             }
         }
         Arrays.sort(synced);
-        final long lsn = synced[synced.length - copiesNeeded()];
+        final long lsn = synced[synced.length - floor()];
         if (lsn > accepted && lsn >= openLsn && epochAt(lsn) == epoch) {
             if (accepted < openLsn) {
                 // why: whoever only watches is told at once that it may be read from, and not with its own next beat
@@ -1180,14 +1185,6 @@
         }
     }
 
-    /**
-     * The floor holds against majorities of the same membership. Until a new one is accepted, a majority of the one
-     * before may still elect, and only a majority of the new one meets each of those.
-     */
-    private int copiesNeeded() {
-        return membershipSettled() ? floor() : Math.max(floor(), majority(members.size()));
-    }
-
     private void trim(final long now) {
         if (now < nextTrim) {
             return;
--- a/trial/src/main/java/brookpath/trial/model/Choice.java
+++ b/trial/src/main/java/brookpath/trial/model/Choice.java
@@ -14,7 +14,12 @@
     enum Kind {
         /** All members run for some milliseconds; what is neither cut, held, stalled nor frozen goes its way. */
         RUN,
+        /** Time passes, but only this member sees it; what it sends stays in flight. */
+        TICK,
         DELIVER,
+        /** The message stays in flight until it is delivered by choice. */
+        DELAY,
+        /** A second copy of the message, which comes late. */
         DUPLICATE,
         DROP,
         SYNC,
--- a/trial/src/main/java/brookpath/trial/model/Explorer.java
+++ b/trial/src/main/java/brookpath/trial/model/Explorer.java
@@ -25,9 +25,13 @@
 
     /** Visits everything up to the depth; the first broken schedule, or null. */
     Finding explore(final int depth) {
-        final ModelWorld world = start.create();
-        seen.put(StateHash.of(world), depth);
-        expand(world, depth);
+        try {
+            final ModelWorld world = start.create();
+            seen.put(StateHash.of(world), depth);
+            expand(world, depth);
+        } catch (final Violation | IllegalStateException | IndexOutOfBoundsException broken) {
+            finding = new Finding(start, List.of(), String.valueOf(broken.getMessage()));
+        }
         return finding;
     }
 
--- a/trial/src/main/java/brookpath/trial/model/GuidedWalk.java
+++ b/trial/src/main/java/brookpath/trial/model/GuidedWalk.java
@@ -73,10 +73,12 @@
         return switch (choice.kind()) {
             case RUN -> 2 * COMMON;
             case DELIVER, SYNC -> USUAL;
+            case DELAY, TICK -> SELDOM;
             case APPEND, PROMOTE, ADD_LEARNER -> COMMON;
             case REMOVE -> USUAL;
             case RESTART, THAW, HEAL, RELEASE, RESUME_DISK -> USUAL;
-            case DROP, DUPLICATE, SKEW, HAND_OVER, WIPE, CUT_INBOUND, CUT_OUTBOUND -> SELDOM;
+            case DUPLICATE -> 2 * SELDOM;
+            case DROP, SKEW, HAND_OVER, WIPE, CUT_INBOUND, CUT_OUTBOUND -> SELDOM;
             case CRASH, CUT, FREEZE, HOLD, STALL_DISK -> hurts(choice) ? SELDOM * AFTERMATH : SELDOM;
         };
     }
--- a/trial/src/main/java/brookpath/trial/model/Schedule.java
+++ b/trial/src/main/java/brookpath/trial/model/Schedule.java
@@ -74,6 +74,7 @@
                 world.apply(Choice.of(Choice.Kind.RESTART, m.id));
             }
         }
+        world.flying.removeIf(ModelWorld.InFlight::late);
         for (int second = 0; second < MOST_REST && world.invariants.discord() != null; second++) {
             world.apply(Choice.run(REST));
         }
