--- a/coordination/src/main/java/brookpath/coordination/group/Copies.java
+++ b/coordination/src/main/java/brookpath/coordination/group/Copies.java
@@ -13,6 +13,11 @@
         return Math.min(members, Math.max(toleratedLosses + 1, members - majority(members) + 1));
     }
 
+    /** With this many copies at least one is in each majority. */
+    public static int overlap(final int members) {
+        return members - majority(members) + 1;
+    }
+
     /** ReplSize as the source has it: -1 all active members, 0 all members, else that many; never under the floor. */
     public static int resolve(final int replSize, final int members, final int active, final int floor) {
         return Math.max(floor, replSize == -1 ? active : replSize == 0 ? members : replSize);
--- a/coordination/src/main/java/brookpath/coordination/group/GroupMachine.java
+++ b/coordination/src/main/java/brookpath/coordination/group/GroupMachine.java
@@ -19,7 +19,6 @@
 import brookpath.state.record.Rec;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
@@ -67,6 +66,9 @@
 
     private Membership baseMembership;
     private Membership membership = Membership.NONE;
+    /** The voters before the newest membership: until that is accepted, they too must hold what is accepted. */
+    private List<Member> formerVoters = List.of();
+
     private long membershipLsn;
     private List<Member> members = List.of();
     private int groupVersion;
@@ -198,7 +200,7 @@
 
     /** Whether the log itself tells who the members are, rather than whoever founded the group. */
     public boolean tellsMembers() {
-        return membershipLsn > 0 || baseMembership != null;
+        return baseMembership != null || recs.stream().anyMatch(rec -> rec.kind() == Rec.MEMBERS);
     }
 
     /** Whether the newest membership is accepted, so that a next step may follow. */
@@ -383,27 +385,77 @@
 
     // ---- events
 
-    /** Takes the newest membership that the log, or else the placement, tells. */
+    /** Takes the newest membership that the log or the placement tells. */
     private void useMembership() {
         membership = baseMembership != null ? baseMembership : founding;
+        formerVoters = List.of();
         membershipLsn = 0;
-        for (int i = recs.size() - 1; i >= 0; i--) {
-            if (recs.get(i).kind() == Rec.MEMBERS) {
-                membership = Membership.load(Pack.reader(recs.get(i).body()));
+        int newer = 0;
+        for (int i = recs.size() - 1; i >= 0 && newer < 2; i--) {
+            if (recs.get(i).kind() != Rec.MEMBERS) {
+                continue;
+            }
+            final Membership told = Membership.load(Pack.reader(recs.get(i).body()));
+            if (newer++ == 0) {
+                formerVoters = membership.voters();
+                membership = told;
                 membershipLsn = recs.get(i).lsn();
-                break;
+            } else {
+                formerVoters = told.voters();
             }
         }
+        // why: only accepted memberships are told by a placement, so a newer one stands over a log that is behind
+        if (founding.version() > membership.version()) {
+            membership = founding;
+            formerVoters = List.of();
+            membershipLsn = 0;
+        }
         members = membership.voters();
         groupVersion = membership.version();
     }
 
-    /** One step of a membership change, as a record; the caller has asked mayAct and membershipSettled. */
-    public void change(final Membership next, final long now, final long wall) {
+    /** One step of a membership change, as a record. False, and nothing is done, where it would not be safe now. */
+    public boolean change(final Membership next, final long now, final long wall) {
+        if (!mayChange(next, now)) {
+            return false;
+        }
         append(Rec.MEMBERS, next.save(), now, wall);
         why = "group version " + next.version() + " with voters "
-                + next.voters().stream().map(Member::node).toList();
+                + next.voters().stream().map(Member::node).toList() + " and learners "
+                + next.learners().stream().map(Member::node).toList();
         out.note("group " + id + ": " + why);
+        return true;
+    }
+
+    /** Whether a membership may follow the present one now; docs/design/control-membership.md says why. */
+    private boolean mayChange(final Membership next, final long now) {
+        // why: mayAct stands for an accepted record of this epoch, without which a predecessor's change may be open
+        if (!mayAct(now) || !membershipSettled() || next.version() != membership.version() + 1) {
+            return false;
+        }
+        final List<Member> joining = Membership.missing(next.voters(), members);
+        final List<Member> leaving = Membership.missing(members, next.voters());
+        if (joining.size() + leaving.size() > 1 || Membership.find(next.voters(), self) == null) {
+            return false;
+        }
+        if (joining.stream().anyMatch(m -> learnt(m.node()) < accepted)) {
+            return false;
+        }
+        // why: what is accepted must not rest on the copy of the one that leaves
+        return copiesAmong(next.voters()) >= Copies.floor(next.voters().size(), toleratedLosses)
+                && leaseHeld(next.voters(), now);
+    }
+
+    /** How many of these nodes have synced all that is accepted. */
+    private int copiesAmong(final List<Member> voters) {
+        int n = 0;
+        for (final Member m : voters) {
+            final boolean joins = weight(m.node()) < 0;
+            final long synced =
+                    m.node() == self ? syncedLsn : joins ? learnt(m.node()) : copies.getOrDefault(m.node(), -1L);
+            n += synced >= accepted ? 1 : 0;
+        }
+        return n;
     }
 
     /**
@@ -436,12 +488,8 @@
 
     public void tick(final long now, final BeatTable newTable) {
         table = newTable;
-        if (membership.holds(self) && weight(self) < 0) {
-            masterHeard = liveMaster(now);
-            pull(now);
-            return;
-        }
-        if (members.isEmpty() || weight(self) < 0) {
+        if (weight(self) < 0) {
+            followOnly(now);
             return;
         }
         for (final Member m : members) {
@@ -489,6 +537,21 @@
         trim(now);
     }
 
+    /** A learner copies the log; who is no member does nothing and hears no master through this group. */
+    private void followOnly(final long now) {
+        if (role == MASTER) {
+            stepDown("is no voter any more");
+        }
+        role = SLAVE;
+        if (membership.holds(self)) {
+            masterHeard = liveMaster(now);
+            pull(now);
+        } else {
+            masterHeard = 0;
+            inSync = false;
+        }
+    }
+
     /** All writes up to this number are synced. */
     public void synced(final long number, final long now) {
         while (!unsynced.isEmpty() && unsynced.peek().write <= number) {
@@ -526,7 +589,7 @@
         if (weight(from) < 0 && !(msg instanceof Pull && Membership.find(membership.learners(), from) != null)) {
             return;
         }
-        if (weight(self) < 0 && !(msg instanceof PullReply)) {
+        if (weight(self) < 0 && !(msg instanceof PullReply) && !asksNewVoter(msg)) {
             return;
         }
         if (msg instanceof Msg.StandNow m) {
@@ -544,6 +607,11 @@
         }
     }
 
+    /** A learner may have been made a voter by a record that it has not got yet; the candidate knows better. */
+    private boolean asksNewVoter(final Msg msg) {
+        return msg instanceof VoteAsk ask && membership.holds(self) && ask.groupVersion() > groupVersion;
+    }
+
     /** Appends a record as the master; the caller has asked {@link #mayAct}. */
     public long append(final int kind, final byte[] body, final long now, final long wall) {
         final long last = recs.isEmpty() ? 0 : recs.get(recs.size() - 1).stamp();
@@ -752,7 +820,8 @@
 
     private int liveMaster(final long now) {
         int master = 0;
-        long best = epoch;
+        // why: a learner may have raised its epoch before it was removed, when nobody who counted heard of it
+        long best = weight(self) < 0 ? epochAt(endLsn()) : epoch;
         for (final Member m : members) {
             final BeatEntry e = m.node() == self ? null : table.fresh(m.node(), id, now);
             if (e != null && e.role() == MASTER && e.epoch() >= best) {
@@ -776,8 +845,12 @@
     }
 
     private boolean leaseHeld(final long now) {
+        return leaseHeld(members, now);
+    }
+
+    private boolean leaseHeld(final List<Member> voters, final long now) {
         int n = 1;
-        for (final Member m : members) {
+        for (final Member m : voters) {
             final BeatTable.Row row = m.node() == self ? null : table.row(m.node());
             if (row == null || now - row.answeredSentAt() > tempo.lease()) {
                 continue;
@@ -795,7 +868,7 @@
                 n++;
             }
         }
-        return n >= majority(members.size());
+        return n >= majority(voters.size());
     }
 
     private boolean voting(final int node, final long now) {
@@ -879,7 +952,8 @@
     }
 
     private void onPull(final int from, final Pull m, final long now) {
-        if (m.epoch() > epoch) {
+        final boolean learner = weight(from) < 0;
+        if (m.epoch() > epoch && !learner) {
             epochSeen = Math.max(epochSeen, m.epoch());
             if (role == MASTER) {
                 stepDown("sibling " + from + " is in epoch " + m.epoch());
@@ -901,9 +975,12 @@
             return;
         }
         if (role == MASTER) {
-            if (weight(from) < 0) {
-                // why: a learner's copy is looked at to see when it may vote, and counts for nothing until then
-                learnt.put(from, !m.lost() && epochAt(m.syncedLsn()) == m.syncedEpoch() ? m.syncedLsn() : -1);
+            if (learner) {
+                // why: a learner's copy is looked at to see when it may vote, and counts for nothing until then; one
+                // that stood in vain in a later epoch, before it was removed, may not vote in this one
+                copies.remove(from);
+                final boolean mayVote = !m.lost() && m.epoch() <= epoch;
+                learnt.put(from, mayVote && epochAt(m.syncedLsn()) == m.syncedEpoch() ? m.syncedLsn() : -1);
             } else if (m.lost()) {
                 copies.remove(from);
             } else if (m.epoch() == epoch
@@ -1000,10 +1077,8 @@
 
     private void onPullReply(final int from, final PullReply m, final long now) {
         // why: the fence: whoever acts for an older epoch or an older group is not obeyed, however late it wakes
-        if (m.epoch() < epoch
-                || (m.epoch() == epoch && m.groupVersion() < groupVersion)
-                || role == MASTER
-                || from != pullSource) {
+        final boolean older = weight(self) < 0 ? m.epoch() < epochAt(endLsn()) : m.epoch() < epoch;
+        if (older || (m.epoch() == epoch && m.groupVersion() < groupVersion) || role == MASTER || from != pullSource) {
             return;
         }
         if (m.epoch() > epoch) {
@@ -1130,16 +1205,11 @@
         if (!leaseHeld(now)) {
             return;
         }
-        final long[] synced = new long[members.size()];
-        int i = 0;
-        synced[i++] = syncedLsn;
-        for (final Map.Entry<Integer, Long> copy : copies.entrySet()) {
-            if (weight(copy.getKey()) >= 0 && i < synced.length) {
-                synced[i++] = copy.getValue();
-            }
+        long lsn = syncedBy(members, floor());
+        if (!membershipSettled()) {
+            // why: who has not got the newest membership may still elect by the former one
+            lsn = Math.min(lsn, syncedBy(formerVoters, Copies.overlap(formerVoters.size())));
         }
-        Arrays.sort(synced);
-        final long lsn = synced[synced.length - floor()];
         if (lsn > accepted && lsn >= openLsn && epochAt(lsn) == epoch) {
             if (accepted < openLsn) {
                 // why: whoever only watches is told at once that it may be read from, and not with its own next beat
@@ -1150,6 +1220,18 @@
         }
     }
 
+    /** Up to where at least so many of these nodes have the log synced. */
+    private long syncedBy(final List<Member> voters, final int needed) {
+        if (voters.isEmpty()) {
+            return endLsn();
+        }
+        final long[] synced = voters.stream()
+                .mapToLong(m -> m.node() == self ? syncedLsn : copies.getOrDefault(m.node(), 0L))
+                .sorted()
+                .toArray();
+        return synced[synced.length - needed];
+    }
+
     private void trim(final long now) {
         if (now < nextTrim) {
             return;
--- a/coordination/src/main/java/brookpath/coordination/group/Membership.java
+++ b/coordination/src/main/java/brookpath/coordination/group/Membership.java
@@ -37,6 +37,31 @@
         return list.stream().filter(m -> m.node() == node).findFirst().orElse(null);
     }
 
+    /** Those of the first list that the second lacks. */
+    public static List<Member> missing(final List<Member> list, final List<Member> from) {
+        return list.stream().filter(m -> find(from, m.node()) == null).toList();
+    }
+
+    /** The next version, with a learner more. */
+    public Membership withLearner(final Member m) {
+        return new Membership(version + 1, voters, with(learners, m));
+    }
+
+    /** The next version, without this learner. */
+    public Membership withoutLearner(final int node) {
+        return new Membership(version + 1, voters, without(learners, node));
+    }
+
+    /** The next version, with this learner as a voter. */
+    public Membership promoted(final Member m) {
+        return new Membership(version + 1, with(voters, m), without(learners, m.node()));
+    }
+
+    /** The next version, without this voter. */
+    public Membership withoutVoter(final int node) {
+        return new Membership(version + 1, without(voters, node), learners);
+    }
+
     public boolean holds(final int node) {
         return find(voters, node) != null || find(learners, node) != null;
     }
@@ -57,10 +82,8 @@
             return null;
         }
         if (!holds(to.node())) {
-            return new Membership(version + 1, voters, with(learners, to));
+            return withLearner(to);
         }
-        return find(learners, to.node()) != null
-                ? new Membership(version + 1, with(voters, to), without(learners, to.node()))
-                : new Membership(version + 1, without(voters, from), learners);
+        return find(learners, to.node()) != null ? promoted(to) : withoutVoter(from);
     }
 }
--- /dev/null
+++ b/coordination/src/main/java/brookpath/coordination/group/MembershipPlan.java
@@ -0,0 +1,179 @@
+package brookpath.coordination.group;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+
+/**
+ * Decides which single step a group's membership takes next: dead voters are replaced by synced learners, the group is
+ * filled up to its target, and voters are spread over zones. A pure function; docs/design/control-membership.md has the
+ * reasons.
+ */
+public final class MembershipPlan {
+    /** Fewer voters than this outlive no loss, so none is removed without a replacement. */
+    private static final int MIN_VOTERS = 3;
+
+    private static final int WEIGHT = 50;
+
+    /**
+     * A process that could be a member, as the master sees it.
+     *
+     * @param quietMs how long nothing has been heard of it
+     * @param synced it answers, and its copy holds all that is accepted
+     * @param steady it has answered for long without a break
+     */
+    public record Candidate(int node, String zone, long quietMs, boolean synced, boolean steady) {}
+
+    /**
+     * The bounds of the plan.
+     *
+     * @param voters how many voters the group is to have
+     * @param replaceAfterMs a voter that is quiet for longer is replaced
+     * @param forgetAfterMs a learner that is quiet for longer is dropped
+     */
+    public record Limits(int voters, long replaceAfterMs, long forgetAfterMs) {
+        /** As many voters as outlive the losses that are tolerated, three at least. */
+        public static int votersFor(final int toleratedLosses) {
+            return Math.max(MIN_VOTERS, 2 * toleratedLosses + 1);
+        }
+    }
+
+    private final Membership present;
+    private final int self;
+    private final Limits limits;
+    private final List<Candidate> candidates;
+    private final Map<Integer, Candidate> byNode;
+
+    private MembershipPlan(
+            final Membership present, final int self, final Limits limits, final List<Candidate> candidates) {
+        this.present = present;
+        this.self = self;
+        this.limits = limits;
+        this.candidates = candidates;
+        byNode = candidates.stream().collect(Collectors.toMap(Candidate::node, Function.identity()));
+    }
+
+    /**
+     * The next membership, or null where nothing is to be done.
+     *
+     * @param self the master, which is never removed
+     * @param candidates all members, and all others that are heard
+     */
+    public static Membership next(
+            final Membership present, final int self, final Limits limits, final List<Candidate> candidates) {
+        return new MembershipPlan(present, self, limits, candidates).next();
+    }
+
+    private Membership next() {
+        if (present.voters().size() > limits.voters()) {
+            return present.withoutVoter(surplusVoter());
+        }
+        final Member replacement = bestLearner();
+        if (replacement != null && (present.voters().size() < limits.voters() || quietVoter() != null)) {
+            return present.promoted(replacement);
+        }
+        if (quietVoter() != null && isEven() && present.voters().size() > MIN_VOTERS) {
+            // why: a dead voter beside an odd number of others only raises the majority
+            return present.withoutVoter(quietVoter().node());
+        }
+        final Membership learners = changedLearners();
+        return learners != null ? learners : spread();
+    }
+
+    private boolean isEven() {
+        return present.voters().size() % 2 == 0;
+    }
+
+    private Candidate of(final Member member) {
+        return byNode.getOrDefault(member.node(), new Candidate(member.node(), member.zone(), 0, false, false));
+    }
+
+    private List<Candidate> voters() {
+        return present.voters().stream().map(this::of).toList();
+    }
+
+    private List<Candidate> learners() {
+        return present.learners().stream().map(this::of).toList();
+    }
+
+    /** The voter that has been quiet longest, null where none is too quiet. */
+    private Candidate quietVoter() {
+        return voters().stream()
+                .filter(c -> c.node() != self && c.quietMs() > limits.replaceAfterMs())
+                .max(Comparator.comparingLong(Candidate::quietMs))
+                .orElse(null);
+    }
+
+    /** Whom the group can do without best: a dead voter, else the newest that shares its zone, else the newest. */
+    private int surplusVoter() {
+        if (quietVoter() != null) {
+            return quietVoter().node();
+        }
+        final List<Candidate> others =
+                voters().stream().filter(c -> c.node() != self).toList();
+        final List<Candidate> sharing =
+                others.stream().filter(c -> voters(c.zone()) > 1).toList();
+        final List<Candidate> from = sharing.isEmpty() ? others : sharing;
+        return from.get(from.size() - 1).node();
+    }
+
+    private long voters(final String zone) {
+        return voters().stream().filter(c -> c.zone().equals(zone)).count();
+    }
+
+    /** The learner to make a voter: one that is synced, in a zone with the fewest voters that live. */
+    private Member bestLearner() {
+        final Map<String, Long> living = voters().stream()
+                .filter(c -> c.quietMs() <= limits.replaceAfterMs())
+                .collect(Collectors.groupingBy(Candidate::zone, Collectors.counting()));
+        return learners().stream()
+                .filter(Candidate::synced)
+                .min(Comparator.<Candidate>comparingLong(c -> living.getOrDefault(c.zone(), 0L))
+                        .thenComparingInt(Candidate::node))
+                .map(MembershipPlan::member)
+                .orElse(null);
+    }
+
+    private static Member member(final Candidate candidate) {
+        return new Member(candidate.node(), WEIGHT, candidate.zone());
+    }
+
+    /** All that are heard copy the log, and those that are gone for long do no more; null where nothing changes. */
+    private Membership changedLearners() {
+        final List<Member> learners = new ArrayList<>();
+        for (final Member learner : present.learners()) {
+            if (of(learner).quietMs() <= limits.forgetAfterMs()) {
+                learners.add(learner);
+            }
+        }
+        for (final Candidate candidate : candidates) {
+            if (!present.holds(candidate.node()) && candidate.quietMs() <= limits.replaceAfterMs()) {
+                learners.add(member(candidate));
+            }
+        }
+        return learners.equals(present.learners())
+                ? null
+                : new Membership(present.version() + 1, present.voters(), List.copyOf(learners));
+    }
+
+    /**
+     * Where all are well and two voters share a zone, a learner of a further zone joins; one of the two then leaves.
+     */
+    private Membership spread() {
+        final Set<String> zones = new HashSet<>();
+        voters().forEach(c -> zones.add(c.zone()));
+        if (zones.size() == present.voters().size() || !voters().stream().allMatch(Candidate::steady)) {
+            return null;
+        }
+        return learners().stream()
+                .filter(c -> c.synced() && c.steady() && !zones.contains(c.zone()))
+                .findFirst()
+                .map(c -> present.promoted(member(c)))
+                .orElse(null);
+    }
+}
--- a/coordination/src/main/java/brookpath/coordination/node/BailiffNode.java
+++ b/coordination/src/main/java/brookpath/coordination/node/BailiffNode.java
@@ -85,6 +85,7 @@
 
     private long rollBytes;
     private final GroupMachine group;
+    private final ControlMembers controlMembers;
     private final TreeMap<Integer, Poller> pollers = new TreeMap<>();
     private final List<Waiting> waitlist = new ArrayList<>();
     private final TreeMap<Long, Relayed> relayed = new TreeMap<>();
@@ -145,6 +146,7 @@
         this.founders = founders;
         ids = firstId;
         group = new GroupMachine(CONTROL, self, tempo, founding.toleratedLosses, seed, ControlState::new, pledges, out);
+        controlMembers = new ControlMembers(self, group, tempo, founding.toleratedLosses);
         usage = new UsageDesk(self, group, clock, tempo, () -> ++ids, out);
         client = new SpecClient(self, SpecPoll.BAILIFF, info.zone(), info.address(), info.name(), seeds, tempo, out);
     }
@@ -165,13 +167,15 @@
                 || group.membership().holds(self)) {
             group.configure(founders, 1, true, time.mono());
         }
+        // why: all that the settings name may be gone by now, but the log names others
+        client.suggest(newestRoster().bailiffs());
         return out.drain();
     }
 
     /** The addresses of the other bailiffs, as far as they are known. */
     public Map<Integer, String> addresses() {
         final Map<Integer, String> map = new TreeMap<>();
-        for (final Roster r : List.of(roster(), client.roster())) {
+        for (final Roster r : List.of(newestRoster(), client.roster())) {
             r.bailiffs().forEach(n -> map.put(n.node(), n.address()));
         }
         map.remove(self);
@@ -213,6 +217,7 @@
     protected void onTick(final Time time) {
         final long now = time.mono();
         group.tick(now, table);
+        controlMembers.watch(table, now);
         after(time);
         if (group.role() != GroupMachine.MASTER) {
             client.tick(time);
@@ -281,10 +286,11 @@
         }
     }
 
-    /** The roster may name this bailiff as a member, though its own log, if it has one, does not. */
+    /** The roster may tell a newer membership than this bailiff's own log, if it has one: it joined, or left. */
     private void join(final long now) {
         final Membership control = client.roster().control();
-        if (control.holds(self) && !group.membership().holds(self)) {
+        final boolean concerned = control.holds(self) || group.membership().holds(self);
+        if (concerned && control.version() > group.membership().version()) {
             group.configure(control, true, now);
         }
     }
@@ -456,6 +462,9 @@
         if (dutySince < 0) {
             dutySince = now;
         }
+        if (group.tellsMembers()) {
+            controlMembers.advance(table, observers(now), controllerZones(), now, time.wall());
+        }
         clock.hear(self, time.wall(), now);
         pollers.forEach((node, p) -> {
             if (p.heldSince >= 0) {
@@ -470,6 +479,29 @@
         confirm(now);
     }
 
+    /** Controllers that have lately asked this master themselves, and mean to stay. */
+    private List<NodeInfo> observers(final long now) {
+        return pollers.values().stream()
+                .filter(p -> p.last.role() == SpecPoll.BAILIFF && p.via == p.last.node() && !p.last.drain())
+                .filter(p -> now - p.heardAt <= 2 * tempo.specHold())
+                .map(p -> new NodeInfo(p.last.node(), p.last.zone(), p.last.address(), p.last.name()))
+                .toList();
+    }
+
+    private Map<Integer, String> controllerZones() {
+        final Map<Integer, String> zones = new TreeMap<>();
+        newestRoster().bailiffs().forEach(b -> zones.put(b.node(), b.zone()));
+        return zones;
+    }
+
+    /** Not a member, and not heard for long: nobody needs to know of it any more. */
+    private boolean isGone(final NodeInfo bailiff, final long now) {
+        return bailiff.node() != self
+                && now - dutySince > tempo.recoverMs()
+                && !pollers.containsKey(bailiff.node())
+                && !group.membership().holds(bailiff.node());
+    }
+
     // ---- duties of the master
 
     private void place(final Time time) {
@@ -503,6 +535,7 @@
             changed = true;
         }
         if (changed) {
+            bailiffs.removeIf(b -> isGone(b, time.mono()));
             appendRoster(
                     new Roster(
                             roster.version() + 1,
--- /dev/null
+++ b/coordination/src/main/java/brookpath/coordination/node/ControlMembers.java
@@ -0,0 +1,98 @@
+package brookpath.coordination.node;
+
+import brookpath.coordination.Tempo;
+import brookpath.coordination.beat.BeatTable;
+import brookpath.coordination.group.GroupMachine;
+import brookpath.coordination.group.Member;
+import brookpath.coordination.group.Membership;
+import brookpath.coordination.group.MembershipPlan;
+import brookpath.coordination.group.MembershipPlan.Candidate;
+import brookpath.coordination.group.MembershipPlan.Limits;
+import brookpath.coordination.spec.Roster.NodeInfo;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.stream.Stream;
+
+/**
+ * Keeps the control group's membership up: watches who answers, and as the acting master appends the steps that
+ * {@link MembershipPlan} names.
+ */
+final class ControlMembers {
+    /** When a member was first watched, and when it last failed to answer. */
+    private static final class Watched {
+        final long since;
+        long brokenAt;
+
+        Watched(final long now) {
+            since = now;
+            brokenAt = now;
+        }
+    }
+
+    private final int self;
+    private final GroupMachine group;
+    private final Limits limits;
+    private final long steadyMs;
+    private final TreeMap<Integer, Watched> watched = new TreeMap<>();
+
+    ControlMembers(final int self, final GroupMachine group, final Tempo tempo, final int toleratedLosses) {
+        this.self = self;
+        this.group = group;
+        // why: the machine that replaces a dead one may itself be lost soon; timing.md has the arithmetic
+        limits = new Limits(Limits.votersFor(toleratedLosses), tempo.changeMs() * 4 / 5, tempo.recoverMs());
+        steadyMs = 2 * tempo.recoverMs();
+    }
+
+    /** Every member watches, so that a new master knows at once who has been gone for how long. */
+    void watch(final BeatTable table, final long now) {
+        final Membership membership = group.membership();
+        watched.keySet().removeIf(node -> !membership.holds(node));
+        members().forEach(m -> {
+            final Watched w = watched.computeIfAbsent(m.node(), node -> new Watched(now));
+            if (m.node() != self && !table.up(m.node())) {
+                w.brokenAt = now;
+            }
+        });
+    }
+
+    private Stream<Member> members() {
+        return Stream.concat(group.membership().voters().stream(), group.membership().learners().stream());
+    }
+
+    /**
+     * Appends the next step, where one is due; true where it did.
+     *
+     * @param observers controllers that are no members but have asked this master lately
+     * @param zones of all controllers that are known
+     */
+    boolean advance(
+            final BeatTable table,
+            final List<NodeInfo> observers,
+            final Map<Integer, String> zones,
+            final long now,
+            final long wall) {
+        if (!group.membershipSettled()) {
+            return false;
+        }
+        final List<Candidate> candidates = new ArrayList<>();
+        members().forEach(m -> candidates.add(candidate(m, table, zones.getOrDefault(m.node(), m.zone()), now)));
+        observers.stream()
+                .filter(o -> !group.membership().holds(o.node()))
+                .forEach(o -> candidates.add(new Candidate(o.node(), o.zone(), 0, false, false)));
+        final Membership next = MembershipPlan.next(group.membership(), self, limits, candidates);
+        return next != null && group.change(next, now, wall);
+    }
+
+    private Candidate candidate(final Member m, final BeatTable table, final String zone, final long now) {
+        final Watched w = watched.get(m.node());
+        if (m.node() == self || w == null) {
+            return new Candidate(m.node(), zone, 0, false, m.node() == self);
+        }
+        final BeatTable.Row row = table.row(m.node());
+        final long heardAt = row == null ? w.since : Math.max(w.since, row.answeredSentAt());
+        final boolean synced = table.up(m.node()) && group.learnt(m.node()) >= group.accepted();
+        return new Candidate(m.node(), zone, now - heardAt, synced, now - w.brokenAt >= steadyMs);
+    }
+}
--- a/coordination/src/main/java/brookpath/coordination/node/StorageNode.java
+++ b/coordination/src/main/java/brookpath/coordination/node/StorageNode.java
@@ -246,7 +246,7 @@
         final int from = (int) in.num();
         final int to = (int) in.num();
         final String zone = in.str();
-        if (g == null || !g.mayAct(time.mono()) || !g.membershipSettled()) {
+        if (g == null || !g.mayAct(time.mono())) {
             return;
         }
         final Member leaving = Membership.find(g.membership().voters(), from);
@@ -255,9 +255,6 @@
             // why: one step at a time; the roster must know of the last one, so that the learner has opened the group
             return;
         }
-        if (Membership.find(g.membership().learners(), to) != null && g.learnt(to) < g.accepted()) {
-            return;
-        }
         final Membership next = g.membership().step(from, new Member(to, leaving.weight(), zone));
         if (from == self && Membership.find(next.voters(), self) == null) {
             for (final Member m : g.membership().voters()) {
--- a/coordination/src/main/java/brookpath/coordination/spec/SpecClient.java
+++ b/coordination/src/main/java/brookpath/coordination/spec/SpecClient.java
@@ -33,6 +33,9 @@
     private int turn;
     private boolean drain;
     private boolean relay;
+    /** Polls are carried only because the master's address is not known yet. */
+    private boolean masterUnknown;
+
     private long relayUntil;
     private long clockAhead = Long.MIN_VALUE;
 
@@ -133,6 +136,28 @@
         }
     }
 
+    /** Further bailiffs that may be asked, from a log that may be old. */
+    public void suggest(final List<Roster.NodeInfo> more) {
+        final List<Integer> all = new ArrayList<>(bailiffs);
+        more.stream()
+                .map(Roster.NodeInfo::node)
+                .filter(n -> n != self && !all.contains(n))
+                .forEach(all::add);
+        bailiffs = List.copyOf(all);
+        if (target == 0) {
+            nextSeed();
+        }
+    }
+
+    /** The answer that was carried brought the master's address, so that the next poll can go there. */
+    private void askDirectly(final int master) {
+        if (masterUnknown && bailiffs.contains(master)) {
+            relay = false;
+            target = master;
+        }
+        masterUnknown = false;
+    }
+
     private void learn() {
         final List<Integer> known = new ArrayList<>(bailiffs);
         roster.bailiffs().forEach(b -> {
@@ -195,6 +220,7 @@
                 // why: a master that no settings named is known by number only; whoever names it carries the poll, and
                 // the roster tells the rest
                 relay = true;
+                masterUnknown = true;
                 relayUntil = now + tempo.specHold();
                 nextAt = now;
             } else {
@@ -219,6 +245,7 @@
             news = true;
         }
         known = true;
+        askDirectly(m.masterHint());
         // why: the lease runs from when the poll was sent, which is before it was granted
         leaseUntil = Math.max(leaseUntil, sentAt + tempo.specLease());
         if (m.wall() != 0) {
--- a/trial/src/main/java/brookpath/trial/sim/World.java
+++ b/trial/src/main/java/brookpath/trial/sim/World.java
@@ -6,6 +6,7 @@
 import brookpath.coordination.node.BailiffNode;
 import brookpath.coordination.node.FrontNode;
 import brookpath.coordination.node.StorageNode;
+import brookpath.coordination.spec.Roster.NodeInfo;
 import brookpath.trial.oracle.History;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -46,6 +47,9 @@
     /** How long groups were without an acting master, each time. */
     public final List<Long> masterless = new ArrayList<>();
 
+    /** Set before the first run: how many machines at once the fleet is founded to lose. */
+    int toleratedLosses = 1;
+
     private long now;
     private long order;
 
@@ -65,7 +69,7 @@
                 final BailiffNode node = new BailiffNode(
                         proc.id,
                         members,
-                        new BailiffNode.Founding(groups, 3, 4, 1),
+                        new BailiffNode.Founding(groups, 3, 4, toleratedLosses),
                         tempo,
                         rnd.nextLong(),
                         proc.life << 32,
@@ -104,6 +108,27 @@
         at(1_000, platform::watch);
     }
 
+    /** One more controller that no founding names, as an operator would add it: empty, with these to ask first. */
+    Proc addController(final int id, final String zone, final List<Integer> seeds) {
+        bailiffs.add(id);
+        final Proc added = new Proc(this, id, zone, true, (proc, entries) -> {
+            final BailiffNode node = new BailiffNode(
+                    new NodeInfo(proc.id, zone, "sim:" + proc.id, ""),
+                    List.of(),
+                    seeds,
+                    new BailiffNode.Founding(groups, 3, 4, toleratedLosses),
+                    tempo,
+                    rnd.nextLong(),
+                    proc.life << 32,
+                    ROLL_BYTES);
+            entries.forEach(e -> node.replay(e, proc.time()));
+            return node;
+        });
+        procs.put(id, added);
+        added.start();
+        return added;
+    }
+
     /** A small world whose first document is confirmed, and whose groups have masters. */
     static World serving(final long seed) {
         final World world = new World(seed, Shape.SMALL, EnumSet.noneOf(Mutation.class));
