--- a/coordination/src/main/java/brookpath/coordination/group/GroupMachine.java
+++ b/coordination/src/main/java/brookpath/coordination/group/GroupMachine.java
@@ -1039,7 +1039,9 @@
             part.add(rec(lsn));
             bytes += rec(lsn).bytes().length;
         }
-        if (part.isEmpty() && m.accepted() >= accepted && m.epoch() == epoch) {
+        // why: one that rebuilt its copy from a slave needs the acting master's word that this is all there is
+        final boolean awaitsTarget = m.lost() && lead == PullReply.ACTING_MASTER;
+        if (part.isEmpty() && m.accepted() >= accepted && m.epoch() == epoch && !awaitsTarget) {
             return false;
         }
         out.send(
