Group fuzz changes memberships; the second step of a pull by a later epoch does not spin

Cause: the group fuzz knew fixed members only, so the guards of a membership change were looked at by no run that loses, reorders and cuts power. Change: three styles with spare nodes, in which masters try one step after another, sensible or not, and the others hear of accepted memberships late. A learner whose epoch is ahead is answered like any other when there is nothing new; before, it was answered at once, again and again.

--- a/coordination/src/main/java/brookpath/coordination/group/GroupMachine.java
+++ b/coordination/src/main/java/brookpath/coordination/group/GroupMachine.java
@@ -1041,7 +1041,7 @@
         }
         // why: one that rebuilt its copy from a slave needs the acting master's word that this is all there is
         final boolean awaitsTarget = m.lost() && lead == PullReply.ACTING_MASTER;
-        if (part.isEmpty() && m.accepted() >= accepted && m.epoch() == epoch && !awaitsTarget) {
+        if (part.isEmpty() && m.accepted() >= accepted && m.epoch() >= epoch && !awaitsTarget) {
             return false;
         }
         out.send(
--- a/trial/src/main/java/brookpath/trial/mutate/Mutants.java
+++ b/trial/src/main/java/brookpath/trial/mutate/Mutants.java
@@ -49,7 +49,7 @@
                 "-verbose",
                 "2",
                 "-testclass",
-                "brookpath.trial.sim.ScenesTest");
+                "brookpath.trial.sim.ScenesTest,brookpath.trial.sim.ControlMembershipTest");
         if (whole != null) {
             System.err.println("mutants: the scenes are red without any mutant: " + whole);
             System.exit(1);
@@ -114,7 +114,7 @@
                 "-d",
                 work.resolve("testng").toString(),
                 "-testclass",
-                "brookpath.trial.sim.ScenesTest");
+                "brookpath.trial.sim.ScenesTest,brookpath.trial.sim.ControlMembershipTest");
         if (seen != null) {
             return "| " + m.name + " | scene | " + seen + " |";
         }
--- a/trial/src/main/java/brookpath/trial/sim/GroupFuzz.java
+++ b/trial/src/main/java/brookpath/trial/sim/GroupFuzz.java
@@ -7,6 +7,7 @@
 import brookpath.coordination.beat.Pledges;
 import brookpath.coordination.group.GroupMachine;
 import brookpath.coordination.group.Member;
+import brookpath.coordination.group.Membership;
 import brookpath.coordination.message.Msg;
 import brookpath.coordination.topic.TopicState;
 import brookpath.state.record.Pack;
@@ -17,6 +18,7 @@
 import java.util.PriorityQueue;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
+import java.util.TreeSet;
 
 /**
  * One replication group alone, on a network that loses, delays and reorders far more than TCP would, with members that
@@ -32,13 +34,27 @@
      * @param dropPerMille of messages
      * @param calmMs between failures
      * @param maxLag between threads
+     * @param spares nodes that are no members at first; where there are any, the masters change the membership
      */
     public record Style(
-            int members, int dropPerMille, long maxDelay, long calmMs, long lengthMs, int lagPerMille, int maxLag) {}
+            int members,
+            int dropPerMille,
+            long maxDelay,
+            long calmMs,
+            long lengthMs,
+            int lagPerMille,
+            int maxLag,
+            int spares) {}
 
     /** What one run came to. */
     public record Outcome(
-            long seed, List<String> violations, long accepted, int masters, int crashes, List<String> trace) {}
+            long seed,
+            List<String> violations,
+            long accepted,
+            int masters,
+            int crashes,
+            int changes,
+            List<String> trace) {}
 
     private record Due(long at, long order, Runnable what) {}
 
@@ -60,6 +76,7 @@
         int lastRole;
         String lastWhy = "";
         long lastAccepted;
+        TreeSet<Integer> siblings;
 
         Unit(final int id) {
             this.id = id;
@@ -74,10 +91,7 @@
             beatOut = new Actions();
             final Pledges pledges = new Pledges(tempo.down());
             beats = new BeatMachine(tempo, tempo.beat(), pledges);
-            final java.util.TreeSet<Integer> others = new java.util.TreeSet<>();
-            members.forEach(m -> others.add(m.node()));
-            others.remove(id);
-            beats.siblings(others);
+            siblings = null;
             g = new GroupMachine(GROUP, id, tempo, 1, seed, () -> new TopicState(t -> 600_000, 10_000), pledges, out);
             unsynced.clear();
             for (final byte[] entry : disk) {
@@ -85,10 +99,14 @@
                 in.num();
                 g.replay(in, now);
             }
-            if (first) {
+            final boolean founder = Membership.find(members, id) != null;
+            if (first && founder) {
                 g.found();
             }
-            g.configure(members, 1, true, now);
+            if (founder || g.membership().holds(id)) {
+                g.configure(members, 1, true, now);
+            }
+            meetMembers();
             obey();
             tick(life);
         }
@@ -102,6 +120,20 @@
             });
         }
 
+        /** Beats go to whom the newest membership here names, as the nodes have it. */
+        private void meetMembers() {
+            final TreeSet<Integer> others = new TreeSet<>();
+            if (g.membership().holds(id)) {
+                g.membership().voters().forEach(m -> others.add(m.node()));
+                g.membership().learners().forEach(m -> others.add(m.node()));
+            }
+            others.remove(id);
+            if (!others.equals(siblings)) {
+                siblings = others;
+                beats.siblings(others);
+            }
+        }
+
         void run(final Runnable event) {
             if (!alive) {
                 return;
@@ -119,6 +151,7 @@
             beats.tick(now, beatOut);
             event.run();
             takeTable();
+            meetMembers();
             obey();
             look(this);
         }
@@ -134,7 +167,7 @@
         private void tellListener() {
             if (now >= entriesLagUntil) {
                 entriesLagUntil = now + lag();
-                beats.own(List.of(g.entry(now)));
+                beats.own(g.membership().holds(id) ? List.of(g.entry(now)) : List.of());
             }
         }
 
@@ -202,7 +235,11 @@
     private final TreeMap<Long, Long> acceptedIn = new TreeMap<>();
     private final List<String> violations = new ArrayList<>();
     private final List<String> trace = new ArrayList<>();
+    /** The newest membership that an acting master has accepted, as the other nodes are told of it. */
+    private Membership told = Membership.NONE;
+
     private int crashes;
+    private int changes;
     private long now = 1_000;
     private long order;
     private int cutUnit;
@@ -324,7 +361,7 @@
 
     private void fault() {
         at(style.calmMs / 2 + rnd.nextLong(style.calmMs), () -> {
-            final Unit u = units.get(1 + rnd.nextInt(style.members));
+            final Unit u = units.get(1 + rnd.nextInt(units.size()));
             switch (rnd.nextInt(7)) {
                 case 0, 1 -> {
                     // why: often everyone loses power, since what is synced must outlast even that
@@ -349,7 +386,7 @@
                 }
                 case 5 -> {
                     // why: two that do not hear each other while a third hears both
-                    cutPair = (1 << u.id) | (1 << (1 + rnd.nextInt(style.members)));
+                    cutPair = (1 << u.id) | (1 << (1 + rnd.nextInt(units.size())));
                     at(rnd.nextLong(3_000), () -> cutPair = 0);
                 }
                 default -> units.values().forEach(each -> each.syncMs = 1);
@@ -358,15 +395,55 @@
         });
     }
 
+    /** Masters try one step after the other, sensible or not, and all nodes hear of what was accepted, late. */
+    private void reshape() {
+        at(20 + rnd.nextInt(400), () -> {
+            for (final Unit u : units.values()) {
+                if (u.alive && now >= u.frozenUntil && u.g.role() == GroupMachine.MASTER) {
+                    u.run(() -> step(u.g));
+                }
+                if (u.alive
+                        && rnd.nextInt(3) == 0
+                        && (told.holds(u.id) || u.g.membership().holds(u.id))) {
+                    u.run(() -> {
+                        if (told.version() > u.g.membership().version()) {
+                            u.g.configure(told, true, now);
+                        }
+                    });
+                }
+            }
+            reshape();
+        });
+    }
+
+    private void step(final GroupMachine g) {
+        final Membership m = g.membership();
+        if (g.mayAct(now) && g.membershipSettled() && m.version() > told.version()) {
+            told = m;
+        }
+        final Member any = new Member(1 + rnd.nextInt(units.size()), 50, "");
+        final Membership next = !m.holds(any.node())
+                ? m.withLearner(any)
+                : Membership.find(m.learners(), any.node()) != null
+                        ? m.promoted(any)
+                        : m.voters().size() > 3 ? m.withoutVoter(any.node()) : null;
+        if (next != null && next.voters().size() <= style.members + 1 && g.change(next, now, now)) {
+            changes++;
+        }
+    }
+
     private Outcome live() {
-        for (final Member m : members) {
-            final Unit u = new Unit(m.node());
-            units.put(m.node(), u);
+        for (int node = 1; node <= style.members + style.spares; node++) {
+            final Unit u = new Unit(node);
+            units.put(node, u);
             at(rnd.nextInt(300), () -> u.start(true));
         }
         at(400, () -> {
             publish();
             fault();
+            if (style.spares > 0) {
+                reshape();
+            }
         });
         final long end = now + style.lengthMs;
         while (queue.peek().at < end && violations.isEmpty()) {
@@ -374,7 +451,7 @@
             now = due.at;
             due.what.run();
         }
-        return new Outcome(seed, violations, accepted.size(), masterOf.size(), crashes, trace);
+        return new Outcome(seed, violations, accepted.size(), masterOf.size(), crashes, changes, trace);
     }
 
     /** {@code FIRST COUNT}: many seeds in several styles; exits 1 where one had a violation. */
@@ -382,13 +459,14 @@
         final long first = args.length > 0 ? Long.parseLong(args[0]) : 1;
         final long count = args.length > 1 ? Long.parseLong(args[1]) : 100;
         final long[] bad = new long[1];
-        final long[] work = new long[2];
+        final long[] work = new long[3];
         java.util.stream.LongStream.range(first, first + count).parallel().forEach(s -> {
             for (final Style style : STYLES) {
                 final Outcome o = live(s, style);
                 synchronized (bad) {
                     work[0] += o.accepted;
                     work[1] += o.masters;
+                    work[2] += o.changes;
                     if (!o.violations.isEmpty()) {
                         bad[0]++;
                         if (count == 1) {
@@ -402,17 +480,20 @@
             }
         });
         System.out.println(count + " seeds, " + STYLES.size() + " styles: " + work[0] + " accepted, " + work[1]
-                + " masters, " + bad[0] + " bad");
+                + " masters, " + work[2] + " membership changes, " + bad[0] + " bad");
         System.exit(bad[0] == 0 ? 0 : 1);
     }
 
     public static final List<Style> STYLES = List.of(
-            new Style(3, 30, 400, 900, 60_000, 30, 40),
-            new Style(5, 100, 1_500, 500, 60_000, 30, 40),
-            new Style(3, 5, 3_000, 2_500, 60_000, 30, 40),
-            new Style(5, 250, 300, 1_500, 60_000, 30, 40),
+            new Style(3, 30, 400, 900, 60_000, 30, 40, 0),
+            new Style(5, 100, 1_500, 500, 60_000, 30, 40, 0),
+            new Style(3, 5, 3_000, 2_500, 60_000, 30, 40, 0),
+            new Style(5, 250, 300, 1_500, 60_000, 30, 40, 0),
             // why: threads that are put aside for long, amid freezes about as long as the detection time, show what one
             // thread must not assume of the other
-            new Style(3, 0, 3, 700, 60_000, 300, 200),
-            new Style(5, 50, 300, 150, 30_000, 30, 40));
+            new Style(3, 0, 3, 700, 60_000, 300, 200, 0),
+            new Style(5, 50, 300, 150, 30_000, 30, 40, 0),
+            new Style(3, 20, 300, 900, 60_000, 30, 40, 2),
+            new Style(3, 60, 800, 400, 60_000, 30, 40, 3),
+            new Style(4, 30, 300, 600, 60_000, 30, 40, 2));
 }
--- a/trial/src/test/java/brookpath/trial/sim/ControlMembershipTest.java
+++ b/trial/src/test/java/brookpath/trial/sim/ControlMembershipTest.java
@@ -12,6 +12,7 @@
 import brookpath.coordination.message.Response;
 import brookpath.coordination.node.BailiffNode;
 import brookpath.coordination.node.Job;
+import brookpath.state.record.Pack;
 import java.util.EnumSet;
 import java.util.List;
 import java.util.TreeSet;
@@ -23,6 +24,9 @@
     /** A new machine counts as lost for this long after its start, on the users' days. */
     private static final long CATCH_UP_MS = 4_000;
 
+    /** The kind of a group's entry on disk that holds an epoch and a vote. */
+    private static final int WRITTEN_VOTE = 3;
+
     private static final long SUCCESSOR_AFTER_MS = 1_000;
     private static final long ACKNOWLEDGED_WITHIN_MS = 6_000;
 
@@ -221,6 +225,17 @@
         readBackEverywhere();
     }
 
+    /** As if it had stood in this epoch, heard by nobody who counts. */
+    private static void stoodInVain(final Proc p, final long epoch) {
+        group(p).replay(
+                        Pack.reader(Pack.writer()
+                                .num(WRITTEN_VOTE)
+                                .num(epoch)
+                                .num(p.id)
+                                .done()),
+                        p.mono());
+    }
+
     private void cut(final Proc p) {
         world.procs.keySet().forEach(other -> {
             world.net.cut(p.id, other);
@@ -245,6 +260,9 @@
             }
             final Proc before = master();
             final long epoch = group(before).epoch();
+            if (seed % 4 > 1) {
+                stoodInVain(away, epoch + 5);
+            }
             world.net.heal();
             until(
                     "its return as a learner",
@@ -328,6 +346,7 @@
         world.addController(4, "d", List.of(1));
         world.addController(5, "e", List.of(2));
         until("five voters", 5_000, () -> voters().size() == 5);
+        until("their acceptance", 1_000, () -> group(master()).membershipSettled());
         acknowledged("with-five");
         world.kill(master(), true);
         acknowledged("with-four");
