--- a/coordination/src/main/java/brookpath/coordination/group/GroupMachine.java
+++ b/coordination/src/main/java/brookpath/coordination/group/GroupMachine.java
@@ -19,7 +19,6 @@
 import brookpath.state.record.Rec;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
@@ -201,7 +200,7 @@
 
     /** Whether the log itself tells who the members are, rather than whoever founded the group. */
     public boolean tellsMembers() {
-        return membershipLsn > 0 || baseMembership != null;
+        return baseMembership != null || recs.stream().anyMatch(rec -> rec.kind() == Rec.MEMBERS);
     }
 
     /** Whether the newest membership is accepted, so that a next step may follow. */
@@ -388,7 +387,7 @@
 
     // ---- events
 
-    /** Takes the newest membership that the log, or else the placement, tells. */
+    /** Takes the newest membership that the log or the placement tells. */
     private void useMembership() {
         membership = baseMembership != null ? baseMembership : founding;
         membershipLsn = 0;
@@ -399,6 +398,11 @@
                 break;
             }
         }
+        // why: only accepted memberships are told by a placement, so a newer one stands over a log that is behind
+        if (founding.version() > membership.version()) {
+            membership = founding;
+            membershipLsn = 0;
+        }
         members = membership.voters();
         groupVersion = membership.version();
         // why: the record that removes a member must not end at that member, which could then neither stand nor help
@@ -406,12 +410,48 @@
         held.keySet().removeIf(node -> !membership.holds(node));
     }
 
-    /** One step of a membership change, as a record; the caller has asked mayAct and membershipSettled. */
-    public void change(final Membership next, final long now, final long wall) {
+    /** One step of a membership change, as a record. False, and nothing is done, where it would not be safe now. */
+    public boolean change(final Membership next, final long now, final long wall) {
+        if (!mayChange(next, now)) {
+            return false;
+        }
         append(Rec.MEMBERS, next.save(), now, wall);
         why = "group version " + next.version() + " with voters "
-                + next.voters().stream().map(Member::node).toList();
+                + next.voters().stream().map(Member::node).toList() + " and learners "
+                + next.learners().stream().map(Member::node).toList();
         out.note("group " + id + ": " + why);
+        return true;
+    }
+
+    /** Whether a membership may follow the present one now; docs/design/control-membership.md says why. */
+    private boolean mayChange(final Membership next, final long now) {
+        // why: mayAct stands for an accepted record of this epoch, without which a predecessor's change may be open
+        if (!mayAct(now) || !membershipSettled() || next.version() != membership.version() + 1) {
+            return false;
+        }
+        final List<Member> joining = Membership.missing(next.voters(), members);
+        final List<Member> leaving = Membership.missing(members, next.voters());
+        if (joining.size() + leaving.size() > 1 || Membership.find(next.voters(), self) == null) {
+            return false;
+        }
+        if (joining.stream().anyMatch(m -> learnt(m.node()) < accepted)) {
+            return false;
+        }
+        // why: what is accepted must not rest on the copy of the one that leaves
+        return copiesAmong(next.voters()) >= Copies.floor(next.voters().size(), toleratedLosses)
+                && leaseHeld(next.voters(), now);
+    }
+
+    /** How many of these nodes have synced all that is accepted. */
+    private int copiesAmong(final List<Member> voters) {
+        int n = 0;
+        for (final Member m : voters) {
+            final boolean joins = weight(m.node()) < 0;
+            final long synced =
+                    m.node() == self ? syncedLsn : joins ? learnt(m.node()) : copies.getOrDefault(m.node(), -1L);
+            n += synced >= accepted ? 1 : 0;
+        }
+        return n;
     }
 
     /**
@@ -444,15 +484,8 @@
 
     public void tick(final long now, final BeatTable newTable) {
         table = newTable;
-        if (role != SLAVE && weight(self) < 0) {
-            stepDown("no voter any more");
-        }
-        if (membership.holds(self) && weight(self) < 0) {
-            masterHeard = liveMaster(now);
-            pull(now);
-            return;
-        }
-        if (members.isEmpty() || weight(self) < 0) {
+        if (weight(self) < 0) {
+            followOnly(now);
             return;
         }
         for (final Member m : members) {
@@ -500,6 +533,21 @@
         trim(now);
     }
 
+    /** A learner copies the log; who is no member does nothing and hears no master through this group. */
+    private void followOnly(final long now) {
+        if (role == MASTER) {
+            stepDown("is no voter any more");
+        }
+        role = SLAVE;
+        if (membership.holds(self)) {
+            masterHeard = liveMaster(now);
+            pull(now);
+        } else {
+            masterHeard = 0;
+            inSync = false;
+        }
+    }
+
     /** All writes up to this number are synced. */
     public void synced(final long number, final long now) {
         while (!unsynced.isEmpty() && unsynced.peek().write <= number) {
@@ -779,7 +827,8 @@
 
     private int liveMaster(final long now) {
         int master = 0;
-        long best = epoch;
+        // why: a learner may have raised its epoch before it was removed, when nobody who counted heard of it
+        long best = weight(self) < 0 ? epochAt(endLsn()) : epoch;
         // why: a membership here that was never accepted may leave out whoever masters the group by now
         for (final BeatTable.Row row : table.rows()) {
             final BeatEntry e = row.node() == self ? null : table.fresh(row.node(), id, now);
@@ -804,8 +853,12 @@
     }
 
     private boolean leaseHeld(final long now) {
+        return leaseHeld(members, now);
+    }
+
+    private boolean leaseHeld(final List<Member> voters, final long now) {
         int n = 1;
-        for (final Member m : members) {
+        for (final Member m : voters) {
             final BeatTable.Row row = m.node() == self ? null : table.row(m.node());
             if (row == null || now - row.answeredSentAt() > tempo.lease()) {
                 continue;
@@ -823,7 +876,7 @@
                 n++;
             }
         }
-        return n >= majority(members.size());
+        return n >= majority(voters.size());
     }
 
     private boolean voting(final int node, final long now) {
@@ -907,7 +960,8 @@
     }
 
     private void onPull(final int from, final Pull m, final long now) {
-        if (m.epoch() > epoch) {
+        final boolean learner = weight(from) < 0;
+        if (m.epoch() > epoch && !learner) {
             epochSeen = Math.max(epochSeen, m.epoch());
             if (role == MASTER) {
                 stepDown("sibling " + from + " is in epoch " + m.epoch());
@@ -929,9 +983,12 @@
             return;
         }
         if (role == MASTER) {
-            if (weight(from) < 0) {
-                // why: a learner's copy is looked at to see when it may vote, and counts for nothing until then
-                learnt.put(from, !m.lost() && epochAt(m.syncedLsn()) == m.syncedEpoch() ? m.syncedLsn() : -1);
+            if (learner) {
+                // why: a learner's copy is looked at to see when it may vote, and counts for nothing until then; one
+                // that stood in vain in a later epoch, before it was removed, may not vote in this one
+                copies.remove(from);
+                final boolean mayVote = !m.lost() && m.epoch() <= epoch;
+                learnt.put(from, mayVote && epochAt(m.syncedLsn()) == m.syncedEpoch() ? m.syncedLsn() : -1);
             } else if (m.lost()) {
                 copies.remove(from);
             } else if (m.epoch() == epoch
@@ -992,7 +1049,7 @@
         }
         // why: a member that rebuilds its copy has to hear from an acting master how far, also where nothing follows
         final boolean news = m.accepted() == Pull.UNKNOWN ? lead == PullReply.ACTING_MASTER : m.accepted() < accepted;
-        if (part.isEmpty() && !news && m.epoch() == epoch) {
+        if (part.isEmpty() && !news && m.epoch() >= epoch) {
             return false;
         }
         out.send(
@@ -1038,7 +1095,8 @@
 
     private void onPullReply(final int from, final PullReply m, final long now) {
         // why: the fence: whoever acts for an older epoch or an older group is not obeyed, however late it wakes
-        if (m.epoch() < epoch || (m.epoch() == epoch && olderGroup(m)) || role == MASTER || from != pullSource) {
+        final boolean older = weight(self) < 0 ? m.epoch() < epochAt(endLsn()) : m.epoch() < epoch;
+        if (older || (m.epoch() == epoch && olderGroup(m)) || role == MASTER || from != pullSource) {
             return;
         }
         if (m.epoch() > epoch) {
@@ -1165,16 +1223,7 @@
         if (!leaseHeld(now)) {
             return;
         }
-        final long[] synced = new long[members.size()];
-        int i = 0;
-        synced[i++] = syncedLsn;
-        for (final Map.Entry<Integer, Long> copy : copies.entrySet()) {
-            if (weight(copy.getKey()) >= 0 && i < synced.length) {
-                synced[i++] = copy.getValue();
-            }
-        }
-        Arrays.sort(synced);
-        final long lsn = synced[synced.length - floor()];
+        final long lsn = syncedBy(members, floor());
         if (lsn > accepted && lsn >= openLsn && epochAt(lsn) == epoch) {
             if (accepted < openLsn) {
                 // why: whoever only watches is told at once that it may be read from, and not with its own next beat
@@ -1185,6 +1234,15 @@
         }
     }
 
+    /** Up to where at least so many of these nodes have the log synced. */
+    private long syncedBy(final List<Member> voters, final int needed) {
+        final long[] synced = voters.stream()
+                .mapToLong(m -> m.node() == self ? syncedLsn : copies.getOrDefault(m.node(), 0L))
+                .sorted()
+                .toArray();
+        return synced[synced.length - needed];
+    }
+
     private void trim(final long now) {
         if (now < nextTrim) {
             return;
--- a/trial/src/main/java/brookpath/trial/mutate/Mutants.java
+++ b/trial/src/main/java/brookpath/trial/mutate/Mutants.java
@@ -85,7 +85,7 @@
                 "-d",
                 work.resolve("testng").toString(),
                 "-testclass",
-                "brookpath.trial.sim.ScenesTest");
+                "brookpath.trial.sim.ScenesTest,brookpath.trial.sim.ControlMembershipTest");
     }
 
     private static String byModel(final Path work, final String classPath) throws IOException, InterruptedException {
