Sessions and IDs belong to one life; machines have an identity on disk

Cause: job IDs began at the clock, and polls' IDs at 0 in each life, so that a reply carried by a third node, sent to a former life, could answer a call or grant a lease of this one; whoever dialled an address talked to whoever was there; and a machine was known by its address alone, so that a new one at the address of an emptied one was 'retiring' and reported as emptied. Change: - each session begins with a hello each way (node number, life, machine). A dialler sends nothing before the answer, and hangs up on another node than it meant (counted as wrongNodes). Frames carry no sender any more (4 bytes less each): the peer is whom the hello named. A hello of another life of a node ends the sessions with the former one, tells sessionLost first, and nothing of the former life is handed on. - IDs of jobs, polls and carried calls begin at a drawn number (62 bits, room above it to rise). A carried answer is taken only from the node that it was carried to, a carried poll's only with its ID, and a list of fronts only for the question that asked. - MachineIdentity: drawn at the first start, kept in the data folder before anything else, synced with its folder. A damaged one counts as a new machine, with a finding in the log. Told in each poll, kept in Roster.NodeInfo; the control master that hears another identity under a known number takes it for a new machine: it is not retiring. Roster has a format number; the first format is still read, a newer one refused. - the simulator keeps identities on its disks by the same code. Ruled out: the life in each frame (8 bytes each; the session says it once).

--- a/coordination/src/main/java/brookpath/coordination/message/Msg.java
+++ b/coordination/src/main/java/brookpath/coordination/message/Msg.java
@@ -140,7 +140,7 @@
 
     /**
      * A data-plane process asks with the versions that it has. The relay mark: the control master that was named cannot
-     * be reached from here.
+     * be reached from here. The machine is the identity of the one that it runs on.
      */
     record SpecPoll(
             long pollId,
@@ -153,7 +153,8 @@
             long rosterVersion,
             boolean drain,
             boolean relay,
-            long wall)
+            long wall,
+            long machine)
             implements Msg {
         public static final int FRONT = 1;
         public static final int STORAGE = 2;
--- a/coordination/src/main/java/brookpath/coordination/node/BailiffNode.java
+++ b/coordination/src/main/java/brookpath/coordination/node/BailiffNode.java
@@ -146,7 +146,7 @@
         ids = firstId;
         group = new GroupMachine(CONTROL, self, tempo, founding.toleratedLosses, seed, ControlState::new, pledges, out);
         usage = new UsageDesk(self, group, clock, tempo, () -> ++ids, out);
-        client = new SpecClient(self, SpecPoll.BAILIFF, info.zone(), info.address(), info.name(), seeds, tempo, out);
+        client = new SpecClient(info, SpecPoll.BAILIFF, seeds, firstId, tempo, out);
     }
 
     public GroupMachine group() {
@@ -261,7 +261,8 @@
                 if (client.onReply(m, time)) {
                     join(now);
                 }
-            } else if (carried.remove(m.node()) != null) {
+            } else if (isCarried(m)) {
+                carried.remove(m.node());
                 out.send(m.node(), m);
             }
         } else if (msg instanceof Op m) {
@@ -269,10 +270,15 @@
                 operate(from, m, time);
             }
         } else if (msg instanceof OpReply m) {
-            final Relayed r = relayed.remove(m.jobId());
-            if (r != null && r.from != self) {
+            final Relayed r = relayed.get(m.jobId());
+            if (r == null || r.node != from) {
+                // why: only whom the job was carried to can answer it
+                return;
+            }
+            relayed.remove(m.jobId());
+            if (r.from != self) {
                 out.send(r.from, new OpReply(r.jobId, m.status(), m.retryAfterMs(), m.body()));
-            } else if (r != null) {
+            } else {
                 out.respond(r.jobId, new Response(m.status(), m.retryAfterMs(), new String(m.body(), UTF_8)));
             }
         } else {
@@ -281,6 +287,12 @@
         }
     }
 
+    /** Whether this answers the poll that is carried for the node, not one before it. */
+    private boolean isCarried(final SpecReply m) {
+        final SpecPoll poll = carried.get(m.node());
+        return poll != null && poll.pollId() == m.pollId();
+    }
+
     /** The roster may name this bailiff as a member, though its own log, if it has one, does not. */
     private void join(final long now) {
         final Membership control = client.roster().control();
@@ -486,11 +498,13 @@
         final Roster roster = newestRoster();
         final List<NodeInfo> nodes = new ArrayList<>(roster.nodes());
         final List<NodeInfo> bailiffs = new ArrayList<>(roster.bailiffs());
-        boolean changed = take(bailiffs, info);
+        final List<Integer> retiring = new ArrayList<>(roster.retiring());
+        boolean changed = take(bailiffs, info, retiring);
         for (final Poller p : pollers.values()) {
-            final NodeInfo told = new NodeInfo(p.last.node(), p.last.zone(), p.last.address(), p.last.name());
+            final NodeInfo told = new NodeInfo(
+                    p.last.node(), p.last.zone(), p.last.address(), p.last.name(), p.last.machine());
             if (p.last.role() != SpecPoll.FRONT) {
-                changed |= take(p.last.role() == SpecPoll.STORAGE ? nodes : bailiffs, told);
+                changed |= take(p.last.role() == SpecPoll.STORAGE ? nodes : bailiffs, told, retiring);
             }
         }
         changed |= group.membershipSettled()
@@ -508,18 +522,21 @@
                             roster.version() + 1,
                             List.copyOf(nodes),
                             groups,
-                            roster.retiring(),
+                            List.copyOf(retiring),
                             List.copyOf(bailiffs),
                             group.membershipSettled() ? group.membership() : roster.control()),
                     time);
         }
     }
 
-    /** True where the node is a new one, or is somewhere else now. */
-    private static boolean take(final List<NodeInfo> nodes, final NodeInfo info) {
+    /** True where the node is a new one, or is somewhere else now. What was said of a machine before it says nothing. */
+    private static boolean take(final List<NodeInfo> nodes, final NodeInfo info, final List<Integer> retiring) {
         if (nodes.contains(info)) {
             return false;
         }
+        if (nodes.stream().anyMatch(info::replaces)) {
+            retiring.remove((Integer) info.node());
+        }
         nodes.removeIf(n -> n.node() == info.node());
         nodes.add(info);
         return true;
--- a/coordination/src/main/java/brookpath/coordination/node/FrontNode.java
+++ b/coordination/src/main/java/brookpath/coordination/node/FrontNode.java
@@ -20,6 +20,7 @@
 import brookpath.coordination.path.Path;
 import brookpath.coordination.path.PathFinder;
 import brookpath.coordination.spec.Roster;
+import brookpath.coordination.spec.Roster.NodeInfo;
 import brookpath.coordination.spec.Spec;
 import brookpath.coordination.spec.SpecClient;
 import brookpath.state.record.Pack;
@@ -61,22 +62,21 @@
     private long retreat;
 
     private long addressesUntil;
+    /** The question for other fronts' addresses that waits for its answer. */
+    private long addressesAsked;
+
     private List<String> elsewhere;
 
-    /** @param address where callers reach this front, for those who are sent on to it; may be empty */
-    public FrontNode(
-            final int self,
-            final String zone,
-            final String address,
-            final String name,
-            final List<Integer> seeds,
-            final Tempo tempo,
-            final long firstId) {
-        super(self, tempo);
-        this.zone = zone;
+    /**
+     * @param info this process as others are told of it; its address is where callers reach it, and may be empty
+     * @param firstId where the IDs of what it asks begin, another place in each life
+     */
+    public FrontNode(final NodeInfo info, final List<Integer> seeds, final Tempo tempo, final long firstId) {
+        super(info.node(), tempo);
+        zone = info.zone();
         // why: a reply meant for a former life of this process must not match a job of this one
         ids = firstId;
-        client = new SpecClient(self, SpecPoll.FRONT, zone, address, name, seeds, tempo, out);
+        client = new SpecClient(info, SpecPoll.FRONT, seeds, firstId, tempo, out);
         ferries = new Ferries(tempo, this::paths, () -> ++ids, out);
         subscriptions =
                 new Subscriptions(self, () -> client.spec().topicsPerSession(), tempo, this::paths, () -> ++ids, out);
@@ -155,7 +155,7 @@
             if (client.leased(now)) {
                 subscriptions.fetched(from, m, now);
             }
-        } else if (msg instanceof OpReply m) {
+        } else if (msg instanceof OpReply m && m.jobId() == addressesAsked) {
             elsewhere = m.status() == 200 ? read(m.body()) : List.of();
         } else if (msg instanceof CountReply m) {
             final CountJob c = counts.remove(m.jobId());
@@ -354,7 +354,8 @@
             // why: whoever is sent on is told where to, and only the control plane knows all fronts
             elsewhere = null;
             addressesUntil = now + tempo.down();
-            out.send(client.controlMaster(), new Op(0, "fronts", new byte[0]));
+            addressesAsked = ++ids;
+            out.send(client.controlMaster(), new Op(addressesAsked, "fronts", new byte[0]));
         }
         client.drain(on);
         subscriptions.drain(on, over, now);
@@ -370,7 +371,7 @@
             subscriptions.unsent(to, m, time.mono());
         } else if (msg instanceof Listen m) {
             subscriptions.unsent(m);
-        } else if (msg instanceof Op) {
+        } else if (msg instanceof Op m && m.jobId() == addressesAsked) {
             elsewhere = List.of();
         } else if (msg instanceof CountAsk m) {
             final CountJob c = counts.remove(m.jobId());
--- a/coordination/src/main/java/brookpath/coordination/node/StorageNode.java
+++ b/coordination/src/main/java/brookpath/coordination/node/StorageNode.java
@@ -26,6 +26,7 @@
 import brookpath.coordination.message.Msg.TopicAt;
 import brookpath.coordination.message.Response;
 import brookpath.coordination.spec.Roster.GroupInfo;
+import brookpath.coordination.spec.Roster.NodeInfo;
 import brookpath.coordination.spec.Spec;
 import brookpath.coordination.spec.SpecClient;
 import brookpath.coordination.topic.TopicState;
@@ -76,22 +77,23 @@
     private final TreeMap<Integer, Long> toldUsage = new TreeMap<>();
     private final TreeMap<Integer, Long> counted = new TreeMap<>();
 
-    /** @param name what operators call this machine; may be empty */
+    /**
+     * @param info this process as others are told of it
+     * @param firstId where the IDs of its polls begin, another place in each life
+     */
     public StorageNode(
-            final int self,
-            final String zone,
-            final String address,
-            final String name,
+            final NodeInfo info,
             final List<Integer> seeds,
             final Tempo tempo,
             final int toleratedLosses,
             final long seed,
+            final long firstId,
             final long rollBytes) {
-        super(self, tempo);
+        super(info.node(), tempo);
         this.toleratedLosses = toleratedLosses;
         this.seed = seed;
         this.rollBytes = rollBytes;
-        client = new SpecClient(self, SpecPoll.STORAGE, zone, address, name, seeds, tempo, out);
+        client = new SpecClient(info, SpecPoll.STORAGE, seeds, firstId, tempo, out);
     }
 
     public SpecClient client() {
--- a/coordination/src/main/java/brookpath/coordination/spec/Roster.java
+++ b/coordination/src/main/java/brookpath/coordination/spec/Roster.java
@@ -21,13 +21,48 @@
         List<Integer> retiring,
         List<NodeInfo> bailiffs,
         Membership control) {
+    /**
+     * What a saved roster begins with. The first format began with the version, which is never negative; this one adds
+     * the machines' identities.
+     */
+    private static final long FORMAT = -2;
+
     public static final Roster NONE = new Roster(0, List.of(), List.of(), List.of());
 
-    /** @param name what operators call the machine; may be empty */
-    public record NodeInfo(int node, String zone, String address, String name) {
+    /**
+     * A process as others are told of it. Node numbers follow from addresses, which are used again; the machine's
+     * identity tells a machine from the one before it.
+     *
+     * @param name what operators call the machine; may be empty
+     * @param machine the machine's identity, drawn at its first start; {@link #UNKNOWN_MACHINE} where nobody has told it
+     */
+    public record NodeInfo(int node, String zone, String address, String name, long machine) {
+        public static final long UNKNOWN_MACHINE = 0;
+
+        public NodeInfo(final int node, final String zone, final String address, final String name) {
+            this(node, zone, address, name, UNKNOWN_MACHINE);
+        }
+
         public NodeInfo(final int node, final String zone, final String address) {
             this(node, zone, address, "");
         }
+
+        /** The same process on the machine of this identity. */
+        public NodeInfo on(final long newMachine) {
+            return new NodeInfo(node, zone, address, name, newMachine);
+        }
+
+        /** Whether the other one, of the same number, is certainly another machine. */
+        public boolean replaces(final NodeInfo other) {
+            return node == other.node
+                    && machine != other.machine
+                    && machine != UNKNOWN_MACHINE
+                    && other.machine != UNKNOWN_MACHINE;
+        }
+
+        private void pack(final Pack pack) {
+            pack.num(node).str(zone).str(address).str(name).num(machine);
+        }
     }
 
     public Roster(
@@ -84,8 +119,8 @@
     }
 
     public byte[] save() {
-        final Pack pack = Pack.writer().num(version).num(nodes.size());
-        nodes.forEach(n -> pack.num(n.node).str(n.zone).str(n.address).str(n.name));
+        final Pack pack = Pack.writer().num(FORMAT).num(version).num(nodes.size());
+        nodes.forEach(n -> n.pack(pack));
         pack.num(groups.size());
         for (final GroupInfo g : groups) {
             g.membership.pack(pack.num(g.id).num(g.founded ? 1 : 0));
@@ -93,7 +128,7 @@
         pack.num(retiring.size());
         retiring.forEach(pack::num);
         pack.num(bailiffs.size());
-        bailiffs.forEach(n -> pack.num(n.node).str(n.zone).str(n.address).str(n.name));
+        bailiffs.forEach(n -> n.pack(pack));
         return control.pack(pack).done();
     }
 
@@ -102,8 +137,14 @@
             return NONE;
         }
         final Pack in = Pack.reader(saved);
-        final long version = in.num();
-        final List<NodeInfo> nodes = infos(in);
+        final long first = in.num();
+        if (first < FORMAT) {
+            throw new IllegalStateException("the cluster metadata has format " + -first + ", and this program reads up to "
+                    + -FORMAT + ": it is of a newer version");
+        }
+        final boolean machines = first == FORMAT;
+        final long version = machines ? in.num() : first;
+        final List<NodeInfo> nodes = infos(in, machines);
         final List<GroupInfo> groups = new ArrayList<>();
         for (long n = in.num(); n > 0; n--) {
             groups.add(new GroupInfo((int) in.num(), in.num() == 1, Membership.load(in)));
@@ -112,13 +153,18 @@
         for (long n = in.num(); n > 0; n--) {
             retiring.add((int) in.num());
         }
-        return new Roster(version, nodes, List.copyOf(groups), List.copyOf(retiring), infos(in), Membership.load(in));
+        return new Roster(version, nodes, List.copyOf(groups), List.copyOf(retiring), infos(in, machines), Membership.load(in));
     }
 
-    private static List<NodeInfo> infos(final Pack in) {
+    private static List<NodeInfo> infos(final Pack in, final boolean machines) {
         final List<NodeInfo> nodes = new ArrayList<>();
         for (long n = in.num(); n > 0; n--) {
-            nodes.add(new NodeInfo((int) in.num(), in.str(), in.str(), in.str()));
+            nodes.add(new NodeInfo(
+                    (int) in.num(),
+                    in.str(),
+                    in.str(),
+                    in.str(),
+                    machines ? in.num() : NodeInfo.UNKNOWN_MACHINE));
         }
         return List.copyOf(nodes);
     }
--- a/coordination/src/main/java/brookpath/coordination/spec/SpecClient.java
+++ b/coordination/src/main/java/brookpath/coordination/spec/SpecClient.java
@@ -5,16 +5,15 @@
 import brookpath.coordination.message.Msg.SpecPoll;
 import brookpath.coordination.message.Msg.SpecReply;
 import brookpath.coordination.node.Node.Time;
+import brookpath.coordination.spec.Roster.NodeInfo;
 import java.util.ArrayList;
 import java.util.List;
 
 /** A data-plane process's side of the spec: asks with the version that it has, and holds the lease on it. */
 public final class SpecClient {
+    private final NodeInfo info;
     private final int self;
     private final int role;
-    private final String zone;
-    private final String address;
-    private final String name;
     /** Whom it may ask: those that the settings name, and those that the roster has told of since. */
     private List<Integer> bailiffs;
 
@@ -37,23 +36,22 @@
     private long clockAhead = Long.MIN_VALUE;
 
     /**
-     * @param address where others reach this process: siblings a storage machine or a bailiff, callers a front
-     * @param name what operators call its machine; may be empty
+     * @param info this process as others are told of it; siblings reach a storage machine or a bailiff at its address,
+     *     callers a front
+     * @param firstId where the polls' IDs begin, another place in each life of the process: a reply that a third node
+     *     carries may outlive the one that asked, and must grant no lease to its successor
      */
     public SpecClient(
-            final int self,
+            final NodeInfo info,
             final int role,
-            final String zone,
-            final String address,
-            final String name,
             final List<Integer> seeds,
+            final long firstId,
             final Tempo tempo,
             final Actions out) {
-        this.self = self;
+        this.info = info;
+        self = info.node();
         this.role = role;
-        this.zone = zone;
-        this.address = address;
-        this.name = name;
+        pollId = firstId;
         bailiffs = seeds.stream().filter(n -> n != self).toList();
         this.tempo = tempo;
         this.out = out;
@@ -159,14 +157,15 @@
                         ++pollId,
                         self,
                         role,
-                        zone,
-                        address,
-                        name,
+                        info.zone(),
+                        info.address(),
+                        info.name(),
                         known ? spec.version() : -1,
                         known ? roster.version() : -1,
                         drain,
                         relay,
-                        time.wall()));
+                        time.wall(),
+                        info.machine()));
     }
 
     /**
--- a/programs/src/main/java/brookpath/programs/boot/Assembly.java
+++ b/programs/src/main/java/brookpath/programs/boot/Assembly.java
@@ -12,7 +12,10 @@
 import brookpath.coordination.spec.Roster.NodeInfo;
 import brookpath.coordination.spec.SpecClient;
 import brookpath.state.disk.FolderDisk;
+import brookpath.state.disk.MachineIdentity;
 import brookpath.state.spool.Spool;
+import brookpath.transport.identity.ProcessIdentity;
+import brookpath.transport.identity.RandomNumbers;
 import brookpath.transport.loop.Host;
 import java.nio.file.Path;
 import java.util.LinkedHashMap;
@@ -68,12 +71,14 @@
     /** Throws IllegalStateException where the folder forbids what the plan says. */
     public static Assembly of(final Plan plan, final Host.Poster poster) {
         final Time time = Host.time();
-        final Spool.Recovery recovered = plan.data.isEmpty() ? null : Spool.recover(new FolderDisk(Path.of(plan.data)));
+        final FolderDisk disk = plan.data.isEmpty() ? null : new FolderDisk(Path.of(plan.data));
+        final NodeInfo info = plan.info.on(machine(disk));
+        final Spool.Recovery recovered = disk == null ? null : Spool.recover(disk);
         final List<byte[]> entries = recovered == null ? List.of() : recovered.replayed();
         if (recovered != null) {
             recovered.findings().forEach(f -> Logger.error("data folder: {}", f));
         }
-        final Node node = node(plan, time);
+        final Node node = node(plan, info);
         node.bornAt(plan.bornAt);
         entries.forEach(e -> node.replay(e, time));
         if (plan.found && !entries.isEmpty()) {
@@ -85,7 +90,7 @@
                 node instanceof FrontNode f ? f.client() : node instanceof StorageNode n ? n.client() : null;
         final Host host = new Host(
                 node,
-                plan.info.node(),
+                new ProcessIdentity(info.node(), RandomNumbers.identity(), info.machine()),
                 plan.tempo,
                 recovered == null ? null : recovered.spool(),
                 n -> addresses(plan, n),
@@ -96,24 +101,34 @@
         return new Assembly(node, host, first);
     }
 
-    private static Node node(final Plan plan, final Time time) {
-        final NodeInfo me = plan.info;
+    /** The identity of the machine that this runs on: kept on its disk, or without one drawn for this process. */
+    private static long machine(final FolderDisk disk) {
+        final long drawn = RandomNumbers.identity();
+        if (disk == null) {
+            return drawn;
+        }
+        final MachineIdentity identity = MachineIdentity.of(disk, drawn);
+        if (identity.finding() != null) {
+            Logger.error("data folder: {}", identity.finding());
+        }
+        return identity.number();
+    }
+
+    private static Node node(final Plan plan, final NodeInfo me) {
         final List<Integer> seeds = List.copyOf(plan.seeds.keySet());
         // why: jobs of a former life must not be taken for this one's
-        final long firstId = time.wall() << 16;
+        final long firstId = RandomNumbers.firstId();
         final long seed = System.nanoTime();
         return switch (plan.role) {
-            case FRONT -> new FrontNode(me.node(), me.zone(), me.address(), me.name(), seeds, plan.tempo, firstId);
+            case FRONT -> new FrontNode(me, seeds, plan.tempo, firstId);
             case STORAGE ->
                 new StorageNode(
-                        me.node(),
-                        me.zone(),
-                        me.address(),
-                        me.name(),
+                        me,
                         seeds,
                         plan.tempo,
                         plan.founding.toleratedLosses(),
                         seed,
+                        firstId,
                         plan.rollBytes);
             case BAILIFF ->
                 new BailiffNode(me, plan.founders, seeds, plan.founding, plan.tempo, seed, firstId, plan.rollBytes);
--- a/protocol/src/main/java/brookpath/protocol/frame/FrameCodec.java
+++ b/protocol/src/main/java/brookpath/protocol/frame/FrameCodec.java
@@ -205,6 +205,7 @@
                     .drain(bit(m.drain()))
                     .relay(bit(m.relay()))
                     .wall(m.wall())
+                    .machine(m.machine())
                     .putZone(zone, 0, zone.length)
                     .putAddress(address, 0, address.length)
                     .putName(name, 0, name.length)
@@ -409,7 +410,8 @@
                         d.rosterVersion(),
                         d.drain() == 1,
                         d.relay() == 1,
-                        d.wall());
+                        d.wall(),
+                        d.machine());
             }
             case SpecReplyFrameDecoder.TEMPLATE_ID -> {
                 final SpecReplyFrameDecoder d = new SpecReplyFrameDecoder().wrapAndApplyHeader(in, 0, headDec);
--- a/transport/src/main/java/brookpath/transport/loop/Host.java
+++ b/transport/src/main/java/brookpath/transport/loop/Host.java
@@ -14,6 +14,8 @@
 import brookpath.coordination.node.Node;
 import brookpath.coordination.node.Node.Time;
 import brookpath.state.spool.Spool;
+import brookpath.transport.identity.ProcessIdentity;
+import brookpath.transport.identity.RandomNumbers;
 import brookpath.transport.wire.Wire;
 import jakarta.json.Json;
 import java.util.ArrayList;
@@ -96,6 +98,7 @@
     private Map<Integer, String> dialled = Map.of();
 
     /**
+     * @param self who this process is, as others are told
      * @param spool null where the machine has no disk
      * @param addresses whom the node wants sessions with
      * @param leaseUntil until when lines may be delivered
@@ -103,7 +106,7 @@
      */
     public Host(
             final Node node,
-            final int self,
+            final ProcessIdentity self,
             final Tempo tempo,
             final Spool spool,
             final Function<Node, Map<Integer, String>> addresses,
@@ -118,8 +121,8 @@
         this.leaseUntil = leaseUntil;
         this.fatal = fatal;
         this.poster = poster;
-        // why: never the same as in a former life of this process
-        jobIds = new AtomicLong(System.currentTimeMillis() << 16);
+        // why: never the same as in a former life of this process, however its clock was stepped
+        jobIds = new AtomicLong(RandomNumbers.firstId());
         wire = new Wire(self, this, tempo.beat() / 2, 3 * tempo.deliverMs() / 2, threads);
     }
 
@@ -136,6 +139,7 @@
                 obj.add(zone, Json.createObjectBuilder().add("out", n[0]).add("in", n[1])));
         return Json.createObjectBuilder()
                 .add("malformedFrames", wire.malformed())
+                .add("wrongNodes", wire.wrongNodes())
                 .add("bytesPerZone", obj)
                 .build()
                 .toString();
--- /dev/null
+++ b/transport/src/main/java/brookpath/transport/wire/Hello.java
@@ -0,0 +1,29 @@
+package brookpath.transport.wire;
+
+import brookpath.transport.identity.ProcessIdentity;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufAllocator;
+
+/** The first frame in each direction of a session: who its sender is. */
+final class Hello {
+    private static final int MAGIC = 0x62726b31;
+    private static final int BYTES = 2 * Integer.BYTES + 2 * Long.BYTES;
+
+    private Hello() {}
+
+    static ByteBuf encode(final ProcessIdentity own, final ByteBufAllocator alloc) {
+        return alloc.buffer(BYTES)
+                .writeInt(MAGIC)
+                .writeInt(own.node())
+                .writeLong(own.life())
+                .writeLong(own.machine());
+    }
+
+    /** Throws IllegalArgumentException for a frame that is none. */
+    static ProcessIdentity decode(final ByteBuf frame) {
+        if (frame.readableBytes() != BYTES || frame.readInt() != MAGIC) {
+            throw new IllegalArgumentException("a session that does not begin with a hello");
+        }
+        return new ProcessIdentity(frame.readInt(), frame.readLong(), frame.readLong());
+    }
+}
--- a/transport/src/main/java/brookpath/transport/wire/Wire.java
+++ b/transport/src/main/java/brookpath/transport/wire/Wire.java
@@ -2,6 +2,7 @@
 
 import brookpath.coordination.message.Msg;
 import brookpath.protocol.frame.FrameCodec;
+import brookpath.transport.identity.ProcessIdentity;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
@@ -20,15 +21,19 @@
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import io.netty.handler.codec.LengthFieldPrepender;
 import java.net.InetSocketAddress;
-import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Future;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.LongAdder;
 import jdk.net.ExtendedSocketOptions;
 
-/** Sessions between our own processes: frames with a length field, each saying who sent it. */
+/**
+ * Sessions between our own processes: frames with a length field. The first frame each way is a hello, which says who
+ * its sender is: a dialler sends nothing else before it knows that it reached the node that it meant, and whatever
+ * follows a hello is taken for that life of that node alone.
+ */
 public final class Wire implements AutoCloseable {
     /** Called on Netty's threads. */
     public interface Inbox {
@@ -49,20 +54,23 @@
             NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL);
     private static final ChannelOption<Integer> KEEP_COUNT = NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT);
     private static final int KEEPS = 3;
+    private static final int LENGTH_BYTES = Integer.BYTES;
     /** An opening packet that was lost goes again after a second; another go is sooner. */
     private static final int CONNECT_MS = 400;
+    /** Who says nothing of itself for so long is no process of ours, or is frozen; a later go finds out. */
+    private static final int HELLO_MS = 3_000;
 
-    private final int self;
+    private final ProcessIdentity self;
     private final Inbox inbox;
     private final long redialMs;
     private final long deadMs;
     private final Map<Integer, Long> unanswered = new ConcurrentHashMap<>();
     private final MultiThreadIoEventLoopGroup loops;
     private final Map<Integer, String> addresses = new ConcurrentHashMap<>();
-    private final Map<Integer, Channel> dialled = new ConcurrentHashMap<>();
-    private final Map<Integer, Channel> accepted = new ConcurrentHashMap<>();
+    private final Map<Integer, Peer> peers = new ConcurrentHashMap<>();
     private final ThreadLocal<FrameCodec> codecs = ThreadLocal.withInitial(FrameCodec::new);
     private final LongAdder malformed = new LongAdder();
+    private final LongAdder wrongNodes = new LongAdder();
     private final Map<Integer, LongAdder> bytesOut = new ConcurrentHashMap<>();
     private final Map<Integer, LongAdder> bytesIn = new ConcurrentHashMap<>();
     private volatile boolean closed;
@@ -74,7 +82,12 @@
      *     it may have lost power
      * @param threads that carry the traffic
      */
-    public Wire(final int self, final Inbox inbox, final long redialMs, final long deadMs, final int threads) {
+    public Wire(
+            final ProcessIdentity self,
+            final Inbox inbox,
+            final long redialMs,
+            final long deadMs,
+            final int threads) {
         this.self = self;
         this.deadMs = deadMs;
         loops = new MultiThreadIoEventLoopGroup(threads, NioIoHandler.newFactory());
@@ -91,7 +104,7 @@
                 .childOption(KEEP_IDLE, 1)
                 .childOption(KEEP_EVERY, 1)
                 .childOption(KEEP_COUNT, KEEPS)
-                .childHandler(pipeline(0))
+                .childHandler(pipeline(0, ""))
                 .bind(host, port)
                 .sync()
                 .channel();
@@ -107,6 +120,11 @@
         return malformed.sum();
     }
 
+    /** Sessions that were given up because another node answered than the one that was meant. */
+    public long wrongNodes() {
+        return wrongNodes.sum();
+    }
+
     /** Bytes sent so far, per sibling. */
     public Map<Integer, LongAdder> bytesOut() {
         return bytesOut;
@@ -118,20 +136,18 @@
 
     /** Ends the sessions with a node; whoever dialled dials again. */
     public void hangUp(final int node) {
-        for (final Map<Integer, Channel> map : List.of(dialled, accepted)) {
-            final Channel ch = map.get(node);
-            if (ch != null) {
-                ch.close();
-            }
+        final Peer peer = peers.get(node);
+        if (peer != null) {
+            peer.close();
         }
     }
 
     /** Keeps a session to the node from now on. */
     public void dial(final int node, final String address) {
-        if (node != self && !address.isEmpty() && !address.equals(addresses.put(node, address))) {
-            final Channel old = dialled.remove(node);
-            if (old != null) {
-                old.close();
+        if (node != self.node() && !address.isEmpty() && !address.equals(addresses.put(node, address))) {
+            final Peer peer = peers.get(node);
+            if (peer != null) {
+                peer.closeDialled();
             }
             connect(node, address);
         }
@@ -151,12 +167,10 @@
                 .option(KEEP_EVERY, 1)
                 .option(KEEP_COUNT, KEEPS)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
-                .handler(pipeline(node))
+                .handler(pipeline(node, address))
                 .connect(address.substring(0, sep), Integer.parseInt(address.substring(sep + 1)))
                 .addListener((io.netty.channel.ChannelFuture f) -> {
                     if (f.isSuccess()) {
-                        dialled.put(node, f.channel());
-                        inbox.sessionUp(node);
                         f.channel().closeFuture().addListener(c -> redial(node, address));
                     } else {
                         redial(node, address);
@@ -174,10 +188,8 @@
 
     /** False where there is certainly no session to send it on. */
     public boolean send(final int node, final Msg msg) {
-        Channel ch = dialled.get(node);
-        if (ch == null || !ch.isActive()) {
-            ch = accepted.get(node);
-        }
+        final Peer peer = peers.get(node);
+        final Channel ch = peer == null ? null : peer.channel();
         if (ch == null
                 || !ch.isActive()
                 || (ch.unsafe().outboundBuffer() != null
@@ -194,57 +206,98 @@
             return false;
         }
         final byte[] frame = codecs.get().encode(msg);
-        final ByteBuf buf = ch.alloc().buffer(4 + frame.length).writeInt(self).writeBytes(frame);
-        bytesOut.computeIfAbsent(node, k -> new LongAdder()).add(8 + frame.length);
+        final ByteBuf buf = ch.alloc().buffer(frame.length).writeBytes(frame);
+        bytesOut.computeIfAbsent(node, k -> new LongAdder()).add(LENGTH_BYTES + frame.length);
         ch.writeAndFlush(buf, ch.voidPromise());
         return true;
     }
 
-    private ChannelInitializer<SocketChannel> pipeline(final int dialledNode) {
+    private ChannelInitializer<SocketChannel> pipeline(final int meant, final String address) {
         return new ChannelInitializer<>() {
             @Override
             protected void initChannel(final SocketChannel ch) {
                 ch.pipeline()
                         .addLast(
-                                new LengthFieldBasedFrameDecoder(FrameCodec.MAX_FRAME, 0, 4, 0, 4),
-                                new LengthFieldPrepender(4),
-                                new Receiver(dialledNode));
+                                new LengthFieldBasedFrameDecoder(
+                                        FrameCodec.MAX_FRAME, 0, LENGTH_BYTES, 0, LENGTH_BYTES),
+                                new LengthFieldPrepender(LENGTH_BYTES),
+                                new Receiver(meant, address));
             }
         };
     }
 
     private final class Receiver extends SimpleChannelInboundHandler<ByteBuf> {
         private final FrameCodec codec = new FrameCodec();
-        private int node;
+        /** Whom this process dialled, 0 where the other side did. */
+        private final int meant;
+
+        private final String address;
+        private ProcessIdentity other;
+        private Peer peer;
+        private Future<?> patience;
 
-        Receiver(final int node) {
-            this.node = node;
+        Receiver(final int meant, final String address) {
+            this.meant = meant;
+            this.address = address;
+        }
+
+        @Override
+        public void channelActive(final ChannelHandlerContext ctx) {
+            patience = ctx.executor().schedule(() -> ctx.close(), HELLO_MS, TimeUnit.MILLISECONDS);
+            if (meant != 0) {
+                ctx.writeAndFlush(Hello.encode(self, ctx.alloc()), ctx.voidPromise());
+            }
         }
 
         @Override
         protected void channelRead0(final ChannelHandlerContext ctx, final ByteBuf buf) {
-            final int from = buf.readInt();
-            unanswered.remove(from);
+            if (other == null) {
+                hello(ctx, Hello.decode(buf));
+            } else {
+                frame(ctx, buf);
+            }
+        }
+
+        private void hello(final ChannelHandlerContext ctx, final ProcessIdentity told) {
+            patience.cancel(false);
+            final boolean outdated = meant != 0 && !address.equals(addresses.get(meant));
+            if (outdated || told.node() == self.node() || (meant != 0 && told.node() != meant)) {
+                if (!outdated) {
+                    wrongNodes.increment();
+                }
+                ctx.close();
+                return;
+            }
+            if (meant == 0) {
+                ctx.writeAndFlush(Hello.encode(self, ctx.alloc()), ctx.voidPromise());
+            }
+            other = told;
+            unanswered.remove(told.node());
+            peer = peers.computeIfAbsent(told.node(), k -> new Peer());
+            peer.begin(told.life(), ctx.channel(), meant != 0, () -> inbox.sessionLost(told.node()));
+            if (meant != 0) {
+                inbox.sessionUp(told.node());
+            }
+        }
+
+        private void frame(final ChannelHandlerContext ctx, final ByteBuf buf) {
+            unanswered.remove(other.node());
             final byte[] bytes = new byte[buf.readableBytes()];
             buf.readBytes(bytes);
             final Msg msg = codec.decode(bytes, 0, bytes.length);
-            if (node == 0) {
-                node = from;
-                accepted.put(from, ctx.channel());
+            bytesIn.computeIfAbsent(other.node(), k -> new LongAdder()).add(LENGTH_BYTES + bytes.length);
+            if (!peer.handOn(other.life(), () -> inbox.frame(other.node(), msg))) {
+                ctx.close();
             }
-            if (from != node) {
-                throw new IllegalArgumentException("node " + from + " on the session of node " + node);
-            }
-            bytesIn.computeIfAbsent(from, k -> new LongAdder()).add(8 + bytes.length);
-            inbox.frame(from, msg);
         }
 
         @Override
         public void channelInactive(final ChannelHandlerContext ctx) {
-            if (node != 0) {
-                dialled.remove(node, ctx.channel());
-                accepted.remove(node, ctx.channel());
-                inbox.sessionLost(node);
+            if (patience != null) {
+                patience.cancel(false);
+            }
+            if (other != null && peer.end(other.life(), ctx.channel())) {
+                inbox.sessionLost(other.node());
             }
         }
 
@@ -264,8 +317,7 @@
         if (server != null) {
             server.close();
         }
-        dialled.values().forEach(Channel::close);
-        accepted.values().forEach(Channel::close);
+        peers.values().forEach(Peer::close);
         loops.shutdownGracefully(0, 200, TimeUnit.MILLISECONDS);
     }
 }
--- a/trial/src/main/java/brookpath/trial/sim/Net.java
+++ b/trial/src/main/java/brookpath/trial/sim/Net.java
@@ -11,6 +11,8 @@
  * The simulated network: ordered sessions with delay, cuts in one or both directions, and loss felt as late repeats.
  */
 final class Net {
+    private static final long LENGTH_BYTES = 4;
+
     private final World world;
     private final FrameCodec codec = new FrameCodec();
     private final Map<Long, Long> lastAt = new HashMap<>();
@@ -54,12 +56,12 @@
         }
         final byte[] frame = codec.encode(msg);
         if (!from.zone.equals(target.zone)) {
-            // why: eight more bytes go on each frame, its length and its sender
-            crossZoneBytes.merge(msg.getClass().getSimpleName(), frame.length + 8L, Long::sum);
+            // why: four more bytes go on each frame, its length
+            crossZoneBytes.merge(msg.getClass().getSimpleName(), frame.length + LENGTH_BYTES, Long::sum);
         }
         from.sentMessages++;
-        from.sentBytes += frame.length + 8L;
-        target.gotBytes += frame.length + 8L;
+        from.sentBytes += frame.length + LENGTH_BYTES;
+        target.gotBytes += frame.length + LENGTH_BYTES;
         final long link = link(from.id, to);
         // why: virtual time has whole milliseconds, so half of one is one by turns
         final int zones = from.zone.equals(target.zone) ? 0 : (world.shape.halfMillis() + world.rnd.nextInt(2)) / 2;
--- a/trial/src/main/java/brookpath/trial/sim/Proc.java
+++ b/trial/src/main/java/brookpath/trial/sim/Proc.java
@@ -10,6 +10,8 @@
 import brookpath.coordination.node.Job;
 import brookpath.coordination.node.Node;
 import brookpath.coordination.node.Node.Time;
+import brookpath.coordination.spec.Roster.NodeInfo;
+import brookpath.state.disk.MachineIdentity;
 import brookpath.state.spool.Spool;
 import brookpath.trial.disk.TrialDisk;
 import java.util.ArrayDeque;
@@ -39,6 +41,9 @@
     private List<Action> pending = new ArrayList<>();
     private boolean diskBusy;
     long life;
+    /** The machine's identity: what the disk keeps, or where there is none, another in each life. */
+    private long machine;
+
     boolean alive;
     /** Never to come back: the one disk machine that may be lost for good. */
     boolean goneForGood;
@@ -72,6 +77,11 @@
         disk = hasDisk ? new TrialDisk() : null;
     }
 
+    /** The process as others are told of it. */
+    NodeInfo info() {
+        return new NodeInfo(id, zone, "sim:" + id, "machine-" + id, machine);
+    }
+
     Time time() {
         return new Time(world.now() + monoBase, world.now() + skew + World.WALL);
     }
@@ -104,10 +114,12 @@
         handoff.takeWish();
         beatOut.drain();
         final List<byte[]> entries = new ArrayList<>();
+        machine = (long) id << 32 | life;
         if (disk != null) {
             disk.failing(false);
             final Spool.Recovery rec;
             try {
+                machine = MachineIdentity.of(disk, machine).number();
                 rec = Spool.recover(disk);
             } catch (final java.io.UncheckedIOException ex) {
                 world.count("would not start");
--- a/trial/src/main/java/brookpath/trial/sim/World.java
+++ b/trial/src/main/java/brookpath/trial/sim/World.java
@@ -81,7 +81,7 @@
             final String zone = zones[i];
             procs.put(11 + i, new Proc(this, 11 + i, zone, true, (proc, entries) -> {
                 final StorageNode node = new StorageNode(
-                        proc.id, zone, "sim:" + proc.id, "", seeds, tempo, 1, rnd.nextLong(), ROLL_BYTES);
+                        proc.info(), seeds, tempo, 1, rnd.nextLong(), proc.life << 32, ROLL_BYTES);
                 entries.forEach(e -> node.replay(e, proc.time()));
                 return node;
             }));
@@ -96,8 +96,7 @@
                             31 + i,
                             zone,
                             false,
-                            (proc, entries) ->
-                                    new FrontNode(proc.id, zone, "sim:" + proc.id, "", seeds, tempo, proc.life << 32)));
+                            (proc, entries) -> new FrontNode(proc.info(), seeds, tempo, proc.life << 32)));
         }
         procs.values().forEach(p -> at(rnd.nextInt(500), p::start));
         at(0, this::watch);
--- /dev/null
+++ b/trial/src/test/java/brookpath/trial/MachineIdentityTest.java
@@ -0,0 +1,119 @@
+package brookpath.trial;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertNotNull;
+import static org.testng.Assert.assertNull;
+import static org.testng.Assert.assertThrows;
+import static org.testng.Assert.assertTrue;
+
+import brookpath.coordination.group.Member;
+import brookpath.coordination.group.Membership;
+import brookpath.coordination.spec.Roster;
+import brookpath.coordination.spec.Roster.GroupInfo;
+import brookpath.coordination.spec.Roster.NodeInfo;
+import brookpath.state.disk.DiskFile;
+import brookpath.state.disk.MachineIdentity;
+import brookpath.state.record.Pack;
+import brookpath.state.spool.Spool;
+import brookpath.trial.disk.TrialDisk;
+import java.util.List;
+import java.util.SplittableRandom;
+import org.testng.annotations.Test;
+
+/** A machine keeps its identity on its disk, and the cluster metadata keeps those of all machines. */
+public final class MachineIdentityTest {
+    private static final String FILE = "machine-id";
+
+    @Test
+    public void itOutlivesALossOfPowerRightAfterTheFirstStart() {
+        for (int seed = 0; seed < 50; seed++) {
+            final TrialDisk disk = new TrialDisk();
+            assertEquals(MachineIdentity.of(disk, 7), new MachineIdentity(7, null));
+            disk.powerLoss(new SplittableRandom(seed));
+            assertEquals(MachineIdentity.of(disk, 8), new MachineIdentity(7, null), "seed " + seed);
+            Spool.recover(disk);
+            assertEquals(MachineIdentity.of(disk, 9), new MachineIdentity(7, null));
+        }
+    }
+
+    @Test
+    public void aMachineWithoutItsDiskIsAnotherOne() {
+        final TrialDisk disk = new TrialDisk();
+        MachineIdentity.of(disk, 7);
+        disk.wipe();
+        assertEquals(MachineIdentity.of(disk, 8).number(), 8);
+    }
+
+    @Test
+    public void aDamagedIdentityCountsAsThatOfANewMachine() {
+        for (int length = 0; length <= 24; length++) {
+            final TrialDisk disk = new TrialDisk();
+            MachineIdentity.of(disk, 7);
+            final DiskFile file = disk.open(FILE);
+            final byte[] bytes = file.readAll();
+            file.truncate(0);
+            bytes[length % bytes.length] ^= 1;
+            file.append(bytes, 0, length);
+            final MachineIdentity after = MachineIdentity.of(disk, 8);
+            assertEquals(after.number(), 8, length + " bytes");
+            assertNotNull(after.finding());
+            assertEquals(MachineIdentity.of(disk, 9), new MachineIdentity(8, null));
+        }
+    }
+
+    @Test
+    public void anUnfinishedWriteIsNoIdentity() {
+        final TrialDisk disk = new TrialDisk();
+        final DiskFile file = disk.open(FILE + ".tmp");
+        file.append(new byte[5], 0, 5);
+        assertEquals(MachineIdentity.of(disk, 8), new MachineIdentity(8, null));
+        assertEquals(MachineIdentity.of(disk, 9), new MachineIdentity(8, null));
+    }
+
+    private static final Membership MEMBERS = new Membership(3, List.of(new Member(11, 50, "a")), List.of());
+    private static final NodeInfo STORAGE = new NodeInfo(11, "a", "x:1", "one", 77);
+
+    @Test
+    public void theMetadataKeepsIdentities() {
+        final Roster roster = new Roster(
+                5,
+                List.of(STORAGE),
+                List.of(new GroupInfo(0, true, MEMBERS)),
+                List.of(11),
+                List.of(new NodeInfo(1, "a", "y:1", "two", 88)),
+                MEMBERS);
+        assertEquals(Roster.load(roster.save()), roster);
+    }
+
+    @Test
+    public void metadataOfTheFirstFormatIsReadWithoutIdentities() {
+        final Pack old = Pack.writer().num(5).num(1).num(11).str("a").str("x:1").str("one");
+        MEMBERS.pack(old.num(1).num(0).num(1));
+        old.num(1).num(11);
+        old.num(1).num(1).str("a").str("y:1").str("two");
+        final Roster read = Roster.load(MEMBERS.pack(old).done());
+        assertEquals(read.version(), 5);
+        assertEquals(read.nodes(), List.of(new NodeInfo(11, "a", "x:1", "one")));
+        assertEquals(read.bailiffs(), List.of(new NodeInfo(1, "a", "y:1", "two")));
+        assertEquals(read.retiring(), List.of(11));
+        assertEquals(read.control(), MEMBERS);
+    }
+
+    @Test
+    public void metadataOfANewerFormatIsRefused() {
+        final byte[] newer = Pack.writer().num(-3).num(5).num(0).done();
+        assertThrows(IllegalStateException.class, () -> Roster.load(newer));
+    }
+
+    @Test
+    public void onlyTwoKnownIdentitiesTellMachinesApart() {
+        final NodeInfo other = STORAGE.on(78);
+        assertTrue(other.replaces(STORAGE));
+        assertFalse(STORAGE.replaces(STORAGE));
+        assertFalse(other.replaces(STORAGE.on(NodeInfo.UNKNOWN_MACHINE)));
+        assertFalse(STORAGE.on(NodeInfo.UNKNOWN_MACHINE).replaces(other));
+        assertFalse(new NodeInfo(12, "a", "x:1", "one", 78).replaces(STORAGE));
+        assertNull(MachineIdentity.of(new TrialDisk(), 1).finding());
+    }
+}
--- a/trial/src/test/java/brookpath/trial/WireTest.java
+++ b/trial/src/test/java/brookpath/trial/WireTest.java
@@ -3,6 +3,7 @@
 import static org.testng.Assert.assertTrue;
 
 import brookpath.coordination.message.Msg;
+import brookpath.transport.identity.ProcessIdentity;
 import brookpath.transport.wire.Wire;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -36,8 +37,8 @@
         final Box two = new Box();
         // why: the least patience there is, so that whoever takes the other session's answers for silence gives up at
         // the second message
-        final Wire a = new Wire(1, one, 100, -1, 1);
-        final Wire b = new Wire(2, two, 100, -1, 1);
+        final Wire a = new Wire(new ProcessIdentity(1, 11, 111), one, 100, -1, 1);
+        final Wire b = new Wire(new ProcessIdentity(2, 22, 222), two, 100, -1, 1);
         try {
             final int portA = a.listen("127.0.0.1", 0);
             final int portB = b.listen("127.0.0.1", 0);
