A publish is refused only where no earlier attempt may lie in a log

Cause: late word that an attempt never left was taken for the one under way, which then was sent once more; a refusal for good after an attempt whose end was unknown was passed on as certain, though the master may only have forgotten the sequence (it remembers 256 per sender and topic). Change: such word counts only for the node that the publish is with; a refusal after an attempt in doubt is given as unsettled. Ruled out as faults, with tests: replies of an earlier master, acceptance told twice, replies to IDs of another life, silence (nothing is sent again to the same master, the end is unknown).

--- a/coordination/src/main/java/brookpath/coordination/node/FrontNode.java
+++ b/coordination/src/main/java/brookpath/coordination/node/FrontNode.java
@@ -366,7 +366,7 @@
         if (msg instanceof SpecPoll) {
             client.unsent(to, time.mono());
         } else if (msg instanceof Publish m) {
-            ferries.unsent(m, time.mono());
+            ferries.unsent(to, m, time.mono());
         } else if (msg instanceof Fetch m) {
             subscriptions.unsent(to, m, time.mono());
         } else if (msg instanceof Listen m) {
--- a/coordination/src/main/java/brookpath/coordination/node/front/Ferries.java
+++ b/coordination/src/main/java/brookpath/coordination/node/front/Ferries.java
@@ -203,8 +203,14 @@
             }
             case PublishReply.REFUSED_FOR_GOOD -> {
                 done(pier, m.jobId());
-                note(f.job, "node " + from + " said " + m.why());
-                out.respond(f.job.jobId(), new Response(409, 0, outcome("refused", "sequence", m.why()), "sequence"));
+                if (f.doubt) {
+                    // why: an earlier attempt may lie in a log, and its sequence may only have been forgotten
+                    unsettled(f.job, "node " + from + " said " + m.why() + ", after an attempt whose end is unknown");
+                } else {
+                    note(f.job, "node " + from + " said " + m.why());
+                    out.respond(
+                            f.job.jobId(), new Response(409, 0, outcome("refused", "sequence", m.why()), "sequence"));
+                }
             }
             default -> {
                 if (f.to.node() != from) {
@@ -244,12 +250,13 @@
         pier.pausedUntil = now + (tempo.ferryPause() << Math.min(pier.pauses++, 3));
     }
 
-    /** It never left, so nothing is in doubt by this go. */
-    public void unsent(final Publish m, final long now) {
+    /** It never left for this node, so nothing is in doubt by this attempt. */
+    public void unsent(final int to, final Publish m, final long now) {
         final Integer group = groupOf.get(m.jobId());
         final Pier pier = group == null ? null : piers.get(group);
         final Ferry f = pier == null ? null : pier.ferries.get(m.jobId());
-        if (f != null) {
+        // why: late word of an earlier attempt says nothing of the one that is under way
+        if (f != null && f.to.node() == to) {
             f.to = Master.NONE;
             f.why = "no session to the group's master";
             pause(pier, now);
