The end of a call to the platform is typed, and a report never waits for ever

Cause: silence, a reset and a failed connection were all status 0, 409 was like 500; an interim answer (1xx) ended the call; an answer that could not be read was a status; and a report whose end was told while the master could not act for a moment stayed 'under way' until it stepped down. Change: PostOutcome (accepted, not sent, throttled, fenced, failed, unknown) with what each means for a repeat; every one may be repeated, for the counts come from the control log and an exact repeat is ignored. After 409 a report rests for the recovery bound. The report's end is taken at once, whether or not the master may act then.

--- a/coordination/src/main/java/brookpath/coordination/node/BailiffNode.java
+++ b/coordination/src/main/java/brookpath/coordination/node/BailiffNode.java
@@ -501,8 +501,8 @@
         final List<Integer> retiring = new ArrayList<>(roster.retiring());
         boolean changed = take(bailiffs, info, retiring);
         for (final Poller p : pollers.values()) {
-            final NodeInfo told = new NodeInfo(
-                    p.last.node(), p.last.zone(), p.last.address(), p.last.name(), p.last.machine());
+            final NodeInfo told =
+                    new NodeInfo(p.last.node(), p.last.zone(), p.last.address(), p.last.name(), p.last.machine());
             if (p.last.role() != SpecPoll.FRONT) {
                 changed |= take(p.last.role() == SpecPoll.STORAGE ? nodes : bailiffs, told, retiring);
             }
@@ -529,7 +529,9 @@
         }
     }
 
-    /** True where the node is a new one, or is somewhere else now. What was said of a machine before it says nothing. */
+    /**
+     * True where the node is a new one, or is somewhere else now. What was said of a machine before it says nothing.
+     */
     private static boolean take(final List<NodeInfo> nodes, final NodeInfo info, final List<Integer> retiring) {
         if (nodes.contains(info)) {
             return false;
--- a/coordination/src/main/java/brookpath/coordination/node/Job.java
+++ b/coordination/src/main/java/brookpath/coordination/node/Job.java
@@ -1,5 +1,6 @@
 package brookpath.coordination.node;
 
+import brookpath.coordination.node.usage.PostOutcome;
 import java.util.List;
 
 /** What a caller or an operator wants of a process. */
@@ -47,8 +48,8 @@
     /** The process is to end: whatever others can take over is handed over, and then there is a response. */
     record Retreat(long jobId) implements Job {}
 
-    /** What became of a post to the platform; status 0 where there was no response. */
-    record Posted(long jobId, int status) implements Job {}
+    /** What became of a post to the platform. */
+    record Posted(long jobId, PostOutcome outcome) implements Job {}
 
     /** Settings that were changed under the running process. Nobody waits for a response. */
     record Adopt(long rollBytes) implements Job {}
--- a/coordination/src/main/java/brookpath/coordination/node/usage/UsageDesk.java
+++ b/coordination/src/main/java/brookpath/coordination/node/usage/UsageDesk.java
@@ -29,6 +29,7 @@
     private static final int MAX_GOES = 1_200;
 
     private static final int POSTS_AT_ONCE = 8;
+    private static final int MAX_DOUBLINGS = 6;
 
     private record Told(long closed, List<TopicState.Count> counts) {}
 
@@ -180,18 +181,31 @@
     /** What became of a post. */
     public void posted(final Job.Posted j, final Time time) {
         final Post p = posts.get(j.jobId());
-        if (p == null || !group.mayAct(time.mono())) {
+        if (p == null) {
             return;
         }
+        // why: the lease may have run out for a moment only, and the report must not wait for ever then
         p.underWay = false;
-        final boolean ok = j.status() / 100 == 2;
-        p.nextAt = time.mono() + Math.min(tempo.recoverMs() / 4, tempo.down() << Math.min(p.goes, 6));
-        if (ok || p.goes >= MAX_GOES) {
+        p.nextAt = time.mono() + pause(j.outcome(), p.goes);
+        final boolean ok = j.outcome() == PostOutcome.ACCEPTED;
+        if (group.mayAct(time.mono()) && (ok || p.goes >= MAX_GOES)) {
             posts.remove(j.jobId());
             group.append(Rec.CONTROL, ControlState.deliveredBody(p.window.window(), ok), time.mono(), time.wall());
         }
     }
 
+    /** How long to wait before a report goes again. */
+    private long pause(final PostOutcome outcome, final int goes) {
+        return switch (outcome) {
+            case ACCEPTED -> 0;
+            // why: whoever holds the duty by now reports the same numbers from the same log; going on would only cost
+            // calls, and a master that is still the newest comes through later
+            case FENCED -> tempo.recoverMs();
+            case NOT_SENT, THROTTLED, FAILED, UNKNOWN ->
+                Math.min(tempo.recoverMs() / 4, tempo.down() << Math.min(goes, MAX_DOUBLINGS));
+        };
+    }
+
     public String windowsJson() {
         final JsonArrayBuilder arr = Json.createArrayBuilder();
         for (final ControlState.Window w : state().windows()) {
--- a/coordination/src/main/java/brookpath/coordination/spec/Roster.java
+++ b/coordination/src/main/java/brookpath/coordination/spec/Roster.java
@@ -34,7 +34,8 @@
      * identity tells a machine from the one before it.
      *
      * @param name what operators call the machine; may be empty
-     * @param machine the machine's identity, drawn at its first start; {@link #UNKNOWN_MACHINE} where nobody has told it
+     * @param machine the machine's identity, drawn at its first start; {@link #UNKNOWN_MACHINE} where nobody has told
+     *     it
      */
     public record NodeInfo(int node, String zone, String address, String name, long machine) {
         public static final long UNKNOWN_MACHINE = 0;
@@ -139,8 +140,8 @@
         final Pack in = Pack.reader(saved);
         final long first = in.num();
         if (first < FORMAT) {
-            throw new IllegalStateException("the cluster metadata has format " + -first + ", and this program reads up to "
-                    + -FORMAT + ": it is of a newer version");
+            throw new IllegalStateException("the cluster metadata has format " + -first
+                    + ", and this program reads up to " + -FORMAT + ": it is of a newer version");
         }
         final boolean machines = first == FORMAT;
         final long version = machines ? in.num() : first;
@@ -153,18 +154,15 @@
         for (long n = in.num(); n > 0; n--) {
             retiring.add((int) in.num());
         }
-        return new Roster(version, nodes, List.copyOf(groups), List.copyOf(retiring), infos(in, machines), Membership.load(in));
+        return new Roster(
+                version, nodes, List.copyOf(groups), List.copyOf(retiring), infos(in, machines), Membership.load(in));
     }
 
     private static List<NodeInfo> infos(final Pack in, final boolean machines) {
         final List<NodeInfo> nodes = new ArrayList<>();
         for (long n = in.num(); n > 0; n--) {
             nodes.add(new NodeInfo(
-                    (int) in.num(),
-                    in.str(),
-                    in.str(),
-                    in.str(),
-                    machines ? in.num() : NodeInfo.UNKNOWN_MACHINE));
+                    (int) in.num(), in.str(), in.str(), in.str(), machines ? in.num() : NodeInfo.UNKNOWN_MACHINE));
         }
         return List.copyOf(nodes);
     }
--- a/programs/src/main/java/brookpath/programs/boot/Assembly.java
+++ b/programs/src/main/java/brookpath/programs/boot/Assembly.java
@@ -122,14 +122,7 @@
         return switch (plan.role) {
             case FRONT -> new FrontNode(me, seeds, plan.tempo, firstId);
             case STORAGE ->
-                new StorageNode(
-                        me,
-                        seeds,
-                        plan.tempo,
-                        plan.founding.toleratedLosses(),
-                        seed,
-                        firstId,
-                        plan.rollBytes);
+                new StorageNode(me, seeds, plan.tempo, plan.founding.toleratedLosses(), seed, firstId, plan.rollBytes);
             case BAILIFF ->
                 new BailiffNode(me, plan.founders, seeds, plan.founding, plan.tempo, seed, firstId, plan.rollBytes);
         };
--- a/state/src/main/java/brookpath/state/disk/MachineIdentity.java
+++ b/state/src/main/java/brookpath/state/disk/MachineIdentity.java
@@ -6,8 +6,8 @@
 /**
  * The number that tells a machine from another one at the same address. It is drawn at the machine's first start, and
  * kept in the data folder from before anything else is written there. A folder whose identity cannot be read counts as
- * that of a new machine: what its log holds stands on checksums of its own, and what others said of the old identity (that
- * it is to be emptied) is safer forgotten than taken over.
+ * that of a new machine: what its log holds stands on checksums of its own, and what others said of the old identity
+ * (that it is to be emptied) is safer forgotten than taken over.
  *
  * @param number never zero
  * @param finding what was wrong with the kept one, null for nothing
--- a/transport/src/main/java/brookpath/transport/http/PlatformPoster.java
+++ b/transport/src/main/java/brookpath/transport/http/PlatformPoster.java
@@ -1,13 +1,17 @@
 package brookpath.transport.http;
 
 import brookpath.coordination.action.Action;
+import brookpath.coordination.node.usage.PostOutcome;
 import brookpath.transport.loop.Host;
+import java.net.ConnectException;
 import java.net.URI;
 import java.net.http.HttpClient;
+import java.net.http.HttpConnectTimeoutException;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
 
 /** Posts usage reports to the platform over HTTP/1.1, each under its idempotency key. */
 public final class PlatformPoster implements Host.Poster {
@@ -31,10 +35,10 @@
     }
 
     @Override
-    public CompletableFuture<Integer> accept(final Action.Post post) {
+    public CompletableFuture<PostOutcome> accept(final Action.Post post) {
         final URI to = uri;
         if (to == null) {
-            return CompletableFuture.completedFuture(200);
+            return CompletableFuture.completedFuture(PostOutcome.ACCEPTED);
         }
         return http.sendAsync(
                         HttpRequest.newBuilder(to)
@@ -44,6 +48,15 @@
                                 .POST(HttpRequest.BodyPublishers.ofString(post.json()))
                                 .build(),
                         HttpResponse.BodyHandlers.discarding())
-                .thenApply(HttpResponse::statusCode);
+                .thenApply(response -> PostOutcome.ofStatus(response.statusCode()))
+                .exceptionally(ex -> unanswered(ex));
+    }
+
+    /** The client opens a connection for a call where it keeps none, so only a failed opening is certain. */
+    private static PostOutcome unanswered(final Throwable ex) {
+        final Throwable cause = ex instanceof CompletionException ? ex.getCause() : ex;
+        return cause instanceof ConnectException || cause instanceof HttpConnectTimeoutException
+                ? PostOutcome.NOT_SENT
+                : PostOutcome.UNKNOWN;
     }
 }
--- a/transport/src/main/java/brookpath/transport/loop/Host.java
+++ b/transport/src/main/java/brookpath/transport/loop/Host.java
@@ -13,6 +13,7 @@
 import brookpath.coordination.node.Job;
 import brookpath.coordination.node.Node;
 import brookpath.coordination.node.Node.Time;
+import brookpath.coordination.node.usage.PostOutcome;
 import brookpath.state.spool.Spool;
 import brookpath.transport.identity.ProcessIdentity;
 import brookpath.transport.identity.RandomNumbers;
@@ -60,7 +61,7 @@
 
     /** Sends a usage report to the platform; nothing waits for it. */
     public interface Poster {
-        CompletableFuture<Integer> accept(Action.Post post);
+        CompletableFuture<PostOutcome> accept(Action.Post post);
     }
 
     /** A listening session's end on the traffic side. */
@@ -328,8 +329,9 @@
                 }
             } else if (action instanceof Action.Post a) {
                 poster.accept(a)
-                        .whenComplete((status, ex) -> events.add(
-                                (n, time) -> n.job(new Job.Posted(a.jobId(), ex == null ? status : 0), time)));
+                        .exceptionally(ex -> PostOutcome.UNKNOWN)
+                        .thenAccept(outcome ->
+                                events.add((n, time) -> n.job(new Job.Posted(a.jobId(), outcome), time)));
             } else if (action instanceof Action.CloseSession a) {
                 final Sink sink = sinks.remove(a.sessionId());
                 if (sink != null) {
--- a/transport/src/main/java/brookpath/transport/wire/Wire.java
+++ b/transport/src/main/java/brookpath/transport/wire/Wire.java
@@ -83,11 +83,7 @@
      * @param threads that carry the traffic
      */
     public Wire(
-            final ProcessIdentity self,
-            final Inbox inbox,
-            final long redialMs,
-            final long deadMs,
-            final int threads) {
+            final ProcessIdentity self, final Inbox inbox, final long redialMs, final long deadMs, final int threads) {
         this.self = self;
         this.deadMs = deadMs;
         loops = new MultiThreadIoEventLoopGroup(threads, NioIoHandler.newFactory());
--- a/trial/src/main/java/brookpath/trial/sim/Platform.java
+++ b/trial/src/main/java/brookpath/trial/sim/Platform.java
@@ -5,6 +5,7 @@
 import brookpath.coordination.action.Action;
 import brookpath.coordination.node.BailiffNode;
 import brookpath.coordination.node.Job;
+import brookpath.coordination.node.usage.PostOutcome;
 import brookpath.coordination.spec.ControlState;
 import jakarta.json.Json;
 import jakarta.json.JsonObject;
@@ -44,9 +45,10 @@
             if (kind != 0) {
                 take(post);
             }
-            final int status = kind == 0 ? 500 : kind == 1 ? 0 : 200;
+            final PostOutcome outcome =
+                    kind == 0 ? PostOutcome.FAILED : kind == 1 ? PostOutcome.UNKNOWN : PostOutcome.ACCEPTED;
             if (from.alive && from.life == life) {
-                from.job(new Job.Posted(post.jobId(), status));
+                from.job(new Job.Posted(post.jobId(), outcome));
             }
         });
     }
--- a/trial/src/main/java/brookpath/trial/sim/World.java
+++ b/trial/src/main/java/brookpath/trial/sim/World.java
@@ -80,8 +80,8 @@
             storages.add(11 + i);
             final String zone = zones[i];
             procs.put(11 + i, new Proc(this, 11 + i, zone, true, (proc, entries) -> {
-                final StorageNode node = new StorageNode(
-                        proc.info(), seeds, tempo, 1, rnd.nextLong(), proc.life << 32, ROLL_BYTES);
+                final StorageNode node =
+                        new StorageNode(proc.info(), seeds, tempo, 1, rnd.nextLong(), proc.life << 32, ROLL_BYTES);
                 entries.forEach(e -> node.replay(e, proc.time()));
                 return node;
             }));
--- /dev/null
+++ b/trial/src/test/java/brookpath/trial/sim/UsageRepeatTest.java
@@ -0,0 +1,71 @@
+package brookpath.trial.sim;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import brookpath.coordination.group.GroupMachine;
+import brookpath.coordination.node.BailiffNode;
+import brookpath.coordination.spec.ControlState;
+import org.testng.annotations.Test;
+
+/** A usage report whose end is told at a bad moment goes again. */
+public final class UsageRepeatTest {
+    private static final String POSTS = "usage posts";
+
+    private World world;
+
+    private Proc controlMaster() {
+        return world.bailiffs.stream()
+                .map(id -> world.procs.get(id))
+                .filter(p -> ((BailiffNode) p.node).group().mayAct(p.mono()))
+                .findFirst()
+                .orElseThrow();
+    }
+
+    private static ControlState state(final GroupMachine group) {
+        return (ControlState) group.live();
+    }
+
+    /** A world with traffic whose first usage report is not sent yet. */
+    private void begin() {
+        world = World.serving(91);
+        world.callers.publisher("ana", "permits/t0", "key-members", 50, 400);
+    }
+
+    /** When the platform takes the first report, which answers it at the same moment. */
+    private long answerAt() {
+        begin();
+        final int before = world.counted(POSTS);
+        while (world.counted(POSTS) == before) {
+            world.run(world.now() + 1);
+        }
+        return world.now();
+    }
+
+    @Test
+    public void aReportThatEndsWhileTheMasterMayNotActIsSentAgain() {
+        final long answerAt = answerAt();
+        begin();
+        world.run(answerAt - 1);
+        final Proc master = controlMaster();
+        final GroupMachine group = ((BailiffNode) master.node).group();
+        final long window = state(group).untold(group.accepted()).get(0).window();
+        final Proc successor = world.bailiffs.stream()
+                .map(id -> world.procs.get(id))
+                .filter(p -> p != master)
+                .findFirst()
+                .orElseThrow();
+        // why: whoever is to take over is frozen, so the mastership stays where it is, after a while without acting
+        world.freeze(successor, 30_000);
+        assertTrue(group.handOver(successor.id, master.mono()));
+        world.run(answerAt);
+        assertFalse(group.mayAct(master.mono()));
+        for (int i = 0; i < 10_000 && !group.mayAct(master.mono()); i++) {
+            world.run(world.now() + 1);
+        }
+        assertEquals(group.role(), GroupMachine.MASTER);
+        world.run(world.now() + 2_000);
+        assertEquals(state(group).told(window), Boolean.TRUE, "the report waits for ever");
+    }
+}
