--- a/transport/src/main/java/brookpath/transport/wire/Hello.java
+++ b/transport/src/main/java/brookpath/transport/wire/Hello.java
@@ -4,7 +4,10 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
 
-/** The first frame in each direction of a session: who its sender is. */
+/**
+ * The first frame in each direction of a session: who its sender is. The node number comes first, where whoever relays
+ * sessions looks for it.
+ */
 final class Hello {
     private static final int MAGIC = 0x62726b31;
     private static final int BYTES = 2 * Integer.BYTES + 2 * Long.BYTES;
@@ -13,17 +16,21 @@
 
     static ByteBuf encode(final ProcessIdentity own, final ByteBufAllocator alloc) {
         return alloc.buffer(BYTES)
-                .writeInt(MAGIC)
                 .writeInt(own.node())
+                .writeInt(MAGIC)
                 .writeLong(own.life())
                 .writeLong(own.machine());
     }
 
     /** Throws IllegalArgumentException for a frame that is none. */
     static ProcessIdentity decode(final ByteBuf frame) {
-        if (frame.readableBytes() != BYTES || frame.readInt() != MAGIC) {
+        if (frame.readableBytes() != BYTES) {
             throw new IllegalArgumentException("a session that does not begin with a hello");
         }
-        return new ProcessIdentity(frame.readInt(), frame.readLong(), frame.readLong());
+        final int node = frame.readInt();
+        if (frame.readInt() != MAGIC) {
+            throw new IllegalArgumentException("a session that begins with another kind of hello");
+        }
+        return new ProcessIdentity(node, frame.readLong(), frame.readLong());
     }
 }
--- a/trial/src/main/java/brookpath/trial/sim/Net.java
+++ b/trial/src/main/java/brookpath/trial/sim/Net.java
@@ -17,6 +17,9 @@
     private final FrameCodec codec = new FrameCodec();
     private final Map<Long, Long> lastAt = new HashMap<>();
     private final Set<Long> cuts = new HashSet<>();
+    /** The newest life of the sender that was heard on each link. */
+    private final Map<Long, Long> heardLives = new HashMap<>();
+
     int lossPerMille;
     long extraDelay;
     /** Loss of single links, in one direction. */
@@ -102,7 +105,10 @@
                 arrive(from, fromLife, to, toLife, link, frame, again, goes + 1);
                 return;
             }
-            to.message(from.id, codec.decode(frame, 0, frame.length));
+            // why: a session is with one life, and a newer one's ends those of the lives before it
+            if (heardLives.merge(link, fromLife, Math::max) == fromLife) {
+                to.message(from.id, codec.decode(frame, 0, frame.length));
+            }
         });
     }
 }
