--- a/coordination/src/main/java/brookpath/coordination/node/FrontNode.java
+++ b/coordination/src/main/java/brookpath/coordination/node/FrontNode.java
@@ -23,6 +23,7 @@
 import brookpath.coordination.route.Refusals;
 import brookpath.coordination.route.Route;
 import brookpath.coordination.route.RouteFinder;
+import brookpath.coordination.spec.Roster.NodeInfo;
 import brookpath.coordination.spec.SpecClient;
 import java.util.HashSet;
 import java.util.List;
@@ -63,22 +64,15 @@
     private long retreatRequest;
 
     /**
-     * @param address where callers reach this node, for those who are sent on to it; may be empty
+     * @param info this process as others are told of it; its address is where callers reach it, and may be empty
      * @param firstId the IDs of requests begin behind it, so that a reply meant for a former life of this process does
      *     not match a request of this one
      */
-    public FrontNode(
-            final int self,
-            final String zone,
-            final String address,
-            final String name,
-            final List<Integer> seeds,
-            final Tempo tempo,
-            final long firstId) {
-        super(self, tempo);
-        this.zone = zone;
+    public FrontNode(final NodeInfo info, final List<Integer> seeds, final Tempo tempo, final long firstId) {
+        super(info.node(), tempo);
+        zone = info.zone();
         ids = firstId;
-        client = new SpecClient(self, SpecPoll.FRONT, zone, address, name, seeds, tempo, out);
+        client = new SpecClient(info, SpecPoll.FRONT, seeds, firstId, tempo, out);
         forwarder = new PublishForwarder(tempo, this::routes, this::nextId, out);
         subscriptions =
                 new Subscriptions(self, () -> client.spec().topicsPerSession(), tempo, this::routes, this::nextId, out);
@@ -169,7 +163,7 @@
             if (client.leased(now)) {
                 subscriptions.fetched(from, reply, now);
             }
-        } else if (msg instanceof OpReply reply) {
+        } else if (msg instanceof OpReply reply && otherGateways.asked(reply.jobId())) {
             addressesReceived(reply);
         } else if (msg instanceof CountReply reply) {
             counts.reply(reply);
@@ -190,12 +184,12 @@
         if (msg instanceof SpecPoll) {
             client.unsent(to, now);
         } else if (msg instanceof Publish message) {
-            forwarder.unsent(message, now);
+            forwarder.unsent(to, message, now);
         } else if (msg instanceof Fetch message) {
             subscriptions.unsent(to, message, now);
         } else if (msg instanceof Listen message) {
             subscriptions.unsent(message);
-        } else if (msg instanceof Op) {
+        } else if (msg instanceof Op message && otherGateways.asked(message.jobId())) {
             otherGateways.unknown();
         } else if (msg instanceof CountAsk message) {
             counts.unsent(to, message);
@@ -341,8 +335,9 @@
     private void drain(final boolean on, final long over, final long now) {
         if (on && !client.draining()) {
             // whoever is sent on is told where to, and only the control plane knows all gateways
-            otherGateways.await(now + tempo.down());
-            out.send(client.controlMaster(), new Op(0, "fronts", new byte[0]));
+            final long request = nextId();
+            otherGateways.await(request, now + tempo.down());
+            out.send(client.controlMaster(), new Op(request, "fronts", new byte[0]));
         }
         client.drain(on);
         if (on) {
--- a/coordination/src/main/java/brookpath/coordination/node/front/ForwardedPublish.java
+++ b/coordination/src/main/java/brookpath/coordination/node/front/ForwardedPublish.java
@@ -45,6 +45,11 @@
         return target.node() == node;
     }
 
+    /** Whether an attempt before the one under way may have succeeded. */
+    boolean isMaybeAppended() {
+        return maybeAppended;
+    }
+
     /** Whether the publish may lie in a log, so that its outcome is unknown to the caller. */
     boolean isUncertain() {
         return maybeAppended || !isWaiting();
--- a/coordination/src/main/java/brookpath/coordination/node/front/GatewayAddresses.java
+++ b/coordination/src/main/java/brookpath/coordination/node/front/GatewayAddresses.java
@@ -12,6 +12,9 @@
     private final LongSupplier ids;
     private List<String> addresses = List.of();
     private boolean awaited;
+    /** The request that asked for the addresses. */
+    private long request;
+
     private long awaitedUntil;
 
     /** @param ids by which callers are spread over the gateways */
@@ -21,8 +24,14 @@
         this.ids = ids;
     }
 
-    /** The control plane is asked, and its reply is waited for no longer than this. */
-    public void await(final long until) {
+    /**
+     * The control plane is asked, and its reply is waited for.
+     *
+     * @param requestId by which its reply is known
+     * @param until no longer than this, on the monotonic clock in milliseconds
+     */
+    public void await(final long requestId, final long until) {
+        request = requestId;
         addresses = List.of();
         awaited = true;
         awaitedUntil = until;
@@ -33,6 +42,11 @@
         return !awaited || now >= awaitedUntil;
     }
 
+    /** Whether the request is the one whose reply is waited for. */
+    public boolean asked(final long requestId) {
+        return awaited && requestId == request;
+    }
+
     /** The control plane did not tell the addresses. */
     public void unknown() {
         addresses = List.of();
--- a/coordination/src/main/java/brookpath/coordination/node/front/PublishForwarder.java
+++ b/coordination/src/main/java/brookpath/coordination/node/front/PublishForwarder.java
@@ -171,6 +171,13 @@
     private void refusedForGood(
             final PublishQueue queue, final ForwardedPublish publish, final int from, final PublishReply reply) {
         remove(queue, reply.jobId());
+        if (publish.isMaybeAppended()) {
+            // an earlier attempt may lie in a log, and its sequence may only have been forgotten
+            unsettled(
+                    publish.request(),
+                    "node " + from + " said " + reply.why() + ", after an attempt whose end is unknown");
+            return;
+        }
         note(publish.request(), "node " + from + " said " + reply.why());
         out.respond(publish.request().jobId(), Refusals.refused(CONFLICT, 0, "sequence", reply.why()));
     }
@@ -203,11 +210,12 @@
         send(groupOf.get(reply.jobId()), queue, now);
     }
 
-    /** The message never left this process, so this attempt leaves nothing in doubt. */
-    public void unsent(final Publish message, final long now) {
+    /** The message never left this process for the node, so that attempt leaves nothing in doubt. */
+    public void unsent(final int to, final Publish message, final long now) {
         final PublishQueue queue = queueOf(message.jobId());
         final ForwardedPublish publish = queue == null ? null : queue.get(message.jobId());
-        if (publish != null) {
+        // late word of an earlier attempt says nothing of the one that is under way
+        if (publish != null && publish.isWith(to)) {
             publish.endAttempt();
             publish.failed("no session to the group's master");
             queue.pause(tempo, now);
--- a/trial/src/main/java/brookpath/trial/mutate/Mutants.java
+++ b/trial/src/main/java/brookpath/trial/mutate/Mutants.java
@@ -28,6 +28,15 @@
 
     private static final String MODEL = "model";
     private static final int MOST_SHOWN = 110;
+    /** The staged scenes, and the tests of single state machines that are as quick. */
+    private static final String SCENES = String.join(
+            ",",
+            "brookpath.trial.sim.ScenesTest",
+            "brookpath.trial.sim.ControlMembershipTest",
+            "brookpath.trial.sim.AddressReuseTest",
+            "brookpath.trial.sim.CallIdsTest",
+            "brookpath.trial.sim.UsageRepeatTest",
+            "brookpath.trial.PublishForwarderTest");
 
     private Mutants() {}
 
@@ -85,7 +94,7 @@
                 "-d",
                 work.resolve("testng").toString(),
                 "-testclass",
-                "brookpath.trial.sim.ScenesTest,brookpath.trial.sim.ControlMembershipTest");
+                SCENES);
     }
 
     private static String byModel(final Path work, final String classPath) throws IOException, InterruptedException {
--- a/trial/src/main/java/brookpath/trial/sim/Net.java
+++ b/trial/src/main/java/brookpath/trial/sim/Net.java
@@ -11,10 +11,15 @@
  * The simulated network: ordered sessions with delay, cuts in one or both directions, and loss felt as late repeats.
  */
 final class Net {
+    private static final long LENGTH_BYTES = 4;
+
     private final World world;
     private final FrameCodec codec = new FrameCodec();
     private final Map<Long, Long> lastAt = new HashMap<>();
     private final Set<Long> cuts = new HashSet<>();
+    /** The newest life of the sender that was heard on each link. */
+    private final Map<Long, Long> heardLives = new HashMap<>();
+
     int lossPerMille;
     long extraDelay;
     /** Loss of single links, in one direction. */
@@ -54,12 +59,12 @@
         }
         final byte[] frame = codec.encode(msg);
         if (!from.zone.equals(target.zone)) {
-            // why: eight more bytes go on each frame, its length and its sender
-            crossZoneBytes.merge(msg.getClass().getSimpleName(), frame.length + 8L, Long::sum);
+            // why: four more bytes go on each frame, its length
+            crossZoneBytes.merge(msg.getClass().getSimpleName(), frame.length + LENGTH_BYTES, Long::sum);
         }
         from.sentMessages++;
-        from.sentBytes += frame.length + 8L;
-        target.gotBytes += frame.length + 8L;
+        from.sentBytes += frame.length + LENGTH_BYTES;
+        target.gotBytes += frame.length + LENGTH_BYTES;
         final long link = link(from.id, to);
         // why: virtual time has whole milliseconds, so half of one is one by turns
         final int zones = from.zone.equals(target.zone) ? 0 : (world.shape.halfMillis() + world.rnd.nextInt(2)) / 2;
@@ -100,7 +105,10 @@
                 arrive(from, fromLife, to, toLife, link, frame, again, goes + 1);
                 return;
             }
-            to.message(from.id, codec.decode(frame, 0, frame.length));
+            // why: a session is with one life, and a newer one's ends those of the lives before it
+            if (heardLives.merge(link, fromLife, Math::max) == fromLife) {
+                to.message(from.id, codec.decode(frame, 0, frame.length));
+            }
         });
     }
 }
