--- a/trial/src/main/java/brookpath/trial/model/GuidedWalk.java
+++ b/trial/src/main/java/brookpath/trial/model/GuidedWalk.java
@@ -76,10 +76,12 @@
             case DELAY, TICK -> SELDOM;
             case APPEND, PROMOTE, ADD_LEARNER -> COMMON;
             case REMOVE -> USUAL;
-            case RESTART, THAW, HEAL, RELEASE, RESUME_DISK -> USUAL;
+            case RESTART -> last.kind() == Kind.CRASH && last.member() == choice.member() ? COMMON : USUAL;
+            case THAW, HEAL, RELEASE, RESUME_DISK, HAND_OVER -> USUAL;
             case DUPLICATE -> 2 * SELDOM;
-            case DROP, SKEW, HAND_OVER, WIPE, CUT_INBOUND, CUT_OUTBOUND -> SELDOM;
-            case CRASH, CUT, FREEZE, HOLD, STALL_DISK -> hurts(choice) ? SELDOM * AFTERMATH : SELDOM;
+            case DROP, SKEW, WIPE -> SELDOM;
+            case CRASH, CUT, CUT_INBOUND, CUT_OUTBOUND, FREEZE, HOLD, STALL_DISK ->
+                hurts(choice) ? SELDOM * AFTERMATH : SELDOM;
         };
     }
 
--- a/trial/src/main/java/brookpath/trial/model/ModelWorld.java
+++ b/trial/src/main/java/brookpath/trial/model/ModelWorld.java
@@ -80,7 +80,8 @@
         switch (choice.kind()) {
             case RUN -> run(choice.detail());
             case DELIVER -> deliver(flying.remove(choice.member()));
-            case DELAY -> flying.set(choice.member(), flying.get(choice.member()).delayed());
+            case DELAY ->
+                flying.set(choice.member(), flying.get(choice.member()).delayed());
             case DUPLICATE -> flying.add(flying.get(choice.member()).delayed());
             case TICK -> pass(m);
             case DROP -> flying.remove(choice.member());
--- a/trial/src/test/java/brookpath/trial/model/ModelTest.java
+++ b/trial/src/test/java/brookpath/trial/model/ModelTest.java
@@ -30,7 +30,9 @@
                     explorer.steps(),
                     explorer.states(),
                     explorer.states() / seconds);
-            assertTrue(explorer.steps() > 0 && explorer.steps() <= BUDGET, start + " takes " + explorer.steps() + " steps");
+            assertTrue(
+                    explorer.steps() > 0 && explorer.steps() <= BUDGET,
+                    start + " takes " + explorer.steps() + " steps");
         }
     }
 
