--- a/trial/src/main/java/brookpath/trial/sim/GroupFuzz.java
+++ b/trial/src/main/java/brookpath/trial/sim/GroupFuzz.java
@@ -5,6 +5,7 @@
 import brookpath.coordination.action.Actions;
 import brookpath.coordination.beat.BeatMachine;
 import brookpath.coordination.beat.Pledges;
+import brookpath.coordination.group.Copies;
 import brookpath.coordination.group.GroupMachine;
 import brookpath.coordination.group.Member;
 import brookpath.coordination.group.Membership;
@@ -421,17 +422,53 @@
         if (g.mayAct(now) && g.membershipSettled() && m.version() > told.version()) {
             told = m;
         }
-        final Member any = new Member(1 + rnd.nextInt(units.size()), 50, "");
-        final Membership next = !m.holds(any.node())
-                ? m.withLearner(any)
-                : Membership.find(m.learners(), any.node()) != null
-                        ? m.promoted(any)
-                        : m.voters().size() > 3 ? m.withoutVoter(any.node()) : null;
+        final Membership next = proposal(m);
+        final long before = g.accepted();
         if (next != null && next.voters().size() <= style.members + 1 && g.change(next, now, now)) {
             changes++;
+            judge(m, next, before);
         }
     }
 
+    /** Some next membership, good or bad; null for none. */
+    private Membership proposal(final Membership m) {
+        final Member any = new Member(1 + rnd.nextInt(units.size()), 50, "");
+        if (!m.holds(any.node())) {
+            return m.withLearner(any);
+        }
+        if (Membership.find(m.learners(), any.node()) == null) {
+            return m.voters().size() > 3 ? m.withoutVoter(any.node()) : null;
+        }
+        final Membership promoted = m.promoted(any);
+        final int other = m.voters().get(rnd.nextInt(m.voters().size())).node();
+        return rnd.nextInt(4) > 0
+                ? promoted
+                : new Membership(
+                        promoted.version(), promoted.withoutVoter(other).voters(), promoted.learners());
+    }
+
+    /** What a change must not do, though its harm would show only after further failures. */
+    private void judge(final Membership from, final Membership to, final long acceptedBefore) {
+        final List<Member> joining = Membership.missing(to.voters(), from.voters());
+        final List<Member> leaving = Membership.missing(from.voters(), to.voters());
+        if (joining.size() + leaving.size() > 1) {
+            violation("several voters change at once, from " + from + " to " + to);
+        }
+        if (joining.stream().anyMatch(j -> !holds(j, acceptedBefore))) {
+            violation("a voter joins without its copy, from " + from + " to " + to);
+        }
+        final long copies =
+                to.voters().stream().filter(v -> holds(v, acceptedBefore)).count();
+        if (copies < Copies.floor(to.voters().size(), 1)) {
+            violation("only " + copies + " of the next voters hold what is accepted, from " + from + " to " + to);
+        }
+    }
+
+    private boolean holds(final Member member, final long lsn) {
+        final GroupMachine g = units.get(member.node()).g;
+        return g != null && !g.lost() && g.syncedLsn() >= lsn;
+    }
+
     private Outcome live() {
         for (int node = 1; node <= style.members + style.spares; node++) {
             final Unit u = new Unit(node);
