The accepted configuration stays however much follows it, and the control log is bounded by size

Cause: ControlState kept the newest 16 specs and rosters whether accepted or not. Once 16 were appended and none of them accepted, specAt(accepted) and rosterAt(accepted) gave "none". The log in memory was kept for 60 s by age, so a run of changes held each whole document once as a record, once in the state and once parsed.

Change: the log state learns the accepted position (LogState.accepted). The newest accepted version is kept for as long as it is that; what is older goes. At 16 configurations and rosters without their copies the control master refuses further appends at once (503 with a time). Documents are parsed when they are first read. Of told usage windows 64 are kept.

Ruled out: a clock that jumps does not age the log; Rec.learnedAt is taken from the steady clock. A restart makes every record new, which only keeps more.

Conclusion: memory of the control master follows the size of a document, not the number of changes. Outcomes are still bounded by count alone.

--- a/coordination/src/main/java/brookpath/coordination/group/GroupMachine.java
+++ b/coordination/src/main/java/brookpath/coordination/group/GroupMachine.java
@@ -46,6 +46,10 @@
     private static final int W_INIT = 4;
     private static final int W_IMAGE = 5;
     private static final int REPLY_BYTES = 256 << 10;
+    /** The log is trimmed in steps of so many records or bytes, so that the list is not shifted for each record. */
+    private static final int TRIM_RECORDS = 64;
+
+    private static final int TRIM_BYTES = 64 << 10;
     private static final int DEFERENCE = 3;
     private static final int SWEPT_AT_ONCE = 16;
 
@@ -97,6 +101,7 @@
     private final ArrayList<Long> chain = new ArrayList<>();
 
     private long baseChain;
+    private long logBytes;
     private long swept;
     private long syncedLsn;
     private long accepted;
@@ -1062,7 +1067,7 @@
             default -> matched = take(m, now);
         }
         if (m.kind() != MISMATCH && matched >= 0) {
-            accepted = Math.max(accepted, Math.min(m.accepted(), matched));
+            accept(Math.min(m.accepted(), matched));
             if (!inSync && matched >= m.accepted()) {
                 out.beatNow();
             }
@@ -1109,6 +1114,7 @@
         }
         recs.add(rec);
         chain.add(link(chain.isEmpty() ? baseChain : chain.get(chain.size() - 1), rec));
+        logBytes += rec.bytes().length;
         live.apply(rec);
         if (rec.kind() == Rec.MEMBERS) {
             useMembership();
@@ -1121,6 +1127,8 @@
         live = states.get();
         live.load(base.save());
         recs.forEach(live::apply);
+        live.accepted(accepted);
+        logBytes = recs.stream().mapToLong(r -> r.bytes().length).sum();
         useMembership();
         syncedLsn = Math.min(syncedLsn, lsn);
         unsynced.removeIf(u -> u.lsn > lsn);
@@ -1145,24 +1153,34 @@
                 // why: whoever only watches is told at once that it may be read from, and not with its own next beat
                 out.beatNow();
             }
-            accepted = lsn;
+            accept(lsn);
             serveHeld(now);
         }
     }
 
+    private void accept(final long lsn) {
+        if (lsn > accepted) {
+            accepted = lsn;
+            live.accepted(lsn);
+        }
+    }
+
     private void trim(final long now) {
         if (now < nextTrim) {
             return;
         }
         nextTrim = now + tempo.beat();
         int n = 0;
-        while (n < recs.size()
-                && recs.get(n).lsn() <= Math.min(accepted, syncedLsn)
-                && now - recs.get(n).learnedAt() > live.keepMs(recs.get(n))) {
+        long bytes = 0;
+        while (n < recs.size() && recs.get(n).lsn() <= Math.min(accepted, syncedLsn)) {
+            final long withThis = bytes + recs.get(n).bytes().length;
+            if (live.keeps(recs.get(n), now, recs.size() - n - 1, logBytes - withThis)) {
+                break;
+            }
+            bytes = withThis;
             n++;
         }
-        // why: in steps, so that the list is not shifted for each record
-        if (n < 64) {
+        if (n < TRIM_RECORDS && bytes < TRIM_BYTES) {
             return;
         }
         for (final Rec rec : recs.subList(0, n)) {
@@ -1175,6 +1193,8 @@
             baseLsn = rec.lsn();
             baseEpoch = rec.epoch();
         }
+        base.accepted(baseLsn);
+        logBytes -= bytes;
         recs.subList(0, n).clear();
         baseChain = chain.get(n - 1);
         chain.subList(0, n).clear();
@@ -1245,6 +1265,7 @@
         final Pack in = Pack.reader(image);
         recs.clear();
         chain.clear();
+        logBytes = 0;
         swept = 0;
         baseLsn = in.num();
         baseEpoch = in.num();
@@ -1259,7 +1280,9 @@
         }
         baseMembership = in.more() ? Membership.load(Pack.reader(in.bytes())) : null;
         useMembership();
-        accepted = Math.max(accepted, baseLsn);
+        accept(baseLsn);
+        base.accepted(baseLsn);
+        live.accepted(accepted);
     }
 
     private Pack entryOf(final int kind) {
--- a/coordination/src/main/java/brookpath/coordination/group/LogState.java
+++ b/coordination/src/main/java/brookpath/coordination/group/LogState.java
@@ -13,6 +13,17 @@
 
     void load(byte[] saved);
 
-    /** How long a copy keeps the record after it learned of it. */
-    long keepMs(Rec rec);
+    /** Everything up to the position is accepted; what only an older position needs may be dropped. */
+    default void accepted(final long lsn) {
+        // why: most states hold nothing by position
+    }
+
+    /**
+     * Whether a copy still keeps an accepted record in memory for slaves that lag.
+     *
+     * @param now by the steady clock, as {@link Rec#learnedAt}
+     * @param newerRecords how many records follow it
+     * @param newerBytes how many bytes those have
+     */
+    boolean keeps(Rec rec, long now, int newerRecords, long newerBytes);
 }
--- a/coordination/src/main/java/brookpath/coordination/node/BailiffNode.java
+++ b/coordination/src/main/java/brookpath/coordination/node/BailiffNode.java
@@ -17,7 +17,6 @@
 import brookpath.coordination.node.usage.UsageDesk;
 import brookpath.coordination.spec.ControlState;
 import brookpath.coordination.spec.ControlState.Outcome;
-import brookpath.coordination.spec.ControlState.SpecAt;
 import brookpath.coordination.spec.Finding;
 import brookpath.coordination.spec.FleetClock;
 import brookpath.coordination.spec.MovePlan;
@@ -27,6 +26,7 @@
 import brookpath.coordination.spec.Roster.NodeInfo;
 import brookpath.coordination.spec.SpecClient;
 import brookpath.coordination.spec.SpecReader;
+import brookpath.coordination.spec.StoredSpec;
 import brookpath.state.record.Pack;
 import brookpath.state.record.Rec;
 import jakarta.json.Json;
@@ -72,8 +72,13 @@
     /** A job carried to the control master for another process, or for a caller of this one. */
     private record Relayed(long jobId, int from, int node, String kind, long horizon) {}
 
+    /** Operations that append a roster. */
+    private static final Set<String> APPENDING = Set.of("founded", "members", "retire", "retireNamed");
+
     private static final int MAX_RELAYED = 1_024;
     private static final int MAX_CHANGES = 64;
+    /** Beyond so many configurations and rosters that are not accepted yet, nothing more is appended. */
+    private static final int MAX_UNACCEPTED = 16;
 
     private final Founding founding;
     /** Whom the settings name as the control group's founders; once the log tells of members, these count no more. */
@@ -195,7 +200,7 @@
         return (ControlState) group.live();
     }
 
-    private SpecAt spec() {
+    private StoredSpec spec() {
         return state().specAt(group.accepted());
     }
 
@@ -203,6 +208,11 @@
         return state().rosterAt(group.accepted());
     }
 
+    /** Whether so much waits for its copies that nothing more is to be appended. */
+    private boolean backlogged() {
+        return state().appendedAfter(group.accepted()) >= MAX_UNACCEPTED;
+    }
+
     private Roster newestRoster() {
         return state().rosterAt(Long.MAX_VALUE);
     }
@@ -222,8 +232,10 @@
             retreat = 0;
         }
         if (group.mayAct(now)) {
-            place(time);
-            move(time);
+            if (!backlogged()) {
+                place(time);
+                move(time);
+            }
             usage.total(roster(), spec().spec().tenants().keySet(), time);
             usage.report(time);
         }
@@ -408,7 +420,7 @@
 
     /** Answers when there is news, or when the poll has been held long enough. */
     private void answerPoll(final Poller p, final long now) {
-        final SpecAt spec = spec();
+        final StoredSpec spec = spec();
         final Roster roster = roster();
         final boolean news = p.last.specVersion() < spec.version() || p.last.rosterVersion() < roster.version();
         // why: a lease that a predecessor granted may be about to run out, so the first poll is never held
@@ -543,6 +555,12 @@
             respond(from, op.jobId(), masterless("this node is not the control master"));
             return;
         }
+        if (backlogged() && APPENDING.contains(op.kind())) {
+            // why: refused before anything is appended, so it is certain; a change may be the repeat of one that is
+            // under way
+            respond(from, op.jobId(), masterless("too many records wait for their copies"));
+            return;
+        }
         switch (op.kind()) {
             case "founded" -> founded((int) Pack.reader(op.body()).num(), time);
             case "members" -> members(op, time);
@@ -566,7 +584,7 @@
             case "usage" -> usage(from, op);
             case "change" -> change(from, op, time);
             case "spec" -> {
-                final SpecAt at = spec();
+                final StoredSpec at = spec();
                 respond(
                         from,
                         op.jobId(),
@@ -755,7 +773,7 @@
         }
         // why: compared with the newest appended, not the newest accepted, so that of two racing changes one loses for
         // certain
-        final SpecAt newest = state().specAt(Long.MAX_VALUE);
+        final StoredSpec newest = state().specAt(Long.MAX_VALUE);
         final SpecReader.Reading reading = SpecReader.read(
                 op.body(),
                 newest.version() + 1,
@@ -782,6 +800,10 @@
                                     + "\",\"why\":\"the change ID was used for another document\"}"));
             return;
         }
+        if (before == null && backlogged()) {
+            respond(from, op.jobId(), masterless("too many changes wait for their copies"));
+            return;
+        }
         if (before == null) {
             final boolean stale = reading.spec().basedOn() != newest.version();
             final byte[] body = reading.findings().isEmpty() && !stale
--- a/coordination/src/main/java/brookpath/coordination/spec/ControlState.java
+++ b/coordination/src/main/java/brookpath/coordination/spec/ControlState.java
@@ -16,16 +16,17 @@
     public static final int ROSTER = 3;
     public static final int USAGE = 4;
     public static final int DELIVERED = 5;
+    /** Totals that the platform has not been told yet are kept for as many windows. */
     private static final int KEPT_WINDOWS = 360;
-    private static final int KEPT_VERSIONS = 16;
-    private static final int KEPT_OUTCOMES = 4096;
-    private static final long KEEP_MS = 60_000;
 
-    /** @param lean the document as the data plane gets it */
-    public record SpecAt(long lsn, long version, byte[] doc, byte[] lean, Spec spec) {}
+    /** Totals that the platform has been told are kept for as many windows, for those who ask what was reported. */
+    private static final int KEPT_TOLD_WINDOWS = 64;
+
+    private static final int KEPT_OUTCOMES = 4096;
+    /** So many accepted records, and so many bytes of them, stay in memory for slaves that lag. */
+    private static final int KEPT_RECORDS = 256;
 
-    /** The cluster metadata that a record of the control log holds. */
-    public record RosterAt(long lsn, Roster roster) {}
+    private static final int KEPT_BYTES = 1 << 20;
 
     /** @param status 200 for a change that took effect, else the refusal's; sum tells the document */
     public record Outcome(long lsn, String changeId, long sum, int status, long version, String body) {}
@@ -43,8 +44,8 @@
     private final TreeMap<Long, Window> windows = new TreeMap<>();
     private final TreeMap<Long, Boolean> settled = new TreeMap<>();
     private final TreeMap<Integer, Long> included = new TreeMap<>();
-    private final List<SpecAt> specs = new ArrayList<>();
-    private final List<RosterAt> rosters = new ArrayList<>();
+    private final AcceptedVersions<StoredSpec> specs = new AcceptedVersions<>();
+    private final AcceptedVersions<Roster> rosters = new AcceptedVersions<>();
     private final Map<String, Outcome> outcomes = new LinkedHashMap<>();
 
     public static byte[] specBody(final String changeId, final long sum, final long version, final byte[] doc) {
@@ -107,6 +108,13 @@
         }
     }
 
+    private void settle(final long window, final boolean delivered) {
+        settled.put(window, delivered);
+        if (settled.size() > KEPT_TOLD_WINDOWS) {
+            windows.remove(settled.pollFirstEntry().getKey());
+        }
+    }
+
     /** The newest window that has a total, -1 for none. */
     public long lastWindow() {
         return windows.isEmpty() ? -1 : windows.lastKey();
@@ -148,30 +156,20 @@
                 addOutcome(new Outcome(rec.lsn(), changeId, sum, 200, version, ""));
             }
             case REFUSAL -> addOutcome(new Outcome(rec.lsn(), in.str(), in.num(), (int) in.num(), in.num(), in.str()));
-            case ROSTER -> addRoster(rec.lsn(), Roster.load(in.bytes()));
+            case ROSTER -> rosters.add(rec.lsn(), Roster.load(in.bytes()));
             case USAGE -> {
                 addWindow(unpackWindow(rec.lsn(), in));
                 for (long n = in.num(); n > 0; n--) {
                     included.put((int) in.num(), in.num());
                 }
             }
-            case DELIVERED -> settled.put(in.num(), in.num() == 1);
+            case DELIVERED -> settle(in.num(), in.num() == 1);
             default -> throw new IllegalStateException("unknown control record at " + rec.lsn());
         }
     }
 
     private void addSpec(final long lsn, final long version, final byte[] doc) {
-        specs.add(new SpecAt(lsn, version, doc, SpecReader.lean(doc), SpecReader.stored(doc, version)));
-        if (specs.size() > KEPT_VERSIONS) {
-            specs.remove(0);
-        }
-    }
-
-    private void addRoster(final long lsn, final Roster roster) {
-        rosters.add(new RosterAt(lsn, roster));
-        if (rosters.size() > KEPT_VERSIONS) {
-            rosters.remove(0);
-        }
+        specs.add(lsn, new StoredSpec(lsn, version, doc));
     }
 
     private void addOutcome(final Outcome outcome) {
@@ -181,22 +179,25 @@
         }
     }
 
-    public SpecAt specAt(final long lsn) {
-        for (int i = specs.size() - 1; i >= 0; i--) {
-            if (specs.get(i).lsn <= lsn) {
-                return specs.get(i);
-            }
-        }
-        return new SpecAt(0, 0, new byte[0], new byte[0], Spec.NONE);
+    @Override
+    public void accepted(final long lsn) {
+        specs.accept(lsn);
+        rosters.accept(lsn);
+    }
+
+    /** The newest configuration at or before the position, which is that of the newest accepted record or later. */
+    public StoredSpec specAt(final long lsn) {
+        return specs.at(lsn, StoredSpec.NONE);
     }
 
+    /** As {@link #specAt}, for the cluster metadata. */
     public Roster rosterAt(final long lsn) {
-        for (int i = rosters.size() - 1; i >= 0; i--) {
-            if (rosters.get(i).lsn <= lsn) {
-                return rosters.get(i).roster;
-            }
-        }
-        return Roster.NONE;
+        return rosters.at(lsn, Roster.NONE);
+    }
+
+    /** How many configurations and rosters were appended after the position. */
+    public int appendedAfter(final long lsn) {
+        return specs.after(lsn) + rosters.after(lsn);
     }
 
     public Outcome outcome(final String changeId) {
@@ -209,16 +210,21 @@
     }
 
     @Override
-    public long keepMs(final Rec rec) {
-        return KEEP_MS;
+    public boolean keeps(final Rec rec, final long now, final int newerRecords, final long newerBytes) {
+        // why: by count and size, not by age: a snapshot serves whoever lags more, and a run of large changes must not
+        // fill the memory
+        return newerRecords < KEPT_RECORDS && newerBytes < KEPT_BYTES;
     }
 
     @Override
     public byte[] save() {
-        final Pack pack = Pack.writer().num(specs.size());
-        specs.forEach(s -> pack.num(s.lsn).num(s.version).bytes(s.doc));
-        pack.num(rosters.size());
-        rosters.forEach(r -> pack.num(r.lsn).bytes(r.roster.save()));
+        final Pack pack = Pack.writer().num(specs.all().size());
+        specs.all()
+                .forEach(s -> pack.num(s.lsn())
+                        .num(s.value().version())
+                        .bytes(s.value().doc()));
+        pack.num(rosters.all().size());
+        rosters.all().forEach(r -> pack.num(r.lsn()).bytes(r.value().save()));
         pack.num(windows.size());
         windows.values().forEach(w -> packWindow(pack.num(w.lsn), w));
         pack.num(settled.size());
@@ -243,13 +249,13 @@
             addSpec(in.num(), in.num(), in.bytes());
         }
         for (long n = in.num(); n > 0; n--) {
-            addRoster(in.num(), Roster.load(in.bytes()));
+            rosters.add(in.num(), Roster.load(in.bytes()));
         }
         for (long n = in.num(); n > 0; n--) {
             addWindow(unpackWindow(in.num(), in));
         }
         for (long n = in.num(); n > 0; n--) {
-            settled.put(in.num(), in.num() == 1);
+            settle(in.num(), in.num() == 1);
         }
         for (long n = in.num(); n > 0; n--) {
             included.put((int) in.num(), in.num());
--- a/coordination/src/main/java/brookpath/coordination/topic/TopicState.java
+++ b/coordination/src/main/java/brookpath/coordination/topic/TopicState.java
@@ -162,8 +162,8 @@
     }
 
     @Override
-    public long keepMs(final Rec rec) {
-        return keeping.applyAsLong(rec.kind() == Rec.PUBLISH ? rec.topic() : "");
+    public boolean keeps(final Rec rec, final long now, final int newerRecords, final long newerBytes) {
+        return now - rec.learnedAt() <= keeping.applyAsLong(rec.kind() == Rec.PUBLISH ? rec.topic() : "");
     }
 
     @Override
--- a/tools/src/main/java/brookpath/tools/creelcheck/CreelCheck.java
+++ b/tools/src/main/java/brookpath/tools/creelcheck/CreelCheck.java
@@ -8,6 +8,7 @@
 import brookpath.coordination.group.GroupMachine;
 import brookpath.coordination.node.BailiffNode;
 import brookpath.coordination.spec.ControlState;
+import brookpath.coordination.spec.StoredSpec;
 import brookpath.coordination.topic.TopicState;
 import brookpath.state.disk.Disk;
 import brookpath.state.disk.DiskFile;
@@ -189,7 +190,7 @@
                 + ", publishes " + kinds.getOrDefault(Rec.PUBLISH, 0) + (g.lost() ? ", lost: is being rebuilt" : "")
                 + ", group version " + g.membership().version());
         if (g.live() instanceof ControlState c) {
-            final ControlState.SpecAt at = c.specAt(Long.MAX_VALUE);
+            final StoredSpec at = c.specAt(Long.MAX_VALUE);
             out.println("  spec " + at.version() + " (" + at.spec().changeId() + "), roster "
                     + c.rosterAt(Long.MAX_VALUE).version() + ", newest usage window " + c.lastWindow());
         }
