A full disk no longer ends the process: writes wait, and a master without a disk hands over

A master whose disk hung or was full led on for as long as the others synced, with all its waiting writes in memory.

Change: a write that fails for want of room throws DiskFullException. The part that did fit is cut off, the write and all after it wait and are tried again each beat, and what was written before is synced and counts. The probe is gone. DiskWriter does this for the server and for the simulator alike. A master hands over after recoverMs / 4 without progress of its disk, where the others can elect without it; nobody stands while a write has waited longer than the detection time; at 1 MiB that is not synced nothing more is appended (503 with a time).

Ruled out: stepping down without a successor, which would end the leases. A failed sync still ends the process, since what was written may be lost.

Conclusion: want of room costs its member's copy for as long as it lasts.

--- a/coordination/src/main/java/brookpath/coordination/Tempo.java
+++ b/coordination/src/main/java/brookpath/coordination/Tempo.java
@@ -118,6 +118,16 @@
         return recoverMs / 3;
     }
 
+    /** The pause before a write that found the disk full is tried again. */
+    public long diskPause() {
+        return beat();
+    }
+
+    /** A member whose disk has taken nothing for this long is not fit to lead. */
+    public long diskPatience() {
+        return recoverMs() / 4;
+    }
+
     public int retryAfterMs() {
         return (int) (2 * beat());
     }
--- a/coordination/src/main/java/brookpath/coordination/group/GroupMachine.java
+++ b/coordination/src/main/java/brookpath/coordination/group/GroupMachine.java
@@ -47,6 +47,9 @@
     private static final int W_IMAGE = 5;
     /** So many bytes of records go in one reply: a slow link must not keep the beats behind it for long. */
     private static final int REPLY_BYTES = 64 << 10;
+    /** Beyond so many bytes that its own disk has not synced, a master takes nothing more. */
+    private static final int MAX_UNSYNCED_BYTES = 1 << 20;
+
     /** The log is trimmed in steps of so many records or bytes, so that the list is not shifted for each record. */
     private static final int TRIM_RECORDS = 64;
 
@@ -54,9 +57,11 @@
     private static final int DEFERENCE = 3;
     private static final int SWEPT_AT_ONCE = 16;
 
-    private record Waiting(long write, int node, Msg msg) {}
+    /** A message that goes out once a write is synced. */
+    private record Waiting(long write, int node, Msg msg, long since) {}
 
-    private record Unsynced(long write, long lsn) {}
+    /** A part of the log that is not synced yet. */
+    private record Unsynced(long write, long lsn, int bytes, long since) {}
 
     private final int id;
     private final Pledges pledges;
@@ -107,6 +112,7 @@
     private long syncedLsn;
     private long accepted;
     private final ArrayDeque<Unsynced> unsynced = new ArrayDeque<>();
+    private long unsyncedBytes;
     private final ArrayDeque<Waiting> afterSync = new ArrayDeque<>();
 
     private int role = SLAVE;
@@ -422,15 +428,19 @@
     public boolean retreat(final long now) {
         retreats = true;
         if (role == MASTER && now >= handingOverUntil) {
-            for (final Member m : members) {
-                if (handOver(m.node(), now)) {
-                    break;
-                }
-            }
+            handOverToAny(now);
         }
         return role != MASTER;
     }
 
+    private void handOverToAny(final long now) {
+        for (final Member m : members) {
+            if (handOver(m.node(), now)) {
+                return;
+            }
+        }
+    }
+
     /** Manual switchover: asks a slave that has everything to stand, and does not act until that has been tried. */
     public boolean handOver(final int to, final long now) {
         if (!mayAct(now) || to == self || weight(to) < 0 || copies.getOrDefault(to, -1L) < endLsn()) {
@@ -466,6 +476,7 @@
                 stepDown("no majority answers");
             } else {
                 advance(now);
+                yieldForDisk(now);
             }
         }
         if (role == CANDIDATE && now >= goEndsAt) {
@@ -501,7 +512,9 @@
     /** All writes up to this number are synced. */
     public void synced(final long number, final long now) {
         while (!unsynced.isEmpty() && unsynced.peek().write <= number) {
-            syncedLsn = Math.max(syncedLsn, unsynced.poll().lsn);
+            final Unsynced done = unsynced.poll();
+            syncedLsn = Math.max(syncedLsn, done.lsn);
+            unsyncedBytes -= done.bytes;
         }
         while (!afterSync.isEmpty() && afterSync.peek().write <= number) {
             final Waiting w = afterSync.poll();
@@ -580,6 +593,9 @@
         if (now - startedAt <= tempo.down()) {
             return "it has just started";
         }
+        if (diskLag(now) > tempo.down()) {
+            return "its disk takes nothing";
+        }
         int answering = 1;
         int better = 0;
         for (final Member m : members) {
@@ -657,7 +673,8 @@
                                     epochAt(syncedLsn),
                                     weight(self),
                                     lostGoes,
-                                    manual)));
+                                    manual),
+                    now));
         }
     }
 
@@ -681,7 +698,7 @@
         why = "voted for " + from + " in epoch " + epoch;
         // why: a vote that is forgotten after a crash could be given twice
         final long write = out.write(entryOf(W_VOTE).num(epoch).num(from).done());
-        afterSync.add(new Waiting(write, from, new VoteReply(id, epoch, true, epoch, "granted")));
+        afterSync.add(new Waiting(write, from, new VoteReply(id, epoch, true, epoch, "granted"), now));
     }
 
     private String refusal(final int from, final VoteAsk m, final long now) {
@@ -1060,10 +1077,10 @@
                 loadImage(image, now);
                 syncedLsn = baseLsn;
                 unsynced.clear();
+                unsyncedBytes = 0;
                 wantFull = false;
                 matched = endLsn();
-                unsynced.add(
-                        new Unsynced(out.write(entryOf(W_IMAGE).bytes(image).done()), endLsn()));
+                addUnsynced(out.write(entryOf(W_IMAGE).bytes(image).done()), endLsn(), image.length, now);
                 why = "full sync from " + from + " up to " + endLsn();
                 out.note("group " + id + ": " + why);
             }
@@ -1127,7 +1144,34 @@
 
     private void store(final Rec rec) {
         push(rec);
-        unsynced.add(new Unsynced(out.write(entryOf(W_REC).bytes(rec.bytes()).done()), rec.lsn()));
+        final long write = out.write(entryOf(W_REC).bytes(rec.bytes()).done());
+        addUnsynced(write, rec.lsn(), rec.bytes().length, rec.learnedAt());
+    }
+
+    private void addUnsynced(final long write, final long lsn, final int bytes, final long now) {
+        unsynced.add(new Unsynced(write, lsn, bytes, now));
+        unsyncedBytes += bytes;
+    }
+
+    /** How long the oldest write that this group waits for has been under way. */
+    private long diskLag(final long now) {
+        final long log = unsynced.isEmpty() ? 0 : now - unsynced.peek().since;
+        final long votes = afterSync.isEmpty() ? 0 : now - afterSync.peek().since;
+        return Math.max(log, votes);
+    }
+
+    /** Whether so much waits for this member's own disk that nothing more is to be appended. */
+    public boolean diskBacklogged() {
+        return unsyncedBytes > MAX_UNSYNCED_BYTES;
+    }
+
+    /** A master whose disk takes nothing hands over to a slave that has everything, if there is one. */
+    private void yieldForDisk(final long now) {
+        // why: without a majority among the others none of them can win, and this one had better go on
+        final boolean othersCanElect = active(now) - 1 >= majority(members.size());
+        if (diskLag(now) > tempo.diskPatience() && othersCanElect && now >= handingOverUntil) {
+            handOverToAny(now);
+        }
     }
 
     private void push(final Rec rec) {
@@ -1156,6 +1200,7 @@
         useMembership();
         syncedLsn = Math.min(syncedLsn, lsn);
         unsynced.removeIf(u -> u.lsn > lsn);
+        unsyncedBytes = unsynced.stream().mapToLong(Unsynced::bytes).sum();
     }
 
     private void advance(final long now) {
--- a/coordination/src/main/java/brookpath/coordination/node/BailiffNode.java
+++ b/coordination/src/main/java/brookpath/coordination/node/BailiffNode.java
@@ -210,7 +210,7 @@
 
     /** Whether so much waits for its copies that nothing more is to be appended. */
     private boolean backlogged() {
-        return state().appendedAfter(group.accepted()) >= MAX_UNACCEPTED;
+        return group.diskBacklogged() || state().appendedAfter(group.accepted()) >= MAX_UNACCEPTED;
     }
 
     private Roster newestRoster() {
--- a/coordination/src/main/java/brookpath/coordination/node/Node.java
+++ b/coordination/src/main/java/brookpath/coordination/node/Node.java
@@ -81,6 +81,12 @@
         return out.drain();
     }
 
+    /** There was no room for the last snapshot; another is tried. */
+    public final List<Action> snapshotRefused(final Time time) {
+        onDamage(time);
+        return out.drain();
+    }
+
     public final List<Action> job(final Job job, final Time time) {
         onJob(job, time);
         return out.drain();
--- a/coordination/src/main/java/brookpath/coordination/node/StorageNode.java
+++ b/coordination/src/main/java/brookpath/coordination/node/StorageNode.java
@@ -378,9 +378,11 @@
                         ? "spec is older than the front's"
                         : !g.mayAct(now)
                                 ? "master has no lease yet"
-                                : !client.clockKnown()
-                                        ? "the fleet's clock is not known yet"
-                                        : info == null || !info.founded() ? "group is not founded yet" : null;
+                                : g.diskBacklogged()
+                                        ? "the master's disk takes nothing just now"
+                                        : !client.clockKnown()
+                                                ? "the fleet's clock is not known yet"
+                                                : info == null || !info.founded() ? "group is not founded yet" : null;
         if (busy != null) {
             reply(from, m.jobId(), BUSY, 0, 0, busy);
             return;
--- a/programs/src/main/java/brookpath/programs/boot/Assembly.java
+++ b/programs/src/main/java/brookpath/programs/boot/Assembly.java
@@ -11,6 +11,7 @@
 import brookpath.coordination.spec.Roster;
 import brookpath.coordination.spec.Roster.NodeInfo;
 import brookpath.coordination.spec.SpecClient;
+import brookpath.state.disk.DiskFullException;
 import brookpath.state.disk.FolderDisk;
 import brookpath.state.spool.Spool;
 import brookpath.transport.loop.Host;
@@ -68,7 +69,7 @@
     /** Throws IllegalStateException where the folder forbids what the plan says. */
     public static Assembly of(final Plan plan, final Host.Poster poster) {
         final Time time = Host.time();
-        final Spool.Recovery recovered = plan.data.isEmpty() ? null : Spool.recover(new FolderDisk(Path.of(plan.data)));
+        final Spool.Recovery recovered = plan.data.isEmpty() ? null : recover(plan);
         final List<byte[]> entries = recovered == null ? List.of() : recovered.replayed();
         if (recovered != null) {
             recovered.findings().forEach(f -> Logger.error("data folder: {}", f));
@@ -96,6 +97,28 @@
         return new Assembly(node, host, first);
     }
 
+    /** A folder that is full holds nothing yet, else it could be read; it is waited for, as any write would be. */
+    private static Spool.Recovery recover(final Plan plan) {
+        final FolderDisk disk = new FolderDisk(Path.of(plan.data));
+        while (true) {
+            try {
+                return Spool.recover(disk);
+            } catch (final DiskFullException ex) {
+                Logger.warn("data folder: no room to begin in; tried again");
+                pause(plan.tempo.diskPause());
+            }
+        }
+    }
+
+    private static void pause(final long millis) {
+        try {
+            Thread.sleep(millis);
+        } catch (final InterruptedException ex) {
+            Thread.currentThread().interrupt();
+            throw new IllegalStateException("interrupted before the start", ex);
+        }
+    }
+
     private static Node node(final Plan plan, final Time time) {
         final NodeInfo me = plan.info;
         final List<Integer> seeds = List.copyOf(plan.seeds.keySet());
--- a/state/src/main/java/brookpath/state/disk/DiskFile.java
+++ b/state/src/main/java/brookpath/state/disk/DiskFile.java
@@ -4,6 +4,7 @@
 public interface DiskFile {
     long size();
 
+    /** Throws {@link DiskFullException} where there is no room; part of the bytes may then be in the file. */
     void append(byte[] bytes, int off, int len);
 
     byte[] readAll();
--- a/state/src/main/java/brookpath/state/disk/FolderDisk.java
+++ b/state/src/main/java/brookpath/state/disk/FolderDisk.java
@@ -39,7 +39,7 @@
         try {
             return new ChannelFile(FileChannel.open(folder.resolve(name), CREATE, READ, WRITE));
         } catch (final IOException ex) {
-            throw new UncheckedIOException(ex);
+            throw DiskFullException.ofWrite(ex);
         }
     }
 
@@ -69,7 +69,7 @@
         try {
             Files.move(folder.resolve(from), folder.resolve(to), ATOMIC_MOVE);
         } catch (final IOException ex) {
-            throw new UncheckedIOException(ex);
+            throw DiskFullException.ofWrite(ex);
         }
     }
 
@@ -119,7 +119,7 @@
                     end += ch.write(buf, end);
                 }
             } catch (final IOException ex) {
-                throw new UncheckedIOException(ex);
+                throw DiskFullException.ofWrite(ex);
             }
         }
 
--- a/state/src/main/java/brookpath/state/spool/Spool.java
+++ b/state/src/main/java/brookpath/state/spool/Spool.java
@@ -4,6 +4,7 @@
 
 import brookpath.state.disk.Disk;
 import brookpath.state.disk.DiskFile;
+import brookpath.state.disk.DiskFullException;
 import brookpath.state.record.Pack;
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
@@ -20,8 +21,6 @@
 public final class Spool {
     public static final int MAX_ENTRY = 64 << 20;
     private static final int HEAD = 16;
-    private static final String PROBE = "probe.tmp";
-    private static final int PROBE_BYTES = 64 << 10;
 
     /** What recovery found. A damaged folder yields no entries: its owner comes back as a member without a disk. */
     public record Recovery(Spool spool, byte[] snapshot, List<byte[]> entries, List<String> findings, boolean damaged) {
@@ -57,21 +56,8 @@
         disk.syncFolder();
     }
 
-    /** Throws where the disk takes no more: such a machine must not come back only to fall over at its first write. */
-    private static void probe(final Disk disk) {
-        final DiskFile file = disk.open(PROBE);
-        try {
-            file.truncate(0);
-            file.append(new byte[PROBE_BYTES], 0, PROBE_BYTES);
-            file.sync();
-        } finally {
-            file.close();
-            disk.delete(PROBE);
-        }
-    }
-
+    /** Reads what the folder holds. A full disk is no hindrance, except for the first file of an empty folder. */
     public static Recovery recover(final Disk disk) {
-        probe(disk);
         final List<String> findings = new ArrayList<>();
         final TreeSet<Long> snaps = new TreeSet<>();
         final TreeSet<Long> segs = new TreeSet<>();
@@ -168,13 +154,20 @@
         return new Inspection(at < 0 ? "" : "snap-" + at, snapshot, segment, entries, findings);
     }
 
+    /** Throws {@link DiskFullException} where there is no room; the entry is then not in the segment. */
     public void append(final byte[] entry) {
         put(entry);
     }
 
     private void put(final byte[] entry) {
         final byte[] framed = frame(entry, synced);
-        file.append(framed, 0, framed.length);
+        try {
+            file.append(framed, 0, framed.length);
+        } catch (final DiskFullException ex) {
+            // why: the part of it that did fit must not lie before the entries that follow
+            file.truncate(size);
+            throw ex;
+        }
         size += framed.length;
     }
 
@@ -185,7 +178,12 @@
         if (size > synced) {
             file.sync();
             synced = size;
-            put(new byte[0]);
+            try {
+                put(new byte[0]);
+            } catch (final DiskFullException ex) {
+                // why: the sync counts without its mark; the next entry says as well how much was synced
+                return;
+            }
         }
     }
 
@@ -205,26 +203,53 @@
         return size;
     }
 
-    /** Starts a new segment whose beginning is the given snapshot; everything older can go. */
+    /**
+     * Starts a new segment whose beginning is the given snapshot; everything older can go. Throws
+     * {@link DiskFullException} where there is no room for the snapshot beside what is there; the present segment then
+     * goes on.
+     */
     public void roll(final byte[] snapshot) {
         final long next = seg + 1;
-        final DiskFile tmp = disk.open("snap-" + next + ".tmp");
-        tmp.truncate(0);
-        final byte[] framed = frame(snapshot, 0);
-        tmp.append(framed, 0, framed.length);
-        tmp.sync();
-        tmp.close();
-        disk.rename("snap-" + next + ".tmp", "snap-" + next);
+        final DiskFile nextFile = prepare(next, snapshot);
         disk.syncFolder();
         file.close();
         seg = next;
-        file = disk.open(segName(next));
+        file = nextFile;
         size = 0;
         synced = 0;
-        disk.syncFolder();
         dropBefore(next);
     }
 
+    /** Everything that needs room: the snapshot, under its name at last, and the empty segment that follows it. */
+    private DiskFile prepare(final long next, final byte[] snapshot) {
+        final String tmpName = "snap-" + next + ".tmp";
+        DiskFile tmp = null;
+        DiskFile nextFile = null;
+        try {
+            tmp = disk.open(tmpName);
+            tmp.truncate(0);
+            final byte[] framed = frame(snapshot, 0);
+            tmp.append(framed, 0, framed.length);
+            tmp.sync();
+            // why: once the snapshot has its name a start goes by it, so the segment after it must be there before
+            nextFile = disk.open(segName(next));
+            nextFile.truncate(0);
+            disk.rename(tmpName, "snap-" + next);
+            return nextFile;
+        } catch (final DiskFullException ex) {
+            if (nextFile != null) {
+                nextFile.close();
+                disk.delete(segName(next));
+            }
+            disk.delete(tmpName);
+            throw ex;
+        } finally {
+            if (tmp != null) {
+                tmp.close();
+            }
+        }
+    }
+
     private void dropBefore(final long keep) {
         for (final String name : disk.list()) {
             final int dash = name.indexOf('-');
--- a/transport/src/main/java/brookpath/transport/loop/Host.java
+++ b/transport/src/main/java/brookpath/transport/loop/Host.java
@@ -389,44 +389,60 @@
     }
 
     private void diskLoop() {
-        long nextScrub = time().mono() + SCRUB * tempo.recoverMs();
+        final DiskWriter writer = new DiskWriter(spool);
         final List<Action> batch = new ArrayList<>();
+        long nextScrub = time().mono() + SCRUB * tempo.recoverMs();
+        long nextSnapshot = Long.MAX_VALUE;
+        boolean full = false;
         while (!closed) {
             try {
                 batch.clear();
-                final Action first = writes.poll(tempo.recoverMs(), MILLISECONDS);
-                if (time().mono() >= nextScrub) {
+                final Action first = full ? null : writes.poll(tempo.recoverMs() / 4, MILLISECONDS);
+                final long now = time().mono();
+                if (now >= nextScrub) {
                     // why: what went bad on the disk is to be found while the copy in memory is still there
-                    nextScrub = time().mono() + SCRUB * tempo.recoverMs();
+                    nextScrub = now + SCRUB * tempo.recoverMs();
                     if (!spool.whole()) {
                         events.add(Node::damaged);
                     }
                 }
-                if (first == null) {
+                if (now >= nextSnapshot) {
+                    nextSnapshot = Long.MAX_VALUE;
+                    events.add(Node::snapshotRefused);
+                }
+                if (first == null && !full) {
                     continue;
                 }
-                batch.add(first);
+                if (first != null) {
+                    batch.add(first);
+                }
                 writes.drainTo(batch);
-                long last = 0;
-                for (final Action action : batch) {
-                    if (action instanceof Action.Write w) {
-                        spool.append(w.entry());
-                        last = w.number();
-                    } else if (action instanceof Action.Roll r) {
-                        spool.sync();
-                        spool.roll(r.snapshot());
-                        last = r.number();
-                    }
+                writer.add(batch);
+                full = reportFull(full, !writer.write());
+                if (writer.takeSnapshotRefused()) {
+                    Logger.warn("no room for a snapshot: the segment goes on");
+                    nextSnapshot = now + tempo.recoverMs() / 4;
                 }
-                spool.sync();
-                final long synced = last;
+                final long synced = writer.sync();
                 events.add((n, time) -> n.synced(synced, time));
+                if (full) {
+                    Thread.sleep(tempo.diskPause());
+                }
             } catch (final InterruptedException ex) {
                 return;
             }
         }
     }
 
+    private static boolean reportFull(final boolean was, final boolean is) {
+        if (is && !was) {
+            Logger.warn("the disk is full: writes wait and are tried again");
+        } else if (was && !is) {
+            Logger.info("the disk has room again");
+        }
+        return is;
+    }
+
     @Override
     public void close() {
         closed = true;
--- a/trial/src/main/java/brookpath/trial/disk/TrialDisk.java
+++ b/trial/src/main/java/brookpath/trial/disk/TrialDisk.java
@@ -2,6 +2,7 @@
 
 import brookpath.state.disk.Disk;
 import brookpath.state.disk.DiskFile;
+import brookpath.state.disk.DiskFullException;
 import brookpath.state.spool.Spool;
 import java.io.IOException;
 import java.io.UncheckedIOException;
@@ -25,6 +26,7 @@
     private TreeMap<String, Data> durable = new TreeMap<>();
     private boolean failing;
     private boolean full;
+    private long capacity = Long.MAX_VALUE;
     private long syncs;
 
     public void failing(final boolean on) {
@@ -36,6 +38,17 @@
         full = on;
     }
 
+    /** As many bytes fit, in all files together. */
+    public void capacity(final long bytes) {
+        capacity = bytes;
+    }
+
+    private long room() {
+        return full
+                ? 0
+                : capacity - names.values().stream().mapToLong(d -> d.len).sum();
+    }
+
     public long syncs() {
         return syncs;
     }
@@ -153,9 +166,16 @@
 
         @Override
         public void append(final byte[] bytes, final int off, final int len) {
-            if (full) {
-                throw new UncheckedIOException(new IOException("no space left"));
+            final long room = full || capacity < Long.MAX_VALUE ? room() : Long.MAX_VALUE;
+            if (room < len) {
+                // why: a disk takes what still fits before it says that it is full; a full one may as well take nothing
+                put(bytes, off, (int) Math.max(0, room));
+                throw new DiskFullException(new IOException("No space left on device"));
             }
+            put(bytes, off, len);
+        }
+
+        private void put(final byte[] bytes, final int off, final int len) {
             if (d.len + len > d.bytes.length) {
                 d.bytes = Arrays.copyOf(d.bytes, Math.max(d.bytes.length * 2, d.len + len));
             }
--- a/trial/src/main/java/brookpath/trial/sim/Proc.java
+++ b/trial/src/main/java/brookpath/trial/sim/Proc.java
@@ -11,6 +11,7 @@
 import brookpath.coordination.node.Node;
 import brookpath.coordination.node.Node.Time;
 import brookpath.state.spool.Spool;
+import brookpath.transport.loop.DiskWriter;
 import brookpath.trial.disk.TrialDisk;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -36,6 +37,7 @@
     private final StatusHandoff handoff = new StatusHandoff();
     private Set<Integer> siblings = Set.of();
     private Spool spool;
+    private DiskWriter writer;
     private List<Action> pending = new ArrayList<>();
     private boolean diskBusy;
     long life;
@@ -115,6 +117,7 @@
                 return;
             }
             spool = rec.spool();
+            writer = new DiskWriter(spool);
             entries.addAll(rec.replayed());
             world.count(rec.damaged() ? "damaged folders" : "recoveries");
         }
@@ -345,53 +348,74 @@
         if (diskBusy || pending.isEmpty()) {
             return;
         }
-        diskBusy = true;
         final List<Action> batch = pending;
         pending = new ArrayList<>();
+        writer.add(batch);
+        writeOut(batch);
+    }
+
+    private void writeOut(final List<Action> batch) {
+        diskBusy = true;
         final long ofLife = life;
+        final boolean allWritten;
         try {
-            for (final Action action : batch) {
-                if (action instanceof Action.Write w) {
-                    spool.append(w.entry());
-                } else if (action instanceof Action.Roll r) {
-                    spool.sync();
-                    spool.roll(r.snapshot());
-                }
-            }
+            allWritten = writer.write();
         } catch (final RuntimeException ex) {
             world.kill(this, false);
             return;
         }
-        final Action last = batch.get(batch.size() - 1);
-        final long number = last instanceof Action.Write w ? w.number() : ((Action.Roll) last).number();
         world.at(world.now() + syncMs + world.rnd.nextInt(3), () -> {
             if (!alive || life != ofLife) {
                 return;
             }
+            final long number;
             try {
-                if (world.mutations.contains(Mutation.NO_FSYNC)) {
-                    disk.syncs();
-                } else {
-                    spool.sync();
-                }
+                number = world.mutations.contains(Mutation.NO_FSYNC) ? writer.written() : writer.sync();
             } catch (final RuntimeException ex) {
                 // why: a failed sync takes the process out, as the real host does
                 world.count("failed syncs");
                 world.kill(this, false);
                 return;
             }
-            diskBusy = false;
             if (world.armed != null
+                    && allWritten
                     && batch.stream()
                             .anyMatch(a -> a instanceof Action.Write w && CrashPoint.ofWrite(w.entry()) == world.armed)
                     && CrashPoint.owns(node, world.groups)
                     && world.crashes(this)) {
                 return;
             }
+            diskBusy = !allWritten;
             run(p -> p.node.synced(number, p.time()));
-            if (alive && !frozen()) {
-                writeOut();
-            }
+            writeAgain(allWritten, ofLife);
         });
     }
+
+    /** What has come meanwhile is written at once, what found the disk full after a pause. */
+    private void writeAgain(final boolean allWritten, final long ofLife) {
+        if (!alive) {
+            return;
+        }
+        if (writer.takeSnapshotRefused()) {
+            world.count("snapshots without room");
+            world.at(world.now() + world.tempo.recoverMs() / 4, () -> {
+                if (alive && life == ofLife) {
+                    run(p -> p.node.snapshotRefused(p.time()));
+                }
+            });
+        }
+        if (!allWritten) {
+            world.count("writes that found the disk full");
+            world.at(world.now() + world.tempo.diskPause(), () -> {
+                if (alive && life == ofLife) {
+                    final List<Action> since = pending;
+                    pending = new ArrayList<>();
+                    writer.add(since);
+                    writeOut(since);
+                }
+            });
+        } else if (!frozen()) {
+            writeOut();
+        }
+    }
 }
--- /dev/null
+++ b/trial/src/test/java/brookpath/trial/SpoolRoomTest.java
@@ -0,0 +1,240 @@
+package brookpath.trial;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertThrows;
+import static org.testng.Assert.assertTrue;
+
+import brookpath.state.disk.Disk;
+import brookpath.state.disk.DiskFile;
+import brookpath.state.disk.DiskFullException;
+import brookpath.state.spool.Spool;
+import brookpath.state.spool.Spool.Recovery;
+import brookpath.trial.disk.TrialDisk;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.util.Arrays;
+import java.util.List;
+import java.util.SplittableRandom;
+import org.testng.SkipException;
+import org.testng.annotations.Test;
+
+/** The spool on a disk that has too little room, and a power loss at each step of a roll. */
+public final class SpoolRoomTest {
+    private static final byte[] FIRST = filled(1, 100);
+    private static final byte[] SECOND = filled(2, 300);
+    private static final byte[] THIRD = filled(3, 50);
+    private static final int ROLL_STEPS = 12;
+
+    @Test
+    public void aWriteWithoutRoomLeavesWhatWasThereAndIsTriedAgain() {
+        final TrialDisk disk = new TrialDisk();
+        final Spool spool = Spool.recover(disk).spool();
+        spool.append(FIRST);
+        spool.sync();
+        disk.capacity(300);
+        assertThrows(DiskFullException.class, () -> spool.append(SECOND));
+        spool.sync();
+        disk.capacity(Long.MAX_VALUE);
+        spool.append(SECOND);
+        spool.sync();
+        spool.append(THIRD);
+        spool.sync();
+        disk.powerLoss(new SplittableRandom(1));
+        final Recovery after = Spool.recover(disk);
+        assertFalse(after.damaged(), after.findings().toString());
+        assertEquals(texts(after), List.of(text(FIRST), text(SECOND), text(THIRD)));
+    }
+
+    @Test
+    public void aSyncCountsThoughThereIsNoRoomForItsMark() {
+        final TrialDisk disk = new TrialDisk();
+        final Spool spool = Spool.recover(disk).spool();
+        spool.append(FIRST);
+        disk.full(true);
+        spool.sync();
+        disk.powerLoss(new SplittableRandom(2));
+        disk.full(false);
+        assertEquals(texts(Spool.recover(disk)), List.of(text(FIRST)));
+    }
+
+    @Test
+    public void aSnapshotWithoutRoomIsLeftOutAndTheSegmentGoesOn() {
+        final TrialDisk disk = new TrialDisk();
+        final Spool spool = Spool.recover(disk).spool();
+        spool.roll(filled(9, 400));
+        spool.append(FIRST);
+        spool.sync();
+        disk.capacity(900);
+        assertThrows(DiskFullException.class, () -> spool.roll(filled(10, 600)));
+        spool.append(THIRD);
+        spool.sync();
+        disk.powerLoss(new SplittableRandom(3));
+        final Recovery after = Spool.recover(disk);
+        assertFalse(after.damaged(), after.findings().toString());
+        assertEquals(text(after.snapshot()), text(filled(9, 400)));
+        assertEquals(texts(after), List.of(text(FIRST), text(THIRD)));
+        disk.capacity(Long.MAX_VALUE);
+        after.spool().roll(filled(10, 600));
+        assertEquals(text(Spool.recover(disk).snapshot()), text(filled(10, 600)));
+    }
+
+    @Test
+    public void aPowerLossAtEachStepOfARollLosesNothing() {
+        int before = 0;
+        int rolled = 0;
+        for (int step = 0; step < ROLL_STEPS; step++) {
+            for (int seed = 0; seed < 20; seed++) {
+                final StoppingDisk disk = new StoppingDisk();
+                final Spool spool = Spool.recover(disk).spool();
+                spool.roll(filled(7, 200));
+                spool.append(FIRST);
+                spool.sync();
+                disk.stepsLeft = step;
+                try {
+                    spool.roll(filled(8, 200));
+                } catch (final Stopped ex) {
+                    before++;
+                }
+                disk.stepsLeft = Integer.MAX_VALUE;
+                disk.disk.powerLoss(new SplittableRandom(seed));
+                final Recovery after = Spool.recover(disk);
+                assertFalse(after.damaged(), "step " + step + ": " + after.findings());
+                final boolean isOld = text(after.snapshot()).equals(text(filled(7, 200)));
+                assertTrue(isOld || text(after.snapshot()).equals(text(filled(8, 200))), "step " + step);
+                assertEquals(texts(after), isOld ? List.of(text(FIRST)) : List.of(), "step " + step);
+                rolled += isOld ? 0 : 1;
+                // why: what a roll that was broken off left behind must not come into the next one
+                after.spool().append(THIRD);
+                after.spool().sync();
+                after.spool().roll(filled(11, 100));
+                after.spool().append(SECOND);
+                after.spool().sync();
+                final Recovery again = Spool.recover(disk);
+                assertEquals(text(again.snapshot()), text(filled(11, 100)));
+                assertEquals(texts(again), List.of(text(SECOND)));
+            }
+        }
+        assertTrue(before > 100 && rolled > 20, before + " rolls were broken off, " + rolled + " were there after");
+    }
+
+    /** The operating system's own words for a full disk are understood. */
+    @Test
+    public void aFullDeviceIsKnownByItsMessage() throws IOException {
+        final Path full = Path.of("/dev/full");
+        if (!Files.exists(full)) {
+            throw new SkipException("this system has no /dev/full");
+        }
+        try (FileChannel channel = FileChannel.open(full, StandardOpenOption.WRITE)) {
+            channel.write(ByteBuffer.wrap(FIRST));
+            throw new AssertionError("the full device took a write");
+        } catch (final IOException ex) {
+            assertTrue(DiskFullException.ofWrite(ex) instanceof DiskFullException, ex.toString());
+        }
+        assertFalse(DiskFullException.ofWrite(new IOException("Input/output error")) instanceof DiskFullException);
+    }
+
+    private static final class Stopped extends RuntimeException {
+        private static final long serialVersionUID = 1L;
+    }
+
+    /** A trial disk on which the process dies after so many operations. */
+    private static final class StoppingDisk implements Disk {
+        private final TrialDisk disk = new TrialDisk();
+        private int stepsLeft = Integer.MAX_VALUE;
+
+        private void step() {
+            if (stepsLeft-- <= 0) {
+                throw new Stopped();
+            }
+        }
+
+        @Override
+        public DiskFile open(final String name) {
+            step();
+            return new StoppingFile(disk.open(name));
+        }
+
+        @Override
+        public List<String> list() {
+            return disk.list();
+        }
+
+        @Override
+        public void delete(final String name) {
+            step();
+            disk.delete(name);
+        }
+
+        @Override
+        public void rename(final String from, final String to) {
+            step();
+            disk.rename(from, to);
+        }
+
+        @Override
+        public void syncFolder() {
+            step();
+            disk.syncFolder();
+        }
+
+        private final class StoppingFile implements DiskFile {
+            private final DiskFile file;
+
+            StoppingFile(final DiskFile file) {
+                this.file = file;
+            }
+
+            @Override
+            public long size() {
+                return file.size();
+            }
+
+            @Override
+            public void append(final byte[] bytes, final int off, final int len) {
+                step();
+                file.append(bytes, off, len);
+            }
+
+            @Override
+            public byte[] readAll() {
+                return file.readAll();
+            }
+
+            @Override
+            public void sync() {
+                step();
+                file.sync();
+            }
+
+            @Override
+            public void truncate(final long size) {
+                step();
+                file.truncate(size);
+            }
+
+            @Override
+            public void close() {
+                file.close();
+            }
+        }
+    }
+
+    private static byte[] filled(final int value, final int length) {
+        final byte[] bytes = new byte[length];
+        Arrays.fill(bytes, (byte) value);
+        return bytes;
+    }
+
+    private static String text(final byte[] bytes) {
+        return bytes == null ? "none" : Arrays.toString(bytes);
+    }
+
+    private static List<String> texts(final Recovery recovery) {
+        return recovery.entries().stream().map(SpoolRoomTest::text).toList();
+    }
+}
