--- a/coordination/src/main/java/brookpath/coordination/group/GroupMachine.java
+++ b/coordination/src/main/java/brookpath/coordination/group/GroupMachine.java
@@ -44,13 +44,23 @@
     private static final int W_VOTE = 3;
     private static final int W_INIT = 4;
     private static final int W_IMAGE = 5;
-    private static final int REPLY_BYTES = 256 << 10;
+    /** So many bytes of records go in one reply: a slow link must not keep the beats behind it for long. */
+    private static final int REPLY_BYTES = 64 << 10;
+    /** Beyond so many bytes that its own disk has not synced, a master takes nothing more. */
+    private static final int MAX_UNSYNCED_BYTES = 1 << 20;
+
+    /** The log is trimmed in steps of so many records or bytes, so that the list is not shifted for each record. */
+    private static final int TRIM_RECORDS = 64;
+
+    private static final int TRIM_BYTES = 64 << 10;
     private static final int DEFERENCE = 3;
     private static final int SWEPT_AT_ONCE = 16;
 
-    private record Waiting(long write, int node, Msg msg) {}
+    /** A message that goes out once a write is synced. */
+    private record Waiting(long write, int node, Msg msg, long since) {}
 
-    private record Unsynced(long write, long lsn) {}
+    /** A part of the log that is not synced yet. */
+    private record Unsynced(long write, long lsn, int bytes, long since) {}
 
     private final int id;
     private final Pledges pledges;
@@ -96,10 +106,12 @@
     private final ArrayList<Long> chain = new ArrayList<>();
 
     private long baseChain;
+    private long logBytes;
     private long swept;
     private long syncedLsn;
     private long accepted;
     private final ArrayDeque<Unsynced> unsynced = new ArrayDeque<>();
+    private long unsyncedBytes;
     private final ArrayDeque<Waiting> afterSync = new ArrayDeque<>();
 
     private int role = SLAVE;
@@ -123,6 +135,8 @@
     private long pullSentAt;
     private boolean pulling;
     private boolean wantFull;
+    private final ImageSender imageSender;
+    private final ImageReceiver imageReceiver = new ImageReceiver();
     private long joinTarget = -1;
     /** The write that says that this copy is rebuilt, until it is synced; 0 for none. */
     private long rebuiltWrite;
@@ -146,6 +160,7 @@
         this.toleratedLosses = toleratedLosses;
         this.states = states;
         this.out = out;
+        imageSender = new ImageSender(tempo.recoverMs());
         rnd = new SplittableRandom(seed * 31 + id * 7919L + self);
         base = states.get();
         live = states.get();
@@ -461,15 +476,19 @@
     public boolean retreat(final long now) {
         retreats = true;
         if (role == MASTER && now >= handingOverUntil) {
-            for (final Member m : members) {
-                if (handOver(m.node(), now)) {
-                    break;
-                }
-            }
+            handOverToAny(now);
         }
         return role != MASTER;
     }
 
+    private void handOverToAny(final long now) {
+        for (final Member m : members) {
+            if (handOver(m.node(), now)) {
+                return;
+            }
+        }
+    }
+
     /** Manual switchover: asks a slave that has everything to stand, and does not act until that has been tried. */
     public boolean handOver(final int to, final long now) {
         if (!mayAct(now) || to == self || weight(to) < 0 || copies.getOrDefault(to, -1L) < endLsn()) {
@@ -501,6 +520,7 @@
                 stepDown("no majority answers");
             } else {
                 advance(now);
+                yieldForDisk(now);
             }
         }
         if (role == CANDIDATE && now >= goEndsAt) {
@@ -551,7 +571,9 @@
     /** All writes up to this number are synced. */
     public void synced(final long number, final long now) {
         while (!unsynced.isEmpty() && unsynced.peek().write <= number) {
-            syncedLsn = Math.max(syncedLsn, unsynced.poll().lsn);
+            final Unsynced done = unsynced.poll();
+            syncedLsn = Math.max(syncedLsn, done.lsn);
+            unsyncedBytes -= done.bytes;
         }
         while (!afterSync.isEmpty() && afterSync.peek().write <= number) {
             final Waiting w = afterSync.poll();
@@ -646,6 +668,9 @@
         if (now - startedAt <= tempo.down()) {
             return "it has just started";
         }
+        if (diskLag(now) > tempo.down()) {
+            return "its disk takes nothing";
+        }
         int answering = 1;
         int better = 0;
         for (final Member m : members) {
@@ -723,7 +748,8 @@
                                     epochAt(syncedLsn),
                                     weight(self),
                                     lostGoes,
-                                    manual)));
+                                    manual),
+                    now));
         }
     }
 
@@ -747,7 +773,7 @@
         why = "voted for " + from + " in epoch " + epoch;
         // why: a vote that is forgotten after a crash could be given twice
         final long write = out.write(entryOf(W_VOTE).num(epoch).num(from).done());
-        afterSync.add(new Waiting(write, from, new VoteReply(id, epoch, true, epoch, "granted")));
+        afterSync.add(new Waiting(write, from, new VoteReply(id, epoch, true, epoch, "granted"), now));
     }
 
     private String refusal(final int from, final VoteAsk m, final long now) {
@@ -796,6 +822,7 @@
             return;
         }
         role = MASTER;
+        imageReceiver.reset();
         masterSince = now;
         masterHeard = self;
         lostGoes = 0;
@@ -937,7 +964,9 @@
                         epochAt(syncedLsn),
                         lost() && joinTarget < 0 ? Pull.UNKNOWN : accepted,
                         lost(),
-                        chainAt(syncedLsn)));
+                        chainAt(syncedLsn),
+                        imageReceiver.sum(),
+                        imageReceiver.offset()));
     }
 
     /** The master while it can be reached; else a slave that still hears it. */
@@ -979,7 +1008,7 @@
             held.remove(from);
             out.note("group " + id + ": the copy of node " + from + " differs at or before " + m.syncedLsn()
                     + " and is sent whole");
-            sendWhole(from, m, mayAct(now) ? PullReply.ACTING_MASTER : PullReply.MASTER);
+            sendWhole(from, m, mayAct(now) ? PullReply.ACTING_MASTER : PullReply.MASTER, now);
             return;
         }
         if (role == MASTER) {
@@ -1014,7 +1043,7 @@
         // why: only a master that has opened its epoch knows everything that was accepted before it
         final int lead = mayAct(now) ? PullReply.ACTING_MASTER : role == MASTER ? PullReply.MASTER : PullReply.SLAVE;
         if (m.nextLsn() < 0 || prev < baseLsn) {
-            sendWhole(to, m, lead);
+            sendWhole(to, m, lead, now);
             return true;
         }
         if (prev > endLsn() || epochAt(prev) != m.prevEpoch()) {
@@ -1059,12 +1088,17 @@
         return true;
     }
 
-    private void sendWhole(final int to, final Pull m, final int lead) {
-        for (long lsn = baseLsn + 1; lsn <= endLsn(); lsn++) {
-            if (!whole(lsn)) {
-                return;
+    /** Sends the next part of this copy's image, which is built for the first who asks and kept for the others. */
+    private void sendWhole(final int to, final Pull m, final int lead, final long now) {
+        if (!imageSender.serves(m.imageSum(), Math.min(m.syncedLsn(), endLsn()))) {
+            for (long lsn = baseLsn + 1; lsn <= endLsn(); lsn++) {
+                if (!whole(lsn)) {
+                    return;
+                }
             }
+            imageSender.hold(image(), endLsn(), now);
         }
+        final ImageSender.Part part = imageSender.part(m.imageSum(), m.imageOffset(), now);
         out.send(
                 to,
                 new PullReply(
@@ -1077,8 +1111,11 @@
                         m.nextLsn() - 1,
                         m.prevEpoch(),
                         0,
-                        image(),
-                        List.of()));
+                        part.bytes(),
+                        List.of(),
+                        part.sum(),
+                        part.total(),
+                        part.offset()));
     }
 
     private void serveHeld(final long now) {
@@ -1126,13 +1163,17 @@
                         || (m.standing() == PullReply.SLAVE && !lost() && !wantFull && endLsn() > 0 && accepted > 0)) {
                     return;
                 }
-                loadImage(m.image(), now);
+                final byte[] image = imageReceiver.take(m);
+                if (image == null) {
+                    break;
+                }
+                loadImage(image, now);
                 syncedLsn = baseLsn;
                 unsynced.clear();
+                unsyncedBytes = 0;
                 wantFull = false;
                 matched = endLsn();
-                unsynced.add(
-                        new Unsynced(out.write(entryOf(W_IMAGE).bytes(m.image()).done()), endLsn()));
+                addUnsynced(out.write(entryOf(W_IMAGE).bytes(image).done()), endLsn(), image.length, now);
                 why = "full sync from " + from + " up to " + endLsn();
                 out.note("group " + id + ": " + why);
             }
@@ -1152,10 +1193,13 @@
                     out.note("group " + id + ": " + why);
                 }
             }
-            default -> matched = take(m, now);
+            default -> {
+                imageReceiver.reset();
+                matched = take(m, now);
+            }
         }
         if (m.kind() != MISMATCH && matched >= 0) {
-            accepted = Math.max(accepted, Math.min(m.accepted(), matched));
+            accept(Math.min(m.accepted(), matched));
             if (!inSync && matched >= m.accepted()) {
                 out.beatNow();
             }
@@ -1193,7 +1237,34 @@
 
     private void store(final Rec rec) {
         push(rec);
-        unsynced.add(new Unsynced(out.write(entryOf(W_REC).bytes(rec.bytes()).done()), rec.lsn()));
+        final long write = out.write(entryOf(W_REC).bytes(rec.bytes()).done());
+        addUnsynced(write, rec.lsn(), rec.bytes().length, rec.learnedAt());
+    }
+
+    private void addUnsynced(final long write, final long lsn, final int bytes, final long now) {
+        unsynced.add(new Unsynced(write, lsn, bytes, now));
+        unsyncedBytes += bytes;
+    }
+
+    /** How long the oldest write that this group waits for has been under way. */
+    private long diskLag(final long now) {
+        final long log = unsynced.isEmpty() ? 0 : now - unsynced.peek().since;
+        final long votes = afterSync.isEmpty() ? 0 : now - afterSync.peek().since;
+        return Math.max(log, votes);
+    }
+
+    /** Whether so much waits for this member's own disk that nothing more is to be appended. */
+    public boolean diskBacklogged() {
+        return unsyncedBytes > MAX_UNSYNCED_BYTES;
+    }
+
+    /** A master whose disk takes nothing hands over to a slave that has everything, if there is one. */
+    private void yieldForDisk(final long now) {
+        // why: without a majority among the others none of them can win, and this one had better go on
+        final boolean othersCanElect = active(now) - 1 >= majority(members.size());
+        if (diskLag(now) > tempo.diskPatience() && othersCanElect && now >= handingOverUntil) {
+            handOverToAny(now);
+        }
     }
 
     private void push(final Rec rec) {
@@ -1202,6 +1273,7 @@
         }
         recs.add(rec);
         chain.add(link(chain.isEmpty() ? baseChain : chain.get(chain.size() - 1), rec));
+        logBytes += rec.bytes().length;
         live.apply(rec);
         if (rec.kind() == Rec.MEMBERS) {
             useMembership();
@@ -1209,14 +1281,19 @@
     }
 
     private void cutTo(final long lsn) {
+        imageSender.drop();
+        imageReceiver.reset();
         recs.subList((int) (lsn - baseLsn), recs.size()).clear();
         chain.subList((int) (lsn - baseLsn), chain.size()).clear();
         live = states.get();
         live.load(base.save());
         recs.forEach(live::apply);
+        live.accepted(accepted);
+        logBytes = recs.stream().mapToLong(r -> r.bytes().length).sum();
         useMembership();
         syncedLsn = Math.min(syncedLsn, lsn);
         unsynced.removeIf(u -> u.lsn > lsn);
+        unsyncedBytes = unsynced.stream().mapToLong(Unsynced::bytes).sum();
     }
 
     private void advance(final long now) {
@@ -1229,7 +1306,7 @@
                 // why: whoever only watches is told at once that it may be read from, and not with its own next beat
                 out.beatNow();
             }
-            accepted = lsn;
+            accept(lsn);
             serveHeld(now);
         }
     }
@@ -1243,19 +1320,31 @@
         return synced[synced.length - needed];
     }
 
+    private void accept(final long lsn) {
+        if (lsn > accepted) {
+            accepted = lsn;
+            live.accepted(lsn);
+        }
+    }
+
     private void trim(final long now) {
         if (now < nextTrim) {
             return;
         }
         nextTrim = now + tempo.beat();
+        imageSender.expire(now);
+        final long limit = Math.min(imageSender.trimLimit(), Math.min(accepted, syncedLsn));
         int n = 0;
-        while (n < recs.size()
-                && recs.get(n).lsn() <= Math.min(accepted, syncedLsn)
-                && now - recs.get(n).learnedAt() > live.keepMs(recs.get(n))) {
+        long bytes = 0;
+        while (n < recs.size() && recs.get(n).lsn() <= limit) {
+            final long withThis = bytes + recs.get(n).bytes().length;
+            if (live.keeps(recs.get(n), now, recs.size() - n - 1, logBytes - withThis)) {
+                break;
+            }
+            bytes = withThis;
             n++;
         }
-        // why: in steps, so that the list is not shifted for each record
-        if (n < 64) {
+        if (n < TRIM_RECORDS && bytes < TRIM_BYTES) {
             return;
         }
         for (final Rec rec : recs.subList(0, n)) {
@@ -1268,6 +1357,8 @@
             baseLsn = rec.lsn();
             baseEpoch = rec.epoch();
         }
+        base.accepted(baseLsn);
+        logBytes -= bytes;
         recs.subList(0, n).clear();
         baseChain = chain.get(n - 1);
         chain.subList(0, n).clear();
@@ -1295,6 +1386,7 @@
         }
         if (!lost()) {
             damaged = true;
+            imageReceiver.reset();
             joinTarget = -1;
             wantFull = true;
             inSync = false;
@@ -1336,8 +1428,11 @@
 
     private void loadImage(final byte[] image, final long now) {
         final Pack in = Pack.reader(image);
+        imageSender.drop();
+        imageReceiver.reset();
         recs.clear();
         chain.clear();
+        logBytes = 0;
         swept = 0;
         baseLsn = in.num();
         baseEpoch = in.num();
@@ -1352,7 +1447,9 @@
         }
         baseMembership = in.more() ? Membership.load(Pack.reader(in.bytes())) : null;
         useMembership();
-        accepted = Math.max(accepted, baseLsn);
+        accept(baseLsn);
+        base.accepted(baseLsn);
+        live.accepted(accepted);
     }
 
     private Pack entryOf(final int kind) {
--- a/coordination/src/main/java/brookpath/coordination/message/Msg.java
+++ b/coordination/src/main/java/brookpath/coordination/message/Msg.java
@@ -66,6 +66,8 @@
      *
      * @param accepted how far the sender knows the log to be accepted; {@link #UNKNOWN} where it rebuilds its copy and
      *     has to hear it from an acting master
+     * @param imageSum which image of a full sync the slave has begun to collect, 0 for none
+     * @param imageOffset how much of that image it has
      */
     record Pull(
             int group,
@@ -77,7 +79,9 @@
             long syncedEpoch,
             long accepted,
             boolean lost,
-            long chain)
+            long chain,
+            long imageSum,
+            long imageOffset)
             implements Msg {
         public static final long UNKNOWN = -1;
     }
@@ -85,6 +89,11 @@
     /**
      * The asked LSN and epoch are the end of the log that the pull told of; only to that log do a cut and a full sync
      * apply.
+     *
+     * @param image a part of the image of a full sync, empty in other replies
+     * @param imageSum which image it is a part of
+     * @param imageTotal the size of that image
+     * @param imageOffset where in the image the part begins
      */
     record PullReply(
             int group,
@@ -97,8 +106,41 @@
             long askedEpoch,
             long tryLsn,
             byte[] image,
-            List<Rec> recs)
+            List<Rec> recs,
+            long imageSum,
+            long imageTotal,
+            long imageOffset)
             implements Msg {
+        /** A reply without an image. */
+        public PullReply(
+                final int group,
+                final int groupVersion,
+                final long epoch,
+                final int kind,
+                final int standing,
+                final long accepted,
+                final long askedLsn,
+                final long askedEpoch,
+                final long tryLsn,
+                final byte[] image,
+                final List<Rec> recs) {
+            this(
+                    group,
+                    groupVersion,
+                    epoch,
+                    kind,
+                    standing,
+                    accepted,
+                    askedLsn,
+                    askedEpoch,
+                    tryLsn,
+                    image,
+                    recs,
+                    0,
+                    image.length,
+                    0);
+        }
+
         public static final int RECORDS = 0;
         public static final int MISMATCH = 1;
         public static final int FULL = 2;
--- a/programs/src/main/java/brookpath/programs/boot/Assembly.java
+++ b/programs/src/main/java/brookpath/programs/boot/Assembly.java
@@ -11,6 +11,7 @@
 import brookpath.coordination.spec.Roster;
 import brookpath.coordination.spec.Roster.NodeInfo;
 import brookpath.coordination.spec.SpecClient;
+import brookpath.state.disk.DiskFullException;
 import brookpath.state.disk.FolderDisk;
 import brookpath.state.disk.MachineIdentity;
 import brookpath.state.spool.Spool;
@@ -21,6 +22,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Supplier;
 import org.tinylog.Logger;
 
 /**
@@ -72,8 +74,9 @@
     public static Assembly of(final Plan plan, final Host.Poster poster) {
         final Time time = Host.time();
         final FolderDisk disk = plan.data.isEmpty() ? null : new FolderDisk(Path.of(plan.data));
-        final NodeInfo info = plan.info.on(machine(disk));
-        final Spool.Recovery recovered = disk == null ? null : Spool.recover(disk);
+        final NodeInfo info =
+                plan.info.on(disk == null ? RandomNumbers.identity() : onceThereIsRoom(plan, () -> machine(disk)));
+        final Spool.Recovery recovered = disk == null ? null : onceThereIsRoom(plan, () -> Spool.recover(disk));
         final List<byte[]> entries = recovered == null ? List.of() : recovered.replayed();
         if (recovered != null) {
             recovered.findings().forEach(f -> Logger.error("data folder: {}", f));
@@ -101,19 +104,36 @@
         return new Assembly(node, host, first);
     }
 
-    /** The identity of the machine that this runs on: kept on its disk, or without one drawn for this process. */
+    /** The identity of the machine that this runs on, kept on its disk. */
     private static long machine(final FolderDisk disk) {
-        final long drawn = RandomNumbers.identity();
-        if (disk == null) {
-            return drawn;
-        }
-        final MachineIdentity identity = MachineIdentity.of(disk, drawn);
+        final MachineIdentity identity = MachineIdentity.of(disk, RandomNumbers.identity());
         if (identity.finding() != null) {
             Logger.error("data folder: {}", identity.finding());
         }
         return identity.number();
     }
 
+    /** A folder that is full holds nothing yet, else it could be read; it is waited for, as any write would be. */
+    private static <T> T onceThereIsRoom(final Plan plan, final Supplier<T> opening) {
+        while (true) {
+            try {
+                return opening.get();
+            } catch (final DiskFullException ex) {
+                Logger.warn("data folder: no room to begin in; tried again");
+                pause(plan.tempo.diskPause());
+            }
+        }
+    }
+
+    private static void pause(final long millis) {
+        try {
+            Thread.sleep(millis);
+        } catch (final InterruptedException ex) {
+            Thread.currentThread().interrupt();
+            throw new IllegalStateException("interrupted before the start", ex);
+        }
+    }
+
     private static Node node(final Plan plan, final NodeInfo me) {
         final List<Integer> seeds = List.copyOf(plan.seeds.keySet());
         // why: jobs of a former life must not be taken for this one's
--- a/trial/src/main/java/brookpath/trial/model/DigestState.java
+++ b/trial/src/main/java/brookpath/trial/model/DigestState.java
@@ -34,7 +34,7 @@
     }
 
     @Override
-    public long keepMs(final Rec rec) {
-        return keepMs;
+    public boolean keeps(final Rec rec, final long now, final int newerRecords, final long newerBytes) {
+        return now - rec.learnedAt() <= keepMs;
     }
 }
