--- a/coordination/src/main/java/brookpath/coordination/group/GroupMachine.java
+++ b/coordination/src/main/java/brookpath/coordination/group/GroupMachine.java
@@ -211,6 +211,16 @@
         return learnt.getOrDefault(node, -1L);
     }
 
+    /** How far a voter's copy is known to be synced, as the master counts it; -1 where nothing is known. */
+    public long copySynced(final int node) {
+        return node == self ? syncedLsn : copies.getOrDefault(node, -1L);
+    }
+
+    /** Where the newest membership stands in the log; 0 where the log tells none. */
+    public long membershipLsn() {
+        return membershipLsn;
+    }
+
     /** Nothing is under way that a wakeup would have to drive on. */
     public boolean calm() {
         return role == MASTER ? openLsn > 0 && accepted == endLsn() : role == SLAVE && masterHeard != 0 && !lost();
@@ -248,7 +258,17 @@
     }
 
     public int floor() {
-        return Copies.floor(members.size(), toleratedLosses);
+        return floor(members.size());
+    }
+
+    /** The copies that an accepted record has at least, in a group of so many voters. */
+    public int floor(final int voters) {
+        return Copies.floor(voters, toleratedLosses);
+    }
+
+    /** Whether the member answers and has a copy that counts. */
+    public boolean answers(final int node, final long now) {
+        return node == self || voting(node, now);
     }
 
     /** Copies of a record that are known to be synced. */
--- a/coordination/src/main/java/brookpath/coordination/group/Membership.java
+++ b/coordination/src/main/java/brookpath/coordination/group/Membership.java
@@ -51,8 +51,14 @@
         return list.stream().filter(m -> m.node() != node).toList();
     }
 
-    /** The next single step on the way from one node to another, or null where nothing is left to do. */
+    /**
+     * The next single step on the way from one node to another, or null where nothing is left to do. A learner that
+     * leaves is simply let go.
+     */
     public Membership step(final int from, final Member to) {
+        if (find(learners, from) != null) {
+            return new Membership(version + 1, voters, without(learners, from));
+        }
         if (find(voters, from) == null) {
             return null;
         }
