--- a/coordination/src/main/java/brookpath/coordination/group/GroupMachine.java
+++ b/coordination/src/main/java/brookpath/coordination/group/GroupMachine.java
@@ -266,9 +266,9 @@
         return Copies.floor(voters, toleratedLosses);
     }
 
-    /** Whether the member answers and has a copy that counts. */
-    public boolean answers(final int node, final long now) {
-        return node == self || voting(node, now);
+    /** Whether the node, a voter or a learner, is this master itself or has answered it within the lease. */
+    public boolean follows(final int node, final long now) {
+        return node == self || answered(node, now);
     }
 
     /** Copies of a record that are known to be synced. */
@@ -798,26 +798,28 @@
     private boolean leaseHeld(final long now) {
         int n = 1;
         for (final Member m : members) {
-            final BeatTable.Row row = m.node() == self ? null : table.row(m.node());
-            if (row == null || now - row.answeredSentAt() > tempo.lease()) {
-                continue;
-            }
-            final BeatEntry told = row.answeredOwn().get(id);
-            final BeatEntry theirs = row.entries().get(id);
-            // why: only a beat that told of this mastership binds the one who answered it, and only a voter can be
-            // bound
-            if (told != null
-                    && told.role() == MASTER
-                    && told.epoch() == epoch
-                    && theirs != null
-                    && theirs.sync() != SYNC_LOST
-                    && theirs.epoch() <= epoch) {
-                n++;
-            }
+            n += m.node() != self && answered(m.node(), now) ? 1 : 0;
         }
         return n >= majority(members.size());
     }
 
+    /** Whether the node has answered, within the lease, a beat that told of this mastership. */
+    private boolean answered(final int node, final long now) {
+        final BeatTable.Row row = table.row(node);
+        if (row == null || now - row.answeredSentAt() > tempo.lease()) {
+            return false;
+        }
+        final BeatEntry told = row.answeredOwn().get(id);
+        final BeatEntry theirs = row.entries().get(id);
+        // why: only a beat that told of this mastership binds the one who answered it, and only a voter can be bound
+        return told != null
+                && told.role() == MASTER
+                && told.epoch() == epoch
+                && theirs != null
+                && theirs.sync() != SYNC_LOST
+                && theirs.epoch() <= epoch;
+    }
+
     private boolean voting(final int node, final long now) {
         final BeatEntry e = table.fresh(node, id, now);
         return e != null && e.sync() != SYNC_LOST && table.up(node);
--- a/coordination/src/main/java/brookpath/coordination/node/BailiffNode.java
+++ b/coordination/src/main/java/brookpath/coordination/node/BailiffNode.java
@@ -455,6 +455,7 @@
                 waitlist.clear();
                 usage.clear();
                 masters.clear();
+                plannedGone = Set.of();
                 acceptedAt.clear();
             }
             return;
@@ -682,7 +683,7 @@
         final long now = time.mono();
         final Roster roster = roster();
         final StorageSilence silence = new StorageSilence(tempo, roster, storagesHeardAt(), now);
-        final Set<Integer> gone = silence.gone(dutySince);
+        final Set<Integer> gone = silence.gone(dutySince, plannedGone);
         if (now < nextMove && roster.version() == plannedVersion && gone.equals(plannedGone)) {
             return;
         }
--- a/coordination/src/main/java/brookpath/coordination/node/StorageNode.java
+++ b/coordination/src/main/java/brookpath/coordination/node/StorageNode.java
@@ -435,7 +435,9 @@
         if (fetches != null) {
             fetches.values().removeIf(h -> serve(h.from, h.fetch, g, now >= h.horizon, now));
         }
-        memberships.drive(g, table, now, client.wall(new Time(now, 0)));
+        if (memberships.drive(g, table, now, client.wall(new Time(now, 0)))) {
+            out.beatNow();
+        }
         tellMembers(g, now);
     }
 
--- a/trial/src/main/java/brookpath/trial/sim/World.java
+++ b/trial/src/main/java/brookpath/trial/sim/World.java
@@ -127,6 +127,7 @@
     Proc addStorage(final int id, final String zone) {
         final Proc added = storage(id, zone);
         note(id, "is added", false);
+        wellness.down(added);
         added.start();
         return added;
     }
