Copies of a storage machine that is gone are made elsewhere without an order

Cause: copies moved only when an operator retired a machine. A storage machine that was replaced by an empty one at another address left its groups a copy short; the next loss took acknowledged messages.

Change: StorageSilence judges from polls which machines are gone (2 holds of a poll; sooner while an empty machine waits; never by a new control master at once, never with half of them silent). MovePlan treats them as leaving. MembershipDriver in the group's master takes step after step on each event: learner, synced, the gone member leaves, the learner votes; for a working member promotion, then removal. Guards: accepted records on the floor of the new voters without the leaver, a majority of the new voters answers, a learner covers what is accepted.

Ruled out: promotion before the removal of a gone member (seen: the master steps down on its own record, or three of four are needed and one is new); both in one record; a longer bound.

Four scenes in ScenesTest rest on a member that stays a member while it is away: they now begin by retiring the one machine where its copy could go; their assertions are as they were.

--- a/coordination/src/main/java/brookpath/coordination/Tempo.java
+++ b/coordination/src/main/java/brookpath/coordination/Tempo.java
@@ -94,6 +94,19 @@
         return specLease() / 3;
     }
 
+    /**
+     * A storage machine that the control master has not heard for this long is taken for gone, and its copies are made
+     * elsewhere. A live one polls about once in half of it.
+     */
+    public long goneAfter() {
+        return 2 * specHold();
+    }
+
+    /** The same while an empty storage machine is at hand: a poll's hold, and the time in which beats find it down. */
+    public long replacedAfter() {
+        return specHold() + down();
+    }
+
     public long keepAlive() {
         return recoverMs / 4;
     }
--- a/coordination/src/main/java/brookpath/coordination/group/GroupMachine.java
+++ b/coordination/src/main/java/brookpath/coordination/group/GroupMachine.java
@@ -211,6 +211,16 @@
         return learnt.getOrDefault(node, -1L);
     }
 
+    /** How far a voter's copy is known to be synced, as the master counts it; -1 where nothing is known. */
+    public long copySynced(final int node) {
+        return node == self ? syncedLsn : copies.getOrDefault(node, -1L);
+    }
+
+    /** Where the newest membership stands in the log; 0 where the log tells none. */
+    public long membershipLsn() {
+        return membershipLsn;
+    }
+
     /** Nothing is under way that a wakeup would have to drive on. */
     public boolean calm() {
         return role == MASTER ? openLsn > 0 && accepted == endLsn() : role == SLAVE && masterHeard != 0 && !lost();
@@ -248,7 +258,17 @@
     }
 
     public int floor() {
-        return Copies.floor(members.size(), toleratedLosses);
+        return floor(members.size());
+    }
+
+    /** The copies that an accepted record has at least, in a group of so many voters. */
+    public int floor(final int voters) {
+        return Copies.floor(voters, toleratedLosses);
+    }
+
+    /** Whether the node, a voter or a learner, is this master itself or has answered it within the lease. */
+    public boolean follows(final int node, final long now) {
+        return node == self || answered(node, now);
     }
 
     /** Copies of a record that are known to be synced. */
@@ -778,26 +798,28 @@
     private boolean leaseHeld(final long now) {
         int n = 1;
         for (final Member m : members) {
-            final BeatTable.Row row = m.node() == self ? null : table.row(m.node());
-            if (row == null || now - row.answeredSentAt() > tempo.lease()) {
-                continue;
-            }
-            final BeatEntry told = row.answeredOwn().get(id);
-            final BeatEntry theirs = row.entries().get(id);
-            // why: only a beat that told of this mastership binds the one who answered it, and only a voter can be
-            // bound
-            if (told != null
-                    && told.role() == MASTER
-                    && told.epoch() == epoch
-                    && theirs != null
-                    && theirs.sync() != SYNC_LOST
-                    && theirs.epoch() <= epoch) {
-                n++;
-            }
+            n += m.node() != self && answered(m.node(), now) ? 1 : 0;
         }
         return n >= majority(members.size());
     }
 
+    /** Whether the node has answered, within the lease, a beat that told of this mastership. */
+    private boolean answered(final int node, final long now) {
+        final BeatTable.Row row = table.row(node);
+        if (row == null || now - row.answeredSentAt() > tempo.lease()) {
+            return false;
+        }
+        final BeatEntry told = row.answeredOwn().get(id);
+        final BeatEntry theirs = row.entries().get(id);
+        // why: only a beat that told of this mastership binds the one who answered it, and only a voter can be bound
+        return told != null
+                && told.role() == MASTER
+                && told.epoch() == epoch
+                && theirs != null
+                && theirs.sync() != SYNC_LOST
+                && theirs.epoch() <= epoch;
+    }
+
     private boolean voting(final int node, final long now) {
         final BeatEntry e = table.fresh(node, id, now);
         return e != null && e.sync() != SYNC_LOST && table.up(node);
--- a/coordination/src/main/java/brookpath/coordination/group/Membership.java
+++ b/coordination/src/main/java/brookpath/coordination/group/Membership.java
@@ -51,8 +51,14 @@
         return list.stream().filter(m -> m.node() != node).toList();
     }
 
-    /** The next single step on the way from one node to another, or null where nothing is left to do. */
+    /**
+     * The next single step on the way from one node to another, or null where nothing is left to do. A learner that
+     * leaves is simply let go.
+     */
     public Membership step(final int from, final Member to) {
+        if (find(learners, from) != null) {
+            return new Membership(version + 1, voters, without(learners, from));
+        }
         if (find(voters, from) == null) {
             return null;
         }
@@ -63,4 +69,26 @@
                 ? new Membership(version + 1, with(voters, to), without(learners, to.node()))
                 : new Membership(version + 1, without(voters, from), learners);
     }
+
+    /**
+     * The next single step on the way from a node that is gone to another, or null where nothing is left to do. The one
+     * that is gone leaves before the learner becomes a voter, so that no majority ever counts on the learner being up.
+     *
+     * @param from 0 where a voter is missing and nobody leaves
+     */
+    public Membership repairStep(final int from, final Member to) {
+        final Member learner = find(learners, to.node());
+        if (find(learners, from) != null) {
+            return new Membership(version + 1, voters, without(learners, from));
+        }
+        if (!holds(to.node())) {
+            return new Membership(version + 1, voters, with(learners, to));
+        }
+        if (find(voters, from) != null) {
+            return new Membership(version + 1, without(voters, from), learners);
+        }
+        return learner == null
+                ? null
+                : new Membership(version + 1, with(voters, learner), without(learners, to.node()));
+    }
 }
--- /dev/null
+++ b/coordination/src/main/java/brookpath/coordination/group/MembershipDriver.java
@@ -0,0 +1,165 @@
+package brookpath.coordination.group;
+
+import brookpath.coordination.Tempo;
+import brookpath.coordination.beat.BeatTable;
+import java.util.List;
+import java.util.TreeMap;
+
+/**
+ * Carries out the control master's orders on the groups that this node masters: one membership record at a time, the
+ * next one as soon as the one before is accepted. Takes (event, now); it has no clock and no I/O.
+ */
+public final class MembershipDriver {
+    /** An order that is not repeated within so many beats is dropped. */
+    private static final int ORDER_LASTS_BEATS = 6;
+    /** So many extra beats in a period at most, while a learner's first answer is waited for. */
+    private static final int EXTRA_BEATS = 8;
+    /** The rank of a copy that takes nobody's place. */
+    private static final int SPARE_WEIGHT = 30;
+
+    /**
+     * @param atVersion the membership that this order may be applied to: its own, or what it has made of that so far
+     */
+    private record Running(MoveOrder order, int atVersion, long expiresAt) {}
+
+    private final int self;
+    private final Tempo tempo;
+    private final TreeMap<Integer, Running> running = new TreeMap<>();
+    private long nextBeat = Long.MIN_VALUE;
+
+    public MembershipDriver(final int self, final Tempo tempo) {
+        this.self = self;
+        this.tempo = tempo;
+    }
+
+    /** Takes an order; one that was made for another membership is ignored, unless it repeats the one under way. */
+    public void order(final MoveOrder order, final GroupMachine group, final long now) {
+        final Running before = running.get(group.id());
+        final int version = group.membership().version();
+        final long expiresAt = now + ORDER_LASTS_BEATS * tempo.beat();
+        if (order.groupVersion() == version) {
+            running.put(group.id(), new Running(order, version, expiresAt));
+        } else if (before != null && before.order.sameMove(order)) {
+            running.put(group.id(), new Running(before.order, before.atVersion, expiresAt));
+        }
+    }
+
+    /**
+     * Appends the next membership record of the order under way, where that is due and safe.
+     *
+     * @return true where the step waits for an answer to a beat, so that one should be sent now
+     */
+    public boolean drive(final GroupMachine group, final BeatTable table, final long now, final long wall) {
+        final Running run = running.get(group.id());
+        if (run == null || !group.mayAct(now) || !group.membershipSettled()) {
+            return false;
+        }
+        final Membership present = group.membership();
+        final Membership next = next(present, run.order);
+        if (now >= run.expiresAt || run.atVersion != present.version() || next == null) {
+            running.remove(group.id());
+            return false;
+        }
+        if (!allowed(group, present, next, run.order, table, now)) {
+            return wantsBeat(group, run.order, now);
+        }
+        if (run.order.from() == self && !next.holds(self)) {
+            handOver(group, next, now);
+            return false;
+        }
+        group.change(next, now, wall);
+        running.put(group.id(), new Running(run.order, next.version(), run.expiresAt));
+        return false;
+    }
+
+    private boolean wantsBeat(final GroupMachine group, final MoveOrder order, final long now) {
+        final boolean waits = group.learnt(order.to()) >= group.accepted() && !group.follows(order.to(), now);
+        if (!waits || now < nextBeat) {
+            return false;
+        }
+        nextBeat = now + tempo.beat() / EXTRA_BEATS;
+        return true;
+    }
+
+    private static Membership next(final Membership present, final MoveOrder order) {
+        final Member leaving = Membership.find(present.voters(), order.from());
+        final int weight = leaving == null ? SPARE_WEIGHT : leaving.weight();
+        final Member joining = new Member(order.to(), weight, order.zone());
+        return order.repair() ? present.repairStep(order.from(), joining) : present.step(order.from(), joining);
+    }
+
+    private static boolean allowed(
+            final GroupMachine group,
+            final Membership present,
+            final Membership next,
+            final MoveOrder order,
+            final BeatTable table,
+            final long now) {
+        if (next.learners().size() > present.learners().size()) {
+            // why: the control master may be cut off from a machine that this group's master hears well
+            return !order.repair() || !table.up(order.from());
+        }
+        if (next.voters().size() == present.voters().size()) {
+            return true;
+        }
+        // why: a majority of the new voters must answer before they count, else the step itself ends this mastership
+        if (following(group, next.voters(), now) < Copies.majority(next.voters().size())) {
+            return false;
+        }
+        return next.voters().size() > present.voters().size()
+                ? mayPromote(group, next, order, now)
+                : mayRemove(group, next, order, table.up(order.from()), now);
+    }
+
+    private static long following(final GroupMachine group, final List<Member> voters, final long now) {
+        return voters.stream().filter(m -> group.follows(m.node(), now)).count();
+    }
+
+    /** A learner becomes a voter once it has all that is accepted; with a voter too many, all must work besides. */
+    private static boolean mayPromote(
+            final GroupMachine group, final Membership next, final MoveOrder order, final long now) {
+        final boolean ready = ready(group, order.to(), now);
+        return ready
+                && (order.repair()
+                        || following(group, next.voters(), now) == next.voters().size());
+    }
+
+    private static boolean ready(final GroupMachine group, final int learner, final long now) {
+        return group.learnt(learner) >= group.accepted() && group.follows(learner, now);
+    }
+
+    /**
+     * A voter may go once every accepted record is on enough of those that stay. One that still works goes only once
+     * all of these work and have synced the present membership, for until then its copy may be needed; one that is gone
+     * goes only once its successor has everything.
+     */
+    private static boolean mayRemove(
+            final GroupMachine group,
+            final Membership next,
+            final MoveOrder order,
+            final boolean leaverUp,
+            final long now) {
+        final List<Member> staying = next.voters();
+        final long holding = staying.stream()
+                .filter(m -> group.follows(m.node(), now) && group.copySynced(m.node()) >= group.accepted())
+                .count();
+        if (holding < group.floor(staying.size())) {
+            return false;
+        }
+        if (Membership.find(next.learners(), order.to()) != null) {
+            return ready(group, order.to(), now);
+        }
+        return !leaverUp
+                || staying.stream()
+                        .allMatch(m ->
+                                group.follows(m.node(), now) && group.copySynced(m.node()) >= group.membershipLsn());
+    }
+
+    private static void handOver(final GroupMachine group, final Membership next, final long now) {
+        for (final Member successor : next.voters()) {
+            if (group.handOver(successor.node(), now)) {
+                return;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/brookpath/coordination/group/MoveOrder.java
@@ -0,0 +1,32 @@
+package brookpath.coordination.group;
+
+import brookpath.state.record.Pack;
+
+/**
+ * The control master's order to a group's master: a copy moves from one node to another.
+ *
+ * @param groupVersion the membership that the order was made for; it is void on any other
+ * @param repair the leaving node is taken for gone, so the order is void while the group's master hears it
+ */
+public record MoveOrder(int group, int groupVersion, int from, int to, String zone, boolean repair) {
+    public byte[] save() {
+        return Pack.writer()
+                .num(group)
+                .num(groupVersion)
+                .num(from)
+                .num(to)
+                .str(zone)
+                .num(repair ? 1 : 0)
+                .done();
+    }
+
+    public static MoveOrder load(final byte[] saved) {
+        final Pack in = Pack.reader(saved);
+        return new MoveOrder((int) in.num(), (int) in.num(), (int) in.num(), (int) in.num(), in.str(), in.num() == 1);
+    }
+
+    /** Whether the other order asks for the same move, if perhaps as of another membership. */
+    boolean sameMove(final MoveOrder other) {
+        return from == other.from && to == other.to;
+    }
+}
--- a/coordination/src/main/java/brookpath/coordination/node/BailiffNode.java
+++ b/coordination/src/main/java/brookpath/coordination/node/BailiffNode.java
@@ -7,6 +7,7 @@
 import brookpath.coordination.group.GroupMachine;
 import brookpath.coordination.group.Member;
 import brookpath.coordination.group.Membership;
+import brookpath.coordination.group.MoveOrder;
 import brookpath.coordination.message.Msg;
 import brookpath.coordination.message.Msg.BeatEntry;
 import brookpath.coordination.message.Msg.Op;
@@ -27,6 +28,7 @@
 import brookpath.coordination.spec.Roster.NodeInfo;
 import brookpath.coordination.spec.SpecClient;
 import brookpath.coordination.spec.SpecReader;
+import brookpath.coordination.spec.StorageSilence;
 import brookpath.state.record.Pack;
 import brookpath.state.record.Rec;
 import jakarta.json.Json;
@@ -91,6 +93,10 @@
     private long ids;
     private final UsageDesk usage;
     private long nextMove = Long.MIN_VALUE / 2;
+    /** What the last plan of moves was made for; it is made anew when either changes. */
+    private long plannedVersion = -1;
+
+    private Set<Integer> plannedGone = Set.of();
     private long nextSwitchover = Long.MIN_VALUE / 2;
     /** Who told last that it masters a group. */
     private final TreeMap<Integer, Integer> masters = new TreeMap<>();
@@ -449,6 +455,7 @@
                 waitlist.clear();
                 usage.clear();
                 masters.clear();
+                plannedGone = Set.of();
                 acceptedAt.clear();
             }
             return;
@@ -674,20 +681,17 @@
     /** Drives on the moves that the plan names, and hands masterships back to those that rank first. */
     private void move(final Time time) {
         final long now = time.mono();
-        if (now < nextMove) {
+        final Roster roster = roster();
+        final StorageSilence silence = new StorageSilence(tempo, roster, storagesHeardAt(), now);
+        final Set<Integer> gone = silence.gone(dutySince, plannedGone);
+        if (now < nextMove && roster.version() == plannedVersion && gone.equals(plannedGone)) {
             return;
         }
         nextMove = now + tempo.beat();
-        final Roster roster = roster();
-        for (final MovePlan.Move m : MovePlan.next(roster, aliveStorages(now), steadyStorages(now), founding.copies)) {
-            final byte[] body = Pack.writer()
-                    .num(m.group())
-                    .num(m.from())
-                    .num(m.to().node())
-                    .str(m.to().zone())
-                    .done();
-            roster.groups().get(m.group()).members().forEach(to -> out.send(to.node(), new Op(0, "move", body)));
-        }
+        plannedVersion = roster.version();
+        noteGone(gone);
+        final MovePlan.Heard heard = new MovePlan.Heard(silence.alive(), steadyStorages(now), gone);
+        MovePlan.next(roster, heard, founding.copies).forEach(m -> order(roster, m));
         if (now >= nextSwitchover) {
             final MovePlan.Switchover s = MovePlan.switchover(roster, masters, steadyStorages(now));
             if (s != null) {
@@ -706,6 +710,31 @@
         }
     }
 
+    private Map<Integer, Long> storagesHeardAt() {
+        final Map<Integer, Long> heardAt = new TreeMap<>();
+        pollers.forEach((node, p) -> {
+            if (p.last.role() == SpecPoll.STORAGE) {
+                heardAt.put(node, p.heardAt);
+            }
+        });
+        return heardAt;
+    }
+
+    private void noteGone(final Set<Integer> gone) {
+        if (!gone.equals(plannedGone)) {
+            plannedGone = gone;
+            out.note("storage machines taken for gone: " + gone);
+        }
+    }
+
+    /** Tells all members, of whom the group's master obeys. */
+    private void order(final Roster roster, final MovePlan.Move m) {
+        final GroupInfo info = roster.groups().get(m.group());
+        final byte[] body =
+                new MoveOrder(m.group(), info.version(), m.from(), m.to().node(), m.to().zone(), m.repair()).save();
+        info.members().forEach(to -> out.send(to.node(), new Op(0, "move", body)));
+    }
+
     /** Storage machines that have been heard for several times the recovery bound without a break. */
     private Set<Integer> steadyStorages(final long now) {
         final Set<Integer> steady = aliveStorages(now);
--- a/coordination/src/main/java/brookpath/coordination/node/StorageNode.java
+++ b/coordination/src/main/java/brookpath/coordination/node/StorageNode.java
@@ -9,8 +9,8 @@
 import brookpath.coordination.Tempo;
 import brookpath.coordination.group.Copies;
 import brookpath.coordination.group.GroupMachine;
-import brookpath.coordination.group.Member;
-import brookpath.coordination.group.Membership;
+import brookpath.coordination.group.MembershipDriver;
+import brookpath.coordination.group.MoveOrder;
 import brookpath.coordination.message.Msg;
 import brookpath.coordination.message.Msg.BeatEntry;
 import brookpath.coordination.message.Msg.CountAsk;
@@ -59,6 +59,8 @@
     /** The topics that a front reads of a group, as it told them. */
     private record Interest(long edition, Set<String> topics) {}
 
+    private record ToldMembers(int version, long at) {}
+
     private record Listeners(long heardAt, long edition, Map<String, Integer> counts) {}
 
     private final int toleratedLosses;
@@ -72,7 +74,8 @@
     private final TreeMap<Integer, TreeMap<Integer, Interest>> interests = new TreeMap<>();
     private long retreat;
     private final TreeMap<Integer, Long> toldFounded = new TreeMap<>();
-    private final TreeMap<Integer, Long> toldMembers = new TreeMap<>();
+    private final TreeMap<Integer, ToldMembers> toldMembers = new TreeMap<>();
+    private final MembershipDriver memberships;
     private final TreeMap<Integer, Long> toldUsage = new TreeMap<>();
     private final TreeMap<Integer, Long> counted = new TreeMap<>();
 
@@ -91,6 +94,7 @@
         this.toleratedLosses = toleratedLosses;
         this.seed = seed;
         this.rollBytes = rollBytes;
+        memberships = new MembershipDriver(self, tempo);
         client = new SpecClient(self, SpecPoll.STORAGE, zone, address, name, seeds, tempo, out);
     }
 
@@ -147,7 +151,6 @@
         for (final GroupMachine g : groups.values()) {
             g.tick(now, table);
             after(g, now);
-            tellMembers(g, now);
             tellFounded(g, now);
             closeWindow(g, time);
             tellUsage(g, now);
@@ -224,50 +227,31 @@
     /** The control plane learns a membership only once the group's own log has accepted it. */
     private void tellMembers(final GroupMachine g, final long now) {
         final GroupInfo info = info(g.id());
-        if (info != null
-                && g.membership().version() > info.version()
-                && g.membershipSettled()
-                && g.mayAct(now)
-                && now - toldMembers.getOrDefault(g.id(), now - tempo.changeMs()) >= tempo.beat()) {
-            toldMembers.put(g.id(), now);
-            out.send(
-                    client.controlMaster(),
-                    new Op(
-                            0,
-                            "members",
-                            g.membership().pack(Pack.writer().num(g.id())).done()));
-        }
-    }
-
-    /** The next step of a move, where this node masters the group; asked again until nothing is left to do. */
-    private void move(final Op op, final Time time) {
-        final Pack in = Pack.reader(op.body());
-        final GroupMachine g = groups.get((int) in.num());
-        final int from = (int) in.num();
-        final int to = (int) in.num();
-        final String zone = in.str();
-        if (g == null || !g.mayAct(time.mono()) || !g.membershipSettled()) {
-            return;
-        }
-        final Member leaving = Membership.find(g.membership().voters(), from);
-        final GroupInfo info = info(g.id());
-        if (leaving == null || info == null || info.version() < g.membership().version()) {
-            // why: one step at a time; the roster must know of the last one, so that the learner has opened the group
+        final int version = g.membership().version();
+        if (info == null || version <= info.version() || !g.membershipSettled() || !g.mayAct(now)) {
             return;
         }
-        if (Membership.find(g.membership().learners(), to) != null && g.learnt(to) < g.accepted()) {
+        final ToldMembers told = toldMembers.get(g.id());
+        if (told != null && told.version == version && now - told.at < tempo.beat()) {
             return;
         }
-        final Membership next = g.membership().step(from, new Member(to, leaving.weight(), zone));
-        if (from == self && Membership.find(next.voters(), self) == null) {
-            for (final Member m : g.membership().voters()) {
-                if (g.handOver(m.node(), time.mono())) {
-                    return;
-                }
-            }
-            return;
+        toldMembers.put(g.id(), new ToldMembers(version, now));
+        out.send(
+                client.controlMaster(),
+                new Op(
+                        0,
+                        "members",
+                        g.membership().pack(Pack.writer().num(g.id())).done()));
+    }
+
+    /** An order to move a copy; it is repeated until nothing is left to do. */
+    private void move(final Op op, final long now) {
+        final MoveOrder order = MoveOrder.load(op.body());
+        final GroupMachine g = groups.get(order.group());
+        if (g != null) {
+            memberships.order(order, g, now);
+            after(g, now);
         }
-        g.change(next, time.mono(), client.wall(time));
     }
 
     private GroupInfo info(final int group) {
@@ -297,7 +281,7 @@
         } else if (msg instanceof Msg.StandNow m) {
             toGroup(m.group(), from, msg, now);
         } else if (msg instanceof Op m && m.kind().equals("move")) {
-            move(m, time);
+            move(m, now);
         } else if (msg instanceof Op m && m.kind().equals("handover")) {
             final Pack in = Pack.reader(m.body());
             final GroupMachine g = groups.get((int) in.num());
@@ -340,6 +324,10 @@
     private void configure(final long now) {
         for (final GroupInfo info : client.roster().groups()) {
             if (info.membership().holds(self)) {
+                if (!groups.containsKey(info.id())) {
+                    // why: a new learner pulls once it hears the group's master, and would wait for its next beat
+                    out.beatNow();
+                }
                 open(info.id()).configure(info.membership(), info.founded(), now);
             } else if (groups.containsKey(info.id()) && groups.get(info.id()).groupVersion() <= info.version()) {
                 // why: the group's own log has accepted that this node is no member any more, so nothing here counts
@@ -447,6 +435,10 @@
         if (fetches != null) {
             fetches.values().removeIf(h -> serve(h.from, h.fetch, g, now >= h.horizon, now));
         }
+        if (memberships.drive(g, table, now, client.wall(new Time(now, 0)))) {
+            out.beatNow();
+        }
+        tellMembers(g, now);
     }
 
     // ---- reading
--- /dev/null
+++ b/coordination/src/main/java/brookpath/coordination/spec/StorageSilence.java
@@ -0,0 +1,80 @@
+package brookpath.coordination.spec;
+
+import brookpath.coordination.Tempo;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+
+/**
+ * Judges which storage machines are gone, from when the control master heard each of them last. It judges nothing while
+ * most of them are silent, for then it is more likely cut off itself.
+ */
+public final class StorageSilence {
+    private final Tempo tempo;
+    private final Roster roster;
+    private final Map<Integer, Long> heardAt;
+    private final long now;
+
+    /** @param heardAt when each storage machine polled last; one that has not polled this control master is missing */
+    public StorageSilence(final Tempo tempo, final Roster roster, final Map<Integer, Long> heardAt, final long now) {
+        this.tempo = tempo;
+        this.roster = roster;
+        this.heardAt = heardAt;
+        this.now = now;
+    }
+
+    /** The machines heard lately enough to be given copies. */
+    public Set<Integer> alive() {
+        final Set<Integer> alive = new HashSet<>();
+        heardAt.forEach((node, at) -> {
+            if (now - at <= tempo.goneAfter()) {
+                alive.add(node);
+            }
+        });
+        return alive;
+    }
+
+    /**
+     * The machines that hold copies and are to be taken for gone.
+     *
+     * @param dutySince since when this control master has been on duty; whoever polled its predecessor needs time to
+     *     find it
+     * @param before those taken for gone so far: they stay so until they are heard
+     */
+    public Set<Integer> gone(final long dutySince, final Set<Integer> before) {
+        final Set<Integer> alive = alive();
+        final Set<Integer> judged = holders();
+        judged.addAll(alive);
+        if (2 * alive.size() <= judged.size()) {
+            return Set.of();
+        }
+        final long listeningSince = dutySince + tempo.specHorizon();
+        final boolean early = anyEmpty(alive);
+        final Set<Integer> gone = new TreeSet<>();
+        for (final int node : holders()) {
+            final long last = Math.max(heardAt.getOrDefault(node, listeningSince), listeningSince);
+            final long bound = early || before.contains(node) ? tempo.replacedAfter() : tempo.goneAfter();
+            if (now - last > bound) {
+                gone.add(node);
+            }
+        }
+        return gone;
+    }
+
+    private Set<Integer> holders() {
+        final Set<Integer> holders = new HashSet<>();
+        for (final Roster.GroupInfo group : roster.groups()) {
+            group.members().forEach(m -> holders.add(m.node()));
+            group.membership().learners().forEach(m -> holders.add(m.node()));
+        }
+        return holders;
+    }
+
+    /** Whether a live machine waits for copies: with one at hand, nothing is lost by filling it early. */
+    private boolean anyEmpty(final Set<Integer> alive) {
+        final Set<Integer> holders = holders();
+        return alive.stream()
+                .anyMatch(n -> !holders.contains(n) && !roster.retiring().contains(n));
+    }
+}
--- a/trial/src/main/java/brookpath/trial/sim/Proc.java
+++ b/trial/src/main/java/brookpath/trial/sim/Proc.java
@@ -119,7 +119,7 @@
             world.count(rec.damaged() ? "damaged folders" : "recoveries");
         }
         node = maker.apply(this, entries);
-        beats = new BeatMachine(world.tempo, node.beatPeriod(), node.pledges());
+        beats = new BeatMachine(world.tempoOf(id), node.beatPeriod(), node.pledges());
         if (node instanceof BailiffNode b) {
             obey(b.start(foundOnStart, time()));
             foundOnStart = false;
@@ -143,7 +143,7 @@
     }
 
     private void wakeup(final long ofLife) {
-        world.at(world.now() + world.tempo.tick(), () -> {
+        world.at(world.now() + world.tempoOf(id).tick(), () -> {
             if (alive && life == ofLife) {
                 if (frozen()) {
                     world.at(frozenUntil, () -> wakeup(ofLife));
--- a/trial/src/test/java/brookpath/trial/sim/ScenesTest.java
+++ b/trial/src/test/java/brookpath/trial/sim/ScenesTest.java
@@ -79,6 +79,23 @@
         return Long.MAX_VALUE;
     }
 
+    /**
+     * Empties the one machine that holds no copy of the group. With nowhere to make another copy, a member that is away
+     * stays a member, however long.
+     */
+    private void retireSpare(final int group) {
+        final int spare = world.storages.stream()
+                .filter(id -> group(world.procs.get(id), group) == null)
+                .findFirst()
+                .orElseThrow();
+        operate("retire", Pack.writer().num(spare).num(1).done(), r -> assertEquals(r.status(), 202, r.toString()));
+        for (int i = 0; i < 300 && groupsHeldBy(world.procs.get(spare)) > 0; i++) {
+            world.run(world.now() + 100);
+        }
+        assertEquals(groupsHeldBy(world.procs.get(spare)), 0, world.notes().toString());
+        world.run(world.now() + 2_000);
+    }
+
     private void quietly() {
         world.callers.quiet = true;
         world.run(world.now() + 25_000);
@@ -123,6 +140,7 @@
         begin(2);
         callers();
         final int g = groupOf("permits/t1");
+        retireSpare(g);
         final Proc master = acting(g);
         final long epoch = group(master, g).epoch();
         world.freeze(master, 5_000);
@@ -264,6 +282,7 @@
         begin(7);
         callers();
         final int g = groupOf("permits/t2");
+        retireSpare(g);
         final Proc master = acting(g);
         final Proc slave = slaveOf(master, g);
         world.kill(slave, true);
@@ -288,6 +307,7 @@
         begin(8);
         callers();
         final int g = groupOf("permits/t3");
+        retireSpare(g);
         final Proc master = acting(g);
         for (final int id : world.storages) {
             world.net.cut(id, master.id);
@@ -427,6 +447,7 @@
         world.callers.subscriber("sub", "key-members", List.of("permits/t0", "permits/t1"));
         world.run(world.now() + 2_000);
         final int g = groupOf("permits/t0");
+        retireSpare(g);
         final Proc master = acting(g);
         final Proc slave = slaveOf(master, g);
         world.kill(slave, true);
