Model checker: any exception of a machine is a violation with its schedule

Cause: the mutant that cuts by late replies threw from cutTo and ended the search without a schedule.

--- a/trial/src/main/java/brookpath/trial/model/Explorer.java
+++ b/trial/src/main/java/brookpath/trial/model/Explorer.java
@@ -29,7 +29,7 @@
             final ModelWorld world = start.create();
             seen.put(StateHash.of(world), depth);
             expand(world, depth);
-        } catch (final Violation | IllegalStateException | IndexOutOfBoundsException broken) {
+        } catch (final RuntimeException broken) {
             finding = new Finding(start, List.of(), String.valueOf(broken.getMessage()));
         }
         return finding;
@@ -72,7 +72,7 @@
                     expand(world, left);
                 }
             }
-        } catch (final Violation | IllegalStateException | IndexOutOfBoundsException broken) {
+        } catch (final RuntimeException broken) {
             finding = new Finding(start, List.copyOf(path), String.valueOf(broken.getMessage()));
         }
         path.remove(path.size() - 1);
--- a/trial/src/main/java/brookpath/trial/model/GuidedWalk.java
+++ b/trial/src/main/java/brookpath/trial/model/GuidedWalk.java
@@ -37,7 +37,7 @@
             }
             Schedule.rest(world);
             return null;
-        } catch (final Violation | IllegalStateException | IndexOutOfBoundsException broken) {
+        } catch (final RuntimeException broken) {
             return new Finding(start, List.copyOf(path), String.valueOf(broken.getMessage()));
         }
     }
--- a/trial/src/main/java/brookpath/trial/model/Schedule.java
+++ b/trial/src/main/java/brookpath/trial/model/Schedule.java
@@ -38,7 +38,7 @@
                 rest(world);
             }
             return null;
-        } catch (final Violation | IllegalStateException | IndexOutOfBoundsException broken) {
+        } catch (final RuntimeException broken) {
             return new Finding(start, done, String.valueOf(broken.getMessage()));
         }
     }
