--- a/coordination/src/main/java/brookpath/coordination/Tempo.java
+++ b/coordination/src/main/java/brookpath/coordination/Tempo.java
@@ -108,9 +108,14 @@
         return recoverMs;
     }
 
-    /** An operator's job is given up after this. */
+    /** An order that has no answer after this has an unknown end. */
     public long opHorizon() {
-        return changeMs * 5 / 2;
+        return changeMs * 3 / 2;
+    }
+
+    /** A read that has no answer after this is given up; a later answer is dropped. */
+    public long readHorizon() {
+        return changeMs / 2;
     }
 
     /** A window's total waits this long after its end for groups that could not close it. */
--- a/coordination/src/main/java/brookpath/coordination/group/GroupMachine.java
+++ b/coordination/src/main/java/brookpath/coordination/group/GroupMachine.java
@@ -776,10 +776,15 @@
     }
 
     private boolean leaseHeld(final long now) {
+        return majoritySince(now - tempo.lease());
+    }
+
+    /** Whether a majority has answered beats of this mastership that were sent at this time or later. */
+    public boolean majoritySince(final long since) {
         int n = 1;
         for (final Member m : members) {
             final BeatTable.Row row = m.node() == self ? null : table.row(m.node());
-            if (row == null || now - row.answeredSentAt() > tempo.lease()) {
+            if (row == null || row.answeredSentAt() < since) {
                 continue;
             }
             final BeatEntry told = row.answeredOwn().get(id);
--- a/coordination/src/main/java/brookpath/coordination/node/BailiffNode.java
+++ b/coordination/src/main/java/brookpath/coordination/node/BailiffNode.java
@@ -14,11 +14,16 @@
 import brookpath.coordination.message.Msg.SpecPoll;
 import brookpath.coordination.message.Msg.SpecReply;
 import brookpath.coordination.message.Response;
+import brookpath.coordination.node.control.ChangeOrders;
+import brookpath.coordination.node.control.Followers;
+import brookpath.coordination.node.control.PendingAnswers;
+import brookpath.coordination.node.control.RelayedRequests;
+import brookpath.coordination.node.control.Replies;
+import brookpath.coordination.node.control.RequestKind;
+import brookpath.coordination.node.control.RetireOrders;
 import brookpath.coordination.node.usage.UsageDesk;
 import brookpath.coordination.spec.ControlState;
-import brookpath.coordination.spec.ControlState.Outcome;
 import brookpath.coordination.spec.ControlState.SpecAt;
-import brookpath.coordination.spec.Finding;
 import brookpath.coordination.spec.FleetClock;
 import brookpath.coordination.spec.MovePlan;
 import brookpath.coordination.spec.Placement;
@@ -38,7 +43,6 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
-import java.util.zip.CRC32C;
 
 /** A machine of the control plane: a member of the control group, and its duties while it is the master. */
 public final class BailiffNode extends Node {
@@ -66,14 +70,28 @@
         long since = -1;
     }
 
-    /** A change on its way: its responders wait until it is everywhere. */
-    private record Waiting(int from, long jobId, String changeId, long horizon) {}
+    /** What the handling of orders asks of this master's pollers. */
+    private final Followers followers = new Followers() {
+        @Override
+        public boolean everywhere(final long version, final long now) {
+            return BailiffNode.this.everywhere(version, now);
+        }
+
+        @Override
+        public void confirmed(final long version) {
+            acceptedAt.headMap(version).clear();
+        }
 
-    /** A job carried to the control master for another process, or for a caller of this one. */
-    private record Relayed(long jobId, int from, int node, String kind, long horizon) {}
+        @Override
+        public Set<Integer> aliveStorages(final long now) {
+            return BailiffNode.this.aliveStorages(now);
+        }
 
-    private static final int MAX_RELAYED = 1_024;
-    private static final int MAX_CHANGES = 64;
+        @Override
+        public boolean heardAll(final long now) {
+            return dutySince >= 0 && now - dutySince > tempo.specLease();
+        }
+    };
 
     private final Founding founding;
     /** Whom the settings name as the control group's founders; once the log tells of members, these count no more. */
@@ -86,8 +104,11 @@
     private long rollBytes;
     private final GroupMachine group;
     private final TreeMap<Integer, Poller> pollers = new TreeMap<>();
-    private final List<Waiting> waitlist = new ArrayList<>();
-    private final TreeMap<Long, Relayed> relayed = new TreeMap<>();
+    private final Replies replies;
+    private final RelayedRequests relayed;
+    private final PendingAnswers pending;
+    private final ChangeOrders changes;
+    private final RetireOrders retirements;
     private long ids;
     private final UsageDesk usage;
     private long nextMove = Long.MIN_VALUE / 2;
@@ -145,6 +166,16 @@
         this.founders = founders;
         ids = firstId;
         group = new GroupMachine(CONTROL, self, tempo, founding.toleratedLosses, seed, ControlState::new, pledges, out);
+        replies = new Replies(self, tempo, out);
+        relayed = new RelayedRequests(tempo, replies, () -> ++ids, out);
+        pending = new PendingAnswers(group, tempo, replies, out);
+        changes = new ChangeOrders(
+                group,
+                new SpecReader.Limits(founding.copies, Copies.floor(founding.copies, founding.toleratedLosses)),
+                followers,
+                pending,
+                replies);
+        retirements = new RetireOrders(group, followers, pending);
         usage = new UsageDesk(self, group, clock, tempo, () -> ++ids, out);
         client = new SpecClient(self, SpecPoll.BAILIFF, info.zone(), info.address(), info.name(), seeds, tempo, out);
     }
@@ -184,6 +215,18 @@
         return heard != 0 ? heard == self ? 0 : heard : client.masterHeard(now);
     }
 
+    /**
+     * Whom requests are carried to, 0 for nobody. A member of the control group knows by the beats that it has lost its
+     * master, and says so at once, where a lease from a poll would have it wait for one that it cannot reach.
+     */
+    private int masterForRequests(final long now) {
+        if (!group.membership().holds(self)) {
+            return controlMaster(now);
+        }
+        final int heard = group.masterHeard();
+        return heard == self ? 0 : heard;
+    }
+
     @Override
     public void replay(final byte[] entry, final Time time) {
         final Pack in = Pack.reader(entry);
@@ -227,12 +270,7 @@
             usage.total(roster(), spec().spec().tenants().keySet(), time);
             usage.report(time);
         }
-        relayed.values().removeIf(r -> {
-            if (now >= r.horizon) {
-                respond(r.from, r.jobId, lostResponse(r.kind, "no word from the control master in time"));
-            }
-            return now >= r.horizon;
-        });
+        relayed.tick(now);
         if (out.bytesSinceRoll() > rollBytes) {
             onDamage(time);
         }
@@ -265,16 +303,11 @@
                 out.send(m.node(), m);
             }
         } else if (msg instanceof Op m) {
-            if (isSibling(from) || group.mayAct(now) || !carry(from, m, now)) {
+            if (isSibling(from) || group.mayAct(now) || !relayed.carry(from, m, masterForRequests(now), now)) {
                 operate(from, m, time);
             }
         } else if (msg instanceof OpReply m) {
-            final Relayed r = relayed.remove(m.jobId());
-            if (r != null && r.from != self) {
-                out.send(r.from, new OpReply(r.jobId, m.status(), m.retryAfterMs(), m.body()));
-            } else if (r != null) {
-                out.respond(r.jobId, new Response(m.status(), m.retryAfterMs(), new String(m.body(), UTF_8)));
-            }
+            relayed.onReply(m, now);
         } else {
             group.on(from, msg, now);
             after(time);
@@ -298,10 +331,7 @@
             notMaster(m.node(), m, 0);
         }
         if (msg instanceof Op m) {
-            final Relayed r = relayed.remove(m.jobId());
-            if (r != null) {
-                respond(r.from, r.jobId, masterless("no session to the control master"));
-            }
+            relayed.unsent(m);
         }
     }
 
@@ -313,17 +343,12 @@
             carried.forEach((from, m) -> notMaster(from, m, 0));
             carried.clear();
         }
-        relayed.values().removeIf(r -> {
-            if (r.node == node) {
-                respond(r.from, r.jobId, lostResponse(r.kind, "the session with the control master broke"));
-            }
-            return r.node == node;
-        });
+        relayed.sessionLost(node);
     }
 
     @Override
     public long restMs(final Time time) {
-        final boolean busy = retreat != 0 || !waitlist.isEmpty() || !relayed.isEmpty();
+        final boolean busy = retreat != 0 || !pending.isEmpty() || !relayed.isEmpty();
         // why: one that is no member of the control group has nothing under way but what it carries
         return !busy && (group.calm() || !group.membership().holds(self)) ? tempo.beat() / 2 : tempo.tick();
     }
@@ -342,10 +367,11 @@
         } else if (job instanceof Job.Retreat j) {
             retreat = j.jobId();
         } else if (job instanceof Job.Operate j) {
+            final Op op = new Op(j.jobId(), j.kind(), j.body());
             if (group.mayAct(now)) {
-                operate(self, new Op(j.jobId(), j.kind(), j.body()), time);
-            } else if (!carry(self, new Op(j.jobId(), j.kind(), j.body()), now)) {
-                out.respond(j.jobId(), masterless("the control group has no master just now"));
+                operate(self, op, time);
+            } else if (!relayed.carry(self, op, masterForRequests(now), now)) {
+                out.respond(j.jobId(), replies.unavailable("the control group has no master just now"));
             }
         }
     }
@@ -356,17 +382,6 @@
                 || client.roster().bailiffs().stream().anyMatch(b -> b.node() == node);
     }
 
-    /** Hands a job on to the control master; false where none is heard. */
-    private boolean carry(final int from, final Op op, final long now) {
-        final int master = controlMaster(now);
-        if (master == 0 || relayed.size() >= MAX_RELAYED) {
-            return false;
-        }
-        relayed.put(++ids, new Relayed(op.jobId(), from, master, op.kind(), now + tempo.opHorizon()));
-        out.send(master, new Op(ids, op.kind(), op.body()));
-        return true;
-    }
-
     // ---- polls
 
     private void poll(final int from, final SpecPoll m, final Time time) {
@@ -396,9 +411,7 @@
         p.heardAt = now;
         p.heldSince = now;
         answerPoll(p, now);
-        if (!waitlist.isEmpty()) {
-            confirm(now);
-        }
+        pending.step(time);
     }
 
     private void notMaster(final int to, final SpecPoll m, final int hint) {
@@ -444,13 +457,15 @@
                 dutySince = -1;
                 pollers.clear();
                 clock.clear();
-                waitlist.forEach(
-                        w -> respond(w.from, w.jobId, lostResponse("change", "the control master stepped down")));
-                waitlist.clear();
                 usage.clear();
                 masters.clear();
                 acceptedAt.clear();
             }
+            if (group.role() == GroupMachine.MASTER) {
+                pending.step(time);
+            } else {
+                pending.end();
+            }
             return;
         }
         if (dutySince < 0) {
@@ -467,7 +482,7 @@
         final Set<Integer> heard = new HashSet<>(pollers.keySet());
         heard.add(self);
         clock.keep(heard);
-        confirm(now);
+        pending.step(time);
     }
 
     // ---- duties of the master
@@ -540,60 +555,52 @@
 
     private void operate(final int from, final Op op, final Time time) {
         if (!group.mayAct(time.mono())) {
-            respond(from, op.jobId(), masterless("this node is not the control master"));
+            replies.respond(from, op.jobId(), replies.unavailable("this node is not the control master"));
             return;
         }
-        switch (op.kind()) {
-            case "founded" -> founded((int) Pack.reader(op.body()).num(), time);
-            case "members" -> members(op, time);
-            case "retire" -> retire(from, op, time);
-            case "handover" -> {
-                final Pack in = Pack.reader(op.body());
-                final int id = (int) in.num();
-                final boolean known = id >= 0 && id < roster().groups().size();
-                if (known) {
-                    roster().groups()
-                            .get(id)
-                            .members()
-                            .forEach(m -> out.send(m.node(), new Op(0, "handover", op.body())));
-                }
-                respond(
-                        from,
-                        op.jobId(),
-                        new Response(
-                                known ? 202 : 404, 0, "{\"outcome\":\"" + (known ? "asked" : "no such group") + "\"}"));
-            }
-            case "usage" -> usage(from, op);
-            case "change" -> change(from, op, time);
-            case "spec" -> {
-                final SpecAt at = spec();
-                respond(
-                        from,
-                        op.jobId(),
-                        at.version() == 0
-                                ? new Response(404, 0, "{\"version\":0}")
-                                : new Response(
-                                        200,
-                                        0,
-                                        "{\"version\":" + at.version() + ",\"document\":" + new String(at.doc(), UTF_8)
-                                                + "}"));
-            }
-            case "outcome" -> {
-                final Outcome o = state().outcome(new String(op.body(), UTF_8));
-                respond(
-                        from,
-                        op.jobId(),
-                        o == null || o.lsn() > group.accepted()
-                                ? new Response(404, 0, "{\"outcome\":\"unknown\"}")
-                                : outcome(o, o.status() != 200 || everywhere(o.version(), time.mono())));
-            }
-            case "fronts" -> fronts(from, op, time.mono());
-            case "retireNamed" -> retireNamed(from, op, time);
-            case "retired" -> retired(from, op);
-            case "windows" -> respond(from, op.jobId(), new Response(200, 0, usage.windowsJson()));
-            case "nodes" -> respond(from, op.jobId(), new Response(200, 0, nodesJson(time.mono())));
-            default -> respond(from, op.jobId(), new Response(404, 0, "{}"));
+        final RequestKind kind = RequestKind.of(op.kind());
+        switch (kind) {
+            case FOUNDED -> founded((int) Pack.reader(op.body()).num(), time);
+            case MEMBERS -> members(op, time);
+            case USAGE -> usage(from, op);
+            case FRONTS -> fronts(from, op, time.mono());
+            case CHANGE -> changes.change(from, op, time);
+            case RETIRE -> retirements.retire(from, op, time);
+            case RETIRE_NAMED -> retirements.retireNamed(from, op, time);
+            default -> pending.add(from, op, kind, at -> read(kind, op, at.mono()), time);
+        }
+    }
+
+    /** Answers from the accepted state, which a majority backs. */
+    private Response read(final RequestKind kind, final Op op, final long now) {
+        return switch (kind) {
+            case SPEC -> readSpec();
+            case OUTCOME -> changes.outcome(new String(op.body(), UTF_8), tempo.retryAfterMs(), now);
+            case RETIRED -> retirements.retired(new String(op.body(), UTF_8));
+            case HANDOVER -> handover(op);
+            case WINDOWS -> new Response(200, 0, usage.windowsJson());
+            case NODES -> new Response(200, 0, nodesJson(now));
+            default -> new Response(404, 0, "{}");
+        };
+    }
+
+    private Response readSpec() {
+        final SpecAt at = spec();
+        return at.version() == 0
+                ? new Response(404, 0, "{\"version\":0}")
+                : new Response(
+                        200, 0, "{\"version\":" + at.version() + ",\"document\":" + new String(at.doc(), UTF_8) + "}");
+    }
+
+    /** Asks a group's members for a manual switchover; nothing is recorded, and it may be asked again. */
+    private Response handover(final Op op) {
+        final int id = (int) Pack.reader(op.body()).num();
+        final List<GroupInfo> groups = roster().groups();
+        if (id < 0 || id >= groups.size()) {
+            return new Response(404, 0, "{\"outcome\":\"no such group\"}");
         }
+        groups.get(id).members().forEach(m -> out.send(m.node(), new Op(0, "handover", op.body())));
+        return new Response(202, 0, "{\"outcome\":\"asked\"}");
     }
 
     // ---- moves
@@ -608,57 +615,6 @@
         return alive;
     }
 
-    /** Takes a storage machine out of all its groups, or says why that cannot be. */
-    private void retire(final int from, final Op op, final Time time) {
-        final Pack in = Pack.reader(op.body());
-        final int node = (int) in.num();
-        final boolean on = in.num() == 1;
-        final MovePlan.Retirement r = MovePlan.retire(newestRoster(), node, on, aliveStorages(time.mono()));
-        if (!r.findings().isEmpty()) {
-            respond(from, op.jobId(), new Response(409, 0, findings(r.findings())));
-            return;
-        }
-        appendRoster(r.then(), time);
-        respond(
-                from,
-                op.jobId(),
-                new Response(202, 0, "{\"outcome\":\"" + (on ? "retiring" : "kept") + "\",\"node\":" + node + "}"));
-    }
-
-    private NodeInfo named(final String name) {
-        return newestRoster().nodes().stream()
-                .filter(n -> n.name().equals(name))
-                .findFirst()
-                .orElse(null);
-    }
-
-    private void retireNamed(final int from, final Op op, final Time time) {
-        final NodeInfo node = named(new String(op.body(), UTF_8));
-        if (node == null) {
-            respond(from, op.jobId(), new Response(404, 0, "{\"outcome\":\"unknown\"}"));
-        } else {
-            retire(
-                    from,
-                    new Op(
-                            op.jobId(),
-                            op.kind(),
-                            Pack.writer().num(node.node()).num(1).done()),
-                    time);
-        }
-    }
-
-    /** Whether a machine that was to be emptied holds nothing any more. */
-    private void retired(final int from, final Op op) {
-        final NodeInfo node = named(new String(op.body(), UTF_8));
-        if (node == null || !roster().retiring().contains(node.node())) {
-            respond(from, op.jobId(), new Response(404, 0, "{\"outcome\":\"unknown\"}"));
-            return;
-        }
-        final boolean empty =
-                roster().groups().stream().noneMatch(g -> g.membership().holds(node.node()));
-        respond(from, op.jobId(), new Response(200, 0, "{\"empty\":" + empty + "}"));
-    }
-
     /** The fronts that take sessions, for one that sends its own on. */
     private void fronts(final int from, final Op op, final long now) {
         final List<SpecPoll> fronts = pollers.values().stream()
@@ -730,82 +686,18 @@
         if (roster().node(from) != null) {
             masters.put(id, from);
         }
-        respond(
-                from,
-                op.jobId(),
-                new Response(200, 0, ""),
-                Pack.writer().num(usage.tell(op)).done());
-    }
-
-    private void change(final int from, final Op op, final Time time) {
-        final long now = time.mono();
-        if (op.body().length > SpecReader.MAX_BYTES) {
-            respond(
-                    from,
-                    op.jobId(),
-                    new Response(
-                            413,
-                            0,
-                            findings(List.of(new Finding("/", "larger than " + SpecReader.MAX_BYTES + " bytes")))));
-            return;
-        }
-        if (waitlist.size() >= MAX_CHANGES) {
-            respond(from, op.jobId(), masterless("too many changes are under way"));
-            return;
-        }
-        // why: compared with the newest appended, not the newest accepted, so that of two racing changes one loses for
-        // certain
-        final SpecAt newest = state().specAt(Long.MAX_VALUE);
-        final SpecReader.Reading reading = SpecReader.read(
-                op.body(),
-                newest.version() + 1,
-                new SpecReader.Limits(founding.copies, Copies.floor(founding.copies, founding.toleratedLosses)),
-                newest.spec());
-        if (!reading.json()
-                || reading.spec() == null
-                || reading.spec().changeId().isEmpty()) {
-            respond(from, op.jobId(), new Response(reading.json() ? 422 : 400, 0, findings(reading.findings())));
-            return;
-        }
-        final String changeId = reading.spec().changeId();
-        final CRC32C crc = new CRC32C();
-        crc.update(op.body());
-        final Outcome before = state().outcome(changeId);
-        if (before != null && before.sum() != crc.getValue()) {
-            respond(
-                    from,
-                    op.jobId(),
-                    new Response(
-                            409,
-                            0,
-                            "{\"outcome\":\"refused\",\"changeId\":\"" + changeId
-                                    + "\",\"why\":\"the change ID was used for another document\"}"));
-            return;
-        }
-        if (before == null) {
-            final boolean stale = reading.spec().basedOn() != newest.version();
-            final byte[] body = reading.findings().isEmpty() && !stale
-                    ? ControlState.specBody(
-                            changeId, crc.getValue(), reading.spec().version(), op.body())
-                    : ControlState.refusalBody(
-                            changeId,
-                            crc.getValue(),
-                            reading.findings().isEmpty() ? 409 : 422,
-                            newest.version(),
-                            reading.findings().isEmpty() ? "" : Finding.json(reading.findings()));
-            group.append(Rec.CONTROL, body, now, time.wall());
-        }
-        waitlist.add(new Waiting(from, op.jobId(), changeId, now + tempo.opHorizon() * 9 / 10));
-        confirm(now);
+        final byte[] included = Pack.writer().num(usage.tell(op)).done();
+        out.send(from, new OpReply(op.jobId(), 200, 0, included));
     }
 
     /** A change is confirmed when every live process has taken it, or its lease on what was before has run out. */
     private boolean everywhere(final long version, final long now) {
+        acceptedAt.putIfAbsent(version, now);
         // why: a predecessor may have granted leases that this master has not seen
         if (dutySince < 0 || now - dutySince <= tempo.confirmWait()) {
             return false;
         }
-        if (tempo.leaseMs() > tempo.changeMs() && now - acceptedAt.getOrDefault(version, now) >= tempo.confirmWait()) {
+        if (tempo.leaseMs() > tempo.changeMs() && now - acceptedAt.get(version) >= tempo.confirmWait()) {
             // why: who has not taken it by now cannot be reached, and its lease ends no later than leaseMs from here
             return true;
         }
@@ -819,83 +711,6 @@
         return true;
     }
 
-    private void confirm(final long now) {
-        waitlist.removeIf(w -> {
-            final Outcome o = state().outcome(w.changeId);
-            if (o != null && o.lsn() <= group.accepted() && o.status() == 200) {
-                acceptedAt.putIfAbsent(o.version(), now);
-            }
-            if (o != null && o.lsn() <= group.accepted() && (o.status() != 200 || everywhere(o.version(), now))) {
-                if (!group.mayAct(now)) {
-                    return false;
-                }
-                respond(w.from, w.jobId, outcome(o, true));
-                acceptedAt.headMap(o.version()).clear();
-                return true;
-            }
-            if (now >= w.horizon) {
-                respond(w.from, w.jobId, lostResponse("change", "not confirmed in time"));
-                return true;
-            }
-            return false;
-        });
-    }
-
-    // ---- responses
-
-    private void respond(final int from, final long jobId, final Response r, final byte[] body) {
-        out.send(from, new OpReply(jobId, r.status(), r.retryAfterMs(), body));
-    }
-
-    private void respond(final int from, final long jobId, final Response r) {
-        if (from == self) {
-            out.respond(jobId, r);
-        } else if (jobId != 0) {
-            out.send(
-                    from,
-                    new OpReply(jobId, r.status(), r.retryAfterMs(), r.json().getBytes(UTF_8)));
-        }
-    }
-
-    private Response outcome(final Outcome o, final boolean confirmed) {
-        final String id = "\"changeId\":\"" + o.changeId() + "\"";
-        return switch (o.status()) {
-            case 200 ->
-                confirmed
-                        ? new Response(200, 0, "{\"outcome\":\"confirmed\"," + id + ",\"version\":" + o.version() + "}")
-                        : new Response(
-                                202,
-                                tempo.retryAfterMs(),
-                                "{\"outcome\":\"spreading\"," + id + ",\"version\":" + o.version() + "}");
-            case 409 ->
-                new Response(
-                        409,
-                        0,
-                        "{\"outcome\":\"refused\"," + id
-                                + ",\"why\":\"basedOn is not the present version\",\"version\":" + o.version() + "}");
-            default ->
-                new Response(o.status(), 0, "{\"outcome\":\"refused\"," + id + ",\"findings\":" + o.body() + "}");
-        };
-    }
-
-    private static String findings(final List<Finding> findings) {
-        return "{\"outcome\":\"refused\",\"findings\":" + Finding.json(findings) + "}";
-    }
-
-    private Response masterless(final String why) {
-        return new Response(503, tempo.retryAfterMs(), "{\"outcome\":\"refused\",\"why\":\"" + why + "\"}");
-    }
-
-    private Response lostResponse(final String kind, final String why) {
-        if (!kind.equals("change")) {
-            return masterless(why);
-        }
-        return new Response(
-                504,
-                tempo.retryAfterMs(),
-                "{\"outcome\":\"unsettled\",\"why\":\"" + why + "; send it again with the same changeId\"}");
-    }
-
     private String nodesJson(final long now) {
         final JsonArrayBuilder arr = Json.createArrayBuilder();
         pollers.forEach((node, p) -> arr.add(Json.createObjectBuilder()
--- /dev/null
+++ b/coordination/src/main/java/brookpath/coordination/node/control/ChangeOrders.java
@@ -0,0 +1,145 @@
+package brookpath.coordination.node.control;
+
+import brookpath.coordination.group.GroupMachine;
+import brookpath.coordination.message.Msg.Op;
+import brookpath.coordination.message.Response;
+import brookpath.coordination.node.Node.Time;
+import brookpath.coordination.spec.ChangeOutcomes.Outcome;
+import brookpath.coordination.spec.ControlState;
+import brookpath.coordination.spec.ControlState.SpecAt;
+import brookpath.coordination.spec.Finding;
+import brookpath.coordination.spec.SpecReader;
+import brookpath.state.record.Rec;
+import java.util.List;
+import java.util.zip.CRC32C;
+
+/**
+ * Changes of the configuration. A change that is taken is a record of the control log, and confirmed once that is
+ * accepted and in force everywhere. A refusal is no record: it follows from the document and from the version that it
+ * lost to, and is given only once that version is accepted.
+ */
+public final class ChangeOrders {
+    private static final int MAX_CHANGES = 64;
+
+    private final GroupMachine group;
+    private final SpecReader.Limits limits;
+    private final Followers followers;
+    private final PendingAnswers pending;
+    private final Replies replies;
+
+    public ChangeOrders(
+            final GroupMachine group,
+            final SpecReader.Limits limits,
+            final Followers followers,
+            final PendingAnswers pending,
+            final Replies replies) {
+        this.group = group;
+        this.limits = limits;
+        this.followers = followers;
+        this.pending = pending;
+        this.replies = replies;
+    }
+
+    private ControlState state() {
+        return (ControlState) group.live();
+    }
+
+    /** Takes or refuses a document, or answers again for one that was taken before. */
+    public void change(final int from, final Op op, final Time time) {
+        if (op.body().length > SpecReader.MAX_BYTES) {
+            final Finding finding = new Finding("/", "larger than " + SpecReader.MAX_BYTES + " bytes");
+            replies.respond(from, op.jobId(), Replies.refused(413, List.of(finding)));
+            return;
+        }
+        if (pending.count(RequestKind.CHANGE) >= MAX_CHANGES) {
+            replies.respond(from, op.jobId(), replies.unavailable("too many changes are under way"));
+            return;
+        }
+        // why: compared with the newest appended, not the newest accepted, so that of two racing changes one loses for
+        // certain
+        final SpecAt newest = state().specAt(Long.MAX_VALUE);
+        final SpecReader.Reading reading = SpecReader.read(op.body(), newest.version() + 1, limits, newest.spec());
+        if (!reading.json()
+                || reading.spec() == null
+                || reading.spec().changeId().isEmpty()) {
+            replies.respond(from, op.jobId(), Replies.refused(reading.json() ? 422 : 400, reading.findings()));
+            return;
+        }
+        final String changeId = reading.spec().changeId();
+        final long checksum = checksum(op.body());
+        final Response refusal = refusal(reading, newest);
+        if (state().outcomes().of(changeId) == null && refusal == null) {
+            final byte[] body =
+                    ControlState.specBody(changeId, checksum, reading.spec().version(), op.body());
+            group.append(Rec.CONTROL, body, time.mono(), time.wall());
+        }
+        final PendingAnswers.Answer answer = at -> {
+            final Outcome outcome = state().outcomes().of(changeId);
+            return outcome != null
+                    ? taken(changeId, checksum, outcome, at.mono())
+                    : refusedBy(newest.version(), refusal);
+        };
+        pending.add(from, op, RequestKind.CHANGE, answer, time);
+    }
+
+    private static long checksum(final byte[] document) {
+        final CRC32C crc = new CRC32C();
+        crc.update(document);
+        return crc.getValue();
+    }
+
+    /** Why the document cannot follow the newest version, null where it can. */
+    private static Response refusal(final SpecReader.Reading reading, final SpecAt newest) {
+        if (!reading.findings().isEmpty()) {
+            return refused(422, reading.spec().changeId(), "\"findings\":" + Finding.json(reading.findings()));
+        }
+        return reading.spec().basedOn() == newest.version()
+                ? null
+                : refused(
+                        409,
+                        reading.spec().changeId(),
+                        "\"why\":\"basedOn is not the present version\",\"version\":" + newest.version());
+    }
+
+    private static Response refused(final int status, final String changeId, final String why) {
+        return new Response(status, 0, "{\"outcome\":\"refused\",\"changeId\":\"" + changeId + "\"," + why + "}");
+    }
+
+    /** A lost race is final only once the version that won is accepted. */
+    private Response refusedBy(final long winner, final Response refusal) {
+        return state().specAt(group.accepted()).version() >= winner ? refusal : null;
+    }
+
+    private Response taken(final String changeId, final long checksum, final Outcome outcome, final long now) {
+        if (outcome.lsn() > group.accepted()) {
+            return null;
+        }
+        if (outcome.checksum() != checksum) {
+            return refused(409, changeId, "\"why\":\"the change ID was used for another document\"");
+        }
+        if (!followers.everywhere(outcome.version(), now)) {
+            return null;
+        }
+        followers.confirmed(outcome.version());
+        return confirmed(changeId, outcome);
+    }
+
+    private static Response confirmed(final String changeId, final Outcome outcome) {
+        return new Response(200, 0, told("confirmed", changeId, outcome));
+    }
+
+    private static String told(final String what, final String changeId, final Outcome outcome) {
+        return "{\"outcome\":\"" + what + "\",\"changeId\":\"" + changeId + "\",\"version\":" + outcome.version() + "}";
+    }
+
+    /** What became of a change: confirmed, spreading, or unknown. */
+    public Response outcome(final String changeId, final int retryAfterMs, final long now) {
+        final Outcome outcome = state().outcomes().of(changeId);
+        if (outcome == null || outcome.lsn() > group.accepted()) {
+            return new Response(404, 0, "{\"outcome\":\"unknown\"}");
+        }
+        return followers.everywhere(outcome.version(), now)
+                ? confirmed(changeId, outcome)
+                : new Response(202, retryAfterMs, told("spreading", changeId, outcome));
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/brookpath/coordination/node/control/Followers.java
@@ -0,0 +1,18 @@
+package brookpath.coordination.node.control;
+
+import java.util.Set;
+
+/** What the control master knows of the processes that follow it. */
+public interface Followers {
+    /** Whether every live process has taken the accepted version, or its lease on what was before has run out. */
+    boolean everywhere(long version, long now);
+
+    /** The version has been confirmed. */
+    void confirmed(long version);
+
+    /** The storage machines heard within the lease. */
+    Set<Integer> aliveStorages(long now);
+
+    /** Whether this mastership has lasted for so long that every live process has been heard. */
+    boolean heardAll(long now);
+}
--- /dev/null
+++ b/coordination/src/main/java/brookpath/coordination/node/control/Replies.java
@@ -0,0 +1,75 @@
+package brookpath.coordination.node.control;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import brookpath.coordination.Tempo;
+import brookpath.coordination.action.Actions;
+import brookpath.coordination.message.Msg.OpReply;
+import brookpath.coordination.message.Response;
+import brookpath.coordination.spec.Finding;
+import java.util.List;
+
+/** Gives responses to whoever asked: a caller of this process, or another process. */
+public final class Replies {
+    private final int self;
+    private final Tempo tempo;
+    private final Actions out;
+
+    public Replies(final int self, final Tempo tempo, final Actions out) {
+        this.self = self;
+        this.tempo = tempo;
+        this.out = out;
+    }
+
+    /** Responds to a job of this process's callers, or of another process; job 0 wants no response. */
+    public void respond(final int from, final long jobId, final Response response) {
+        if (from == self) {
+            out.respond(jobId, response);
+        } else if (jobId != 0) {
+            final byte[] body = response.json().getBytes(UTF_8);
+            out.send(from, new OpReply(jobId, response.status(), response.retryAfterMs(), body));
+        }
+    }
+
+    /** Responds as above, but nothing that may have become untrue is given after the deadline. */
+    public void respondBefore(
+            final long deadline, final RequestKind kind, final int from, final long jobId, final Response response) {
+        final boolean staysTrue = kind.order() && response.status() / 100 == 2;
+        respond(
+                from,
+                jobId,
+                staysTrue ? response : response.until(deadline, lost(kind, "the answer was held up for too long")));
+    }
+
+    /** Passes on what the control master answered, as above. */
+    public void relay(final long deadline, final RequestKind kind, final int from, final OpReply reply) {
+        if (from == self) {
+            final String json = new String(reply.body(), UTF_8);
+            respondBefore(
+                    deadline, kind, from, reply.jobId(), new Response(reply.status(), reply.retryAfterMs(), json));
+        } else {
+            out.send(from, reply);
+        }
+    }
+
+    /** Certainly not done, and worth another try. */
+    public Response unavailable(final String why) {
+        return new Response(503, tempo.retryAfterMs(), "{\"outcome\":\"refused\",\"why\":\"" + why + "\"}");
+    }
+
+    /** The request was sent on, and nobody knows its end: an order may have been taken. */
+    public Response lost(final RequestKind kind, final String why) {
+        if (!kind.order()) {
+            return unavailable(why);
+        }
+        return new Response(
+                504,
+                tempo.retryAfterMs(),
+                "{\"outcome\":\"unsettled\",\"why\":\"" + why + "; send it again as it was\"}");
+    }
+
+    /** A refusal for what is wrong with the request. */
+    public static Response refused(final int status, final List<Finding> findings) {
+        return new Response(status, 0, "{\"outcome\":\"refused\",\"findings\":" + Finding.json(findings) + "}");
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/brookpath/coordination/node/control/RequestKind.java
@@ -0,0 +1,56 @@
+package brookpath.coordination.node.control;
+
+/** What an operator or another process may ask of the control master, by its name on the wire. */
+public enum RequestKind {
+    /** A configuration document. */
+    CHANGE("change", true),
+    /** Empties a storage machine given by its number, or keeps it after all. */
+    RETIRE("retire", true),
+    /** Empties a storage machine given by its name. */
+    RETIRE_NAMED("retireNamed", true),
+    /** Switches a group's mastership over by hand. */
+    HANDOVER("handover", true),
+    /** A topic group's master says that its group is founded. */
+    FOUNDED("founded", true),
+    /** A topic group's master tells the membership that its log has accepted. */
+    MEMBERS("members", true),
+    /** A topic group's master tells the usage of its closed windows. */
+    USAGE("usage", true),
+    /** Reads the newest accepted configuration. */
+    SPEC("spec", false),
+    /** Reads what became of a change. */
+    OUTCOME("outcome", false),
+    /** Reads whether a retiring storage machine is empty. */
+    RETIRED("retired", false),
+    /** Reads the usage windows. */
+    WINDOWS("windows", false),
+    /** Reads which processes follow the control master. */
+    NODES("nodes", false),
+    /** A front asks for the other fronts. */
+    FRONTS("fronts", false),
+    /** Anything that this version does not know. */
+    UNKNOWN("", false);
+
+    private final String wireName;
+    private final boolean order;
+
+    RequestKind(final String wireName, final boolean order) {
+        this.wireName = wireName;
+        this.order = order;
+    }
+
+    /** Whether it changes something, so that a lost answer leaves its end unknown. */
+    public boolean order() {
+        return order;
+    }
+
+    /** The kind of this name, {@link #UNKNOWN} where there is none. */
+    public static RequestKind of(final String wireName) {
+        for (final RequestKind kind : values()) {
+            if (kind.wireName.equals(wireName)) {
+                return kind;
+            }
+        }
+        return UNKNOWN;
+    }
+}
--- a/coordination/src/main/java/brookpath/coordination/spec/ControlState.java
+++ b/coordination/src/main/java/brookpath/coordination/spec/ControlState.java
@@ -4,7 +4,6 @@
 import brookpath.state.record.Pack;
 import brookpath.state.record.Rec;
 import java.util.ArrayList;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -12,13 +11,17 @@
 /** What follows from the control log: the specs, the rosters, and the outcome of each change. */
 public final class ControlState implements LogState {
     public static final int SPEC = 1;
-    public static final int REFUSAL = 2;
+    /** Written by earlier releases; says nothing any more. */
+    private static final int REFUSAL = 2;
+
     public static final int ROSTER = 3;
     public static final int USAGE = 4;
     public static final int DELIVERED = 5;
     private static final int KEPT_WINDOWS = 360;
     private static final int KEPT_VERSIONS = 16;
-    private static final int KEPT_OUTCOMES = 4096;
+    /** Stands where earlier formats of the saved state have the number of outcomes. */
+    private static final long COMPACT_OUTCOMES = -2;
+
     private static final long KEEP_MS = 60_000;
 
     /** @param lean the document as the data plane gets it */
@@ -27,9 +30,6 @@
     /** The cluster metadata that a record of the control log holds. */
     public record RosterAt(long lsn, Roster roster) {}
 
-    /** @param status 200 for a change that took effect, else the refusal's; sum tells the document */
-    public record Outcome(long lsn, String changeId, long sum, int status, long version, String body) {}
-
     /**
      * A tenant's part of a window's total.
      *
@@ -45,7 +45,8 @@
     private final TreeMap<Integer, Long> included = new TreeMap<>();
     private final List<SpecAt> specs = new ArrayList<>();
     private final List<RosterAt> rosters = new ArrayList<>();
-    private final Map<String, Outcome> outcomes = new LinkedHashMap<>();
+    private final ChangeOutcomes outcomes = new ChangeOutcomes();
+    private final Retirements retirements = new Retirements();
 
     public static byte[] specBody(final String changeId, final long sum, final long version, final byte[] doc) {
         return Pack.writer()
@@ -57,18 +58,6 @@
                 .done();
     }
 
-    public static byte[] refusalBody(
-            final String changeId, final long sum, final int status, final long version, final String body) {
-        return Pack.writer()
-                .num(REFUSAL)
-                .str(changeId)
-                .num(sum)
-                .num(status)
-                .num(version)
-                .str(body)
-                .done();
-    }
-
     public static byte[] rosterBody(final Roster roster) {
         return Pack.writer().num(ROSTER).bytes(roster.save()).done();
     }
@@ -145,10 +134,16 @@
                 final long version = in.num();
                 final byte[] doc = in.bytes();
                 addSpec(rec.lsn(), version, doc);
-                addOutcome(new Outcome(rec.lsn(), changeId, sum, 200, version, ""));
+                outcomes.add(changeId, new ChangeOutcomes.Outcome(rec.lsn(), sum, version));
+            }
+            case REFUSAL -> {
+                // why: a refusal follows from the document and from what was accepted before it
+            }
+            case ROSTER -> {
+                final Roster roster = Roster.load(in.bytes());
+                addRoster(rec.lsn(), roster);
+                retirements.apply(rec.lsn(), roster);
             }
-            case REFUSAL -> addOutcome(new Outcome(rec.lsn(), in.str(), in.num(), (int) in.num(), in.num(), in.str()));
-            case ROSTER -> addRoster(rec.lsn(), Roster.load(in.bytes()));
             case USAGE -> {
                 addWindow(unpackWindow(rec.lsn(), in));
                 for (long n = in.num(); n > 0; n--) {
@@ -174,13 +169,6 @@
         }
     }
 
-    private void addOutcome(final Outcome outcome) {
-        outcomes.put(outcome.changeId, outcome);
-        if (outcomes.size() > KEPT_OUTCOMES) {
-            outcomes.remove(outcomes.keySet().iterator().next());
-        }
-    }
-
     public SpecAt specAt(final long lsn) {
         for (int i = specs.size() - 1; i >= 0; i--) {
             if (specs.get(i).lsn <= lsn) {
@@ -199,8 +187,14 @@
         return Roster.NONE;
     }
 
-    public Outcome outcome(final String changeId) {
-        return outcomes.get(changeId);
+    /** What became of the newest changes. */
+    public ChangeOutcomes outcomes() {
+        return outcomes;
+    }
+
+    /** The storage machines that were ordered to retire. */
+    public Retirements retirements() {
+        return retirements;
     }
 
     @Override
@@ -225,14 +219,8 @@
         settled.forEach((w, told) -> pack.num(w).num(told ? 1 : 0));
         pack.num(included.size());
         included.forEach((g, w) -> pack.num(g).num(w));
-        pack.num(outcomes.size());
-        outcomes.values()
-                .forEach(o -> pack.num(o.lsn)
-                        .str(o.changeId)
-                        .num(o.sum)
-                        .num(o.status)
-                        .num(o.version)
-                        .str(o.body));
+        outcomes.save(pack.num(COMPACT_OUTCOMES));
+        retirements.save(pack);
         return pack.done();
     }
 
@@ -254,8 +242,17 @@
         for (long n = in.num(); n > 0; n--) {
             included.put((int) in.num(), in.num());
         }
-        for (long n = in.num(); n > 0; n--) {
-            addOutcome(new Outcome(in.num(), in.str(), in.num(), (int) in.num(), in.num(), in.str()));
+        loadOrders(in);
+    }
+
+    private void loadOrders(final Pack in) {
+        final long format = in.num();
+        if (format == COMPACT_OUTCOMES) {
+            outcomes.load(in);
+            retirements.load(in);
+        } else {
+            outcomes.loadWithRefusals(in, format);
+            rosters.forEach(r -> retirements.apply(r.lsn, r.roster));
         }
     }
 }
--- /dev/null
+++ b/coordination/src/main/java/brookpath/coordination/spec/Retirements.java
@@ -0,0 +1,68 @@
+package brookpath.coordination.spec;
+
+import brookpath.coordination.spec.Roster.NodeInfo;
+import brookpath.state.record.Pack;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * The storage machines that were ordered to retire, also after the cluster metadata names them no more: an order that
+ * is sent again after its answer was lost must be known. It follows from the records of the cluster metadata.
+ */
+public final class Retirements {
+    private static final int KEPT = 256;
+
+    /** @param lsn the record that took the order */
+    public record Retirement(long lsn, int node, String name) {
+        private boolean isOf(final NodeInfo info) {
+            return name.isEmpty()
+                    ? info.name().isEmpty() && info.node() == node
+                    : info.name().equals(name);
+        }
+    }
+
+    private final List<Retirement> retirements = new ArrayList<>();
+
+    /** The newest retirement of a machine of this name up to a position of the log, null for none. */
+    public Retirement named(final String name, final long position) {
+        return newest(retirements.stream()
+                .filter(r -> r.lsn <= position && r.name.equals(name))
+                .toList());
+    }
+
+    /** The newest retirement of a machine of this number up to a position of the log, null for none. */
+    public Retirement numbered(final int node, final long position) {
+        return newest(retirements.stream()
+                .filter(r -> r.lsn <= position && r.node == node)
+                .toList());
+    }
+
+    private static Retirement newest(final List<Retirement> found) {
+        return found.isEmpty() ? null : found.get(found.size() - 1);
+    }
+
+    void apply(final long lsn, final Roster roster) {
+        for (final NodeInfo info : roster.nodes()) {
+            if (!roster.retiring().contains(info.node())) {
+                // why: it was kept after all, or another machine bears the name now
+                retirements.removeIf(r -> r.isOf(info));
+            } else if (retirements.stream().noneMatch(r -> r.isOf(info))) {
+                retirements.add(new Retirement(lsn, info.node(), info.name()));
+            }
+        }
+        while (retirements.size() > KEPT) {
+            retirements.remove(0);
+        }
+    }
+
+    void save(final Pack pack) {
+        pack.num(retirements.size());
+        retirements.forEach(r -> pack.num(r.lsn).num(r.node).str(r.name));
+    }
+
+    void load(final Pack in) {
+        for (long n = in.num(); n > 0; n--) {
+            retirements.add(new Retirement(in.num(), (int) in.num(), in.str()));
+        }
+    }
+}
--- a/transport/src/main/java/brookpath/transport/loop/Host.java
+++ b/transport/src/main/java/brookpath/transport/loop/Host.java
@@ -320,7 +320,8 @@
             } else if (action instanceof Action.Respond a) {
                 final CompletableFuture<Response> response = jobs.remove(a.jobId());
                 if (response != null) {
-                    response.complete(a.response());
+                    // why: this process may have been stopped between the decision and this moment
+                    response.complete(a.response().at(time().mono()));
                 }
             } else if (action instanceof Action.Post a) {
                 poster.accept(a)
--- a/trial/src/main/java/brookpath/trial/sim/Proc.java
+++ b/trial/src/main/java/brookpath/trial/sim/Proc.java
@@ -311,7 +311,7 @@
             } else if (action instanceof Action.BeatNow) {
                 beatNow = true;
             } else if (action instanceof Action.Respond a) {
-                world.callers.respond(this, a.jobId(), a.response());
+                world.callers.respond(this, a.jobId(), a.response().at(mono()));
             } else if (action instanceof Action.Deliver a) {
                 world.callers.deliver(this, a.sessionId(), a.line());
             } else if (action instanceof Action.Post a) {
--- a/trial/src/main/java/brookpath/trial/sim/World.java
+++ b/trial/src/main/java/brookpath/trial/sim/World.java
@@ -81,7 +81,15 @@
             final String zone = zones[i];
             procs.put(11 + i, new Proc(this, 11 + i, zone, true, (proc, entries) -> {
                 final StorageNode node = new StorageNode(
-                        proc.id, zone, "sim:" + proc.id, "", seeds, tempo, 1, rnd.nextLong(), ROLL_BYTES);
+                        proc.id,
+                        zone,
+                        "sim:" + proc.id,
+                        "storage-" + proc.id,
+                        seeds,
+                        tempo,
+                        1,
+                        rnd.nextLong(),
+                        ROLL_BYTES);
                 entries.forEach(e -> node.replay(e, proc.time()));
                 return node;
             }));
--- /dev/null
+++ b/trial/src/test/java/brookpath/trial/ControlStateTest.java
@@ -0,0 +1,125 @@
+package brookpath.trial;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNotNull;
+import static org.testng.Assert.assertNull;
+
+import brookpath.coordination.group.Membership;
+import brookpath.coordination.message.Response;
+import brookpath.coordination.spec.ChangeOutcomes.Outcome;
+import brookpath.coordination.spec.ControlState;
+import brookpath.coordination.spec.Roster;
+import brookpath.coordination.spec.Roster.NodeInfo;
+import brookpath.state.record.Pack;
+import brookpath.state.record.Rec;
+import java.util.List;
+import org.testng.annotations.Test;
+
+/** What the control state remembers of orders, by its records and by its saved form. */
+public final class ControlStateTest {
+    private static final int KEPT_OUTCOMES = 4_096;
+    private static final int REFUSAL_OF_EARLIER_RELEASES = 2;
+
+    private final NodeInfo leaving = new NodeInfo(11, "a", "sim:11", "storage-11");
+    private final NodeInfo staying = new NodeInfo(12, "b", "sim:12", "storage-12");
+
+    private static Rec record(final long lsn, final byte[] body) {
+        return Rec.of(lsn, 1, 0, Rec.CONTROL, body, 0);
+    }
+
+    private static byte[] change(final String changeId, final long version) {
+        final String document =
+                "{\"basedOn\":" + (version - 1) + ",\"changeId\":\"" + changeId + "\",\"spaces\":[],\"tenants\":[]}";
+        return ControlState.specBody(changeId, 77, version, document.getBytes(UTF_8));
+    }
+
+    private static byte[] metadata(final long version, final List<NodeInfo> nodes, final List<Integer> retiring) {
+        return ControlState.rosterBody(new Roster(version, nodes, List.of(), retiring, List.of(), Membership.NONE));
+    }
+
+    private static ControlState reloaded(final ControlState state) {
+        final ControlState other = new ControlState();
+        other.load(state.save());
+        return other;
+    }
+
+    @Test
+    public void theOutcomesOfTheNewestThousandsOfChangesAreKept() {
+        final ControlState state = new ControlState();
+        for (int i = 1; i <= KEPT_OUTCOMES + 1; i++) {
+            state.apply(record(i, change("change-" + i, i)));
+        }
+        for (final ControlState s : List.of(state, reloaded(state))) {
+            assertNull(s.outcomes().of("change-1"));
+            assertEquals(s.outcomes().of("change-2"), new Outcome(2, 77, 2));
+            assertEquals(s.outcomes().of("change-4097"), new Outcome(4_097, 77, 4_097));
+        }
+    }
+
+    @Test
+    public void aRefusalOfAnEarlierReleaseIsReadAndSaysNothing() {
+        final ControlState state = new ControlState();
+        state.apply(record(1, change("taken", 1)));
+        state.apply(record(
+                2,
+                Pack.writer()
+                        .num(REFUSAL_OF_EARLIER_RELEASES)
+                        .str("refused")
+                        .num(78)
+                        .num(422)
+                        .num(1)
+                        .str("[]")
+                        .done()));
+        assertNull(state.outcomes().of("refused"));
+        assertNotNull(state.outcomes().of("taken"));
+    }
+
+    @Test
+    public void theSavedFormOfAnEarlierReleaseIsRead() {
+        final Pack pack = Pack.writer().num(0);
+        final Roster roster = new Roster(
+                3, List.of(leaving, staying), List.of(), List.of(leaving.node()), List.of(), Membership.NONE);
+        pack.num(1).num(5).bytes(roster.save());
+        pack.num(0).num(0).num(0);
+        pack.num(2);
+        pack.num(3).str("refused").num(78).num(409).num(1).str("");
+        pack.num(4).str("taken").num(77).num(200).num(2).str("");
+        final ControlState state = new ControlState();
+        state.load(pack.done());
+        assertNull(state.outcomes().of("refused"));
+        assertEquals(state.outcomes().of("taken"), new Outcome(4, 77, 2));
+        assertNotNull(state.retirements().named("storage-11", 5));
+    }
+
+    @Test
+    public void aRetirementIsRememberedUntilTheMachineIsKeptOrAnotherBearsItsName() {
+        final ControlState state = new ControlState();
+        state.apply(record(1, metadata(1, List.of(leaving, staying), List.of())));
+        state.apply(record(2, metadata(2, List.of(leaving, staying), List.of(11))));
+        state.apply(record(3, metadata(3, List.of(staying), List.of())));
+        for (final ControlState s : List.of(state, reloaded(state))) {
+            assertNull(s.retirements().named("storage-11", 1));
+            assertNotNull(s.retirements().named("storage-11", 2));
+            assertNotNull(s.retirements().numbered(11, 3));
+            assertNull(s.retirements().named("storage-12", 3));
+        }
+        // why: addresses are used again, and so the numbers that follow from them
+        final NodeInfo other = new NodeInfo(11, "a", "sim:11", "storage-21");
+        state.apply(record(4, metadata(4, List.of(staying, other), List.of())));
+        assertNotNull(state.retirements().named("storage-11", 4));
+        assertNull(state.retirements().named("storage-21", 4));
+        final NodeInfo again = new NodeInfo(19, "a", "sim:19", "storage-11");
+        state.apply(record(5, metadata(5, List.of(staying, again), List.of())));
+        assertNull(state.retirements().named("storage-11", 5));
+    }
+
+    @Test
+    public void aResponseIsGivenOnlyBeforeItsExpiry() {
+        final Response late = new Response(503, 500, "{}");
+        final Response fresh = new Response(200, 0, "{\"version\":1}").until(1_000, late);
+        assertEquals(fresh.at(999).status(), 200);
+        assertEquals(fresh.at(1_000), late);
+        assertEquals(late.at(Long.MAX_VALUE), late);
+    }
+}
--- /dev/null
+++ b/trial/src/test/java/brookpath/trial/sim/ControlReadsTest.java
@@ -0,0 +1,219 @@
+package brookpath.trial.sim;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNull;
+import static org.testng.Assert.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** A control machine that is cut off or frozen reads nothing old, refuses nothing, and confirms nothing. */
+public final class ControlReadsTest extends ControlScene {
+    private static final long CUT_MS = 20_000;
+
+    /** How the control master loses its contact. */
+    enum Loss {
+        BOTH_WAYS,
+        NOT_HEARD,
+        HEARS_NOTHING,
+        FROZEN
+    }
+
+    @DataProvider
+    public Object[][] losses() {
+        return new Object[][] {
+            {Loss.BOTH_WAYS, 100}, {Loss.NOT_HEARD, 101}, {Loss.HEARS_NOTHING, 102}, {Loss.FROZEN, 103}
+        };
+    }
+
+    private void lose(final Proc p, final Loss loss) {
+        if (loss == Loss.FROZEN) {
+            world.freeze(p, CUT_MS);
+        }
+        if (loss == Loss.BOTH_WAYS || loss == Loss.NOT_HEARD) {
+            cutFrom(p);
+        }
+        if (loss == Loss.BOTH_WAYS || loss == Loss.HEARS_NOTHING) {
+            cutTo(p);
+        }
+    }
+
+    @Test(dataProvider = "losses")
+    public void aMasterWithoutContactServesNothingOldForTwentySeconds(final Loss loss, final int seed) {
+        begin(seed);
+        final Proc lost = master();
+        final long healedAt = world.now() + CUT_MS;
+        world.at(healedAt, world.net::heal);
+        lose(lost, loss);
+        final List<Asked> askedOfLost = new ArrayList<>();
+        final List<Asked> reads = new ArrayList<>();
+        final List<Long> confirmedBefore = new ArrayList<>();
+        long newest = 1;
+        long confirmed = 1;
+        Asked change = null;
+        for (int i = 0; world.now() < healedAt + 5_000; i++) {
+            for (final int id : world.bailiffs) {
+                reads.add(askSpec(world.procs.get(id)));
+                confirmedBefore.add(confirmed);
+            }
+            askedOfLost.add(askSpec(lost));
+            askedOfLost.add(askChange(lost, document(newest, "lost-" + i)));
+            askedOfLost.add(askChange(lost, document(0, "stale-" + i)));
+            askedOfLost.add(askRetireNamed(lost, "nobody"));
+            if (change == null) {
+                change = askChange(others(lost).get(i % 2), document(newest, "next-" + i));
+            }
+            world.run(world.now() + 100);
+            if (change.status() == 200) {
+                confirmed = version(change.response);
+            }
+            newest = Math.max(newest, change.response == null ? 0 : version(change.response));
+            change = change.response == null ? change : null;
+        }
+        world.run(world.now() + 4_000);
+        for (final Asked asked : askedOfLost) {
+            assertTrue(asked.unclear() || asked.answeredAt > healedAt, loss + ": " + asked);
+        }
+        assertTrue(confirmed > 5, confirmed + " versions confirmed meanwhile");
+        assertNothingOld(reads, confirmedBefore);
+    }
+
+    private static void assertNothingOld(final List<Asked> reads, final List<Long> confirmedBefore) {
+        int served = 0;
+        for (int i = 0; i < reads.size(); i++) {
+            final Asked read = reads.get(i);
+            served += read.status() == 200 ? 1 : 0;
+            assertTrue(
+                    read.unclear() || version(read.response) >= confirmedBefore.get(i),
+                    read + ", confirmed was " + confirmedBefore.get(i));
+        }
+        assertTrue(served > 100, served + " reads served");
+    }
+
+    /** The lease of a master that has just been cut off still runs, but no answer may rest on it. */
+    @Test
+    public void aReadNeedsContactWithAMajorityThatBeganAfterIt() {
+        begin(110);
+        final Proc master = master();
+        cutFrom(master);
+        cutTo(master);
+        final Asked read = askSpec(master);
+        final Asked retired = ask(master, "retired", "storage-11".getBytes(UTF_8));
+        final Asked unknown = askRetireNamed(master, "nobody");
+        final Asked outcome = ask(master, "outcome", "never".getBytes(UTF_8));
+        world.run(world.now() + 300);
+        for (final Asked asked : List.of(read, retired, unknown, outcome)) {
+            assertNull(asked.response, "answered without a majority: " + asked);
+        }
+        world.run(world.now() + 4_000);
+        for (final Asked asked : List.of(read, retired, unknown, outcome)) {
+            assertTrue(asked.status() >= 500, asked.toString());
+            assertTrue(asked.response.retryAfterMs() > 0, asked.toString());
+        }
+    }
+
+    @Test
+    public void aReadIsAnsweredWithinOneRoundTripAndNotWithTheNextBeat() {
+        begin(111);
+        final Proc master = master();
+        long longest = 0;
+        for (int i = 0; i < 50; i++) {
+            final Asked read = answered(askSpec(master));
+            assertEquals(read.status(), 200, read.toString());
+            longest = Math.max(longest, read.answeredAt - read.at);
+        }
+        assertTrue(longest < world.tempo.beat() / 2, "a read took " + longest + " ms");
+    }
+
+    /** Thousands of reads may not push their own beats out of what is remembered, nor cost the master its lease. */
+    @Test
+    public void manyReadsAtOnceAreAllAnswered() {
+        begin(112);
+        final Proc master = master();
+        world.net.extraDelay = 20;
+        final long epoch = group(master).epoch();
+        final List<Asked> reads = new ArrayList<>();
+        for (int i = 0; i < 1_000; i++) {
+            reads.add(askSpec(master));
+            world.run(world.now() + 1);
+        }
+        world.run(world.now() + 2_000);
+        reads.forEach(r -> assertEquals(r.status(), 200, r.toString()));
+        assertEquals(group(master).epoch(), epoch, "the master lost its mastership");
+    }
+
+    /** A carried answer that was held up on its way says how things were, not how they are. */
+    @Test
+    public void anAnswerThatWasHeldUpOnTheWireIsDropped() {
+        begin(113);
+        final Proc master = master();
+        final Proc carrier = others(master).get(0);
+        world.net.cut(master.id, carrier.id);
+        final Asked read = askSpec(carrier);
+        world.run(world.now() + 10);
+        assertEquals(answered(askChange(master, document(1, "newer"))).status(), 200);
+        final long confirmedAt = world.now();
+        world.run(read.at + 2_100);
+        world.net.heal();
+        world.run(read.at + 2_900);
+        assertTrue(
+                read.status() >= 500 || version(read.response) == 2,
+                read + ", though version 2 was confirmed at " + confirmedAt);
+    }
+
+    @Test
+    public void aCarrierThatWasFrozenGivesNoAnswerFromBeforeItsFreeze() {
+        begin(114);
+        final Proc master = master();
+        final Proc carrier = others(master).get(0);
+        final Asked read = askSpec(carrier);
+        world.run(world.now() + 1);
+        world.freeze(carrier, 2_500);
+        world.run(world.now() + 10);
+        assertEquals(answered(askChange(master, document(1, "newer"))).status(), 200);
+        final long confirmedAt = world.now();
+        world.run(read.at + 2_900);
+        assertTrue(read.status() >= 500, read + ", though version 2 was confirmed at " + confirmedAt);
+    }
+
+    @Test
+    public void anOrderWhoseSessionBrokeHasAnUnknownEnd() {
+        begin(115);
+        final Proc master = master();
+        final Proc carrier = others(master).get(0);
+        world.net.cut(master.id, carrier.id);
+        final Asked order = askRetire(carrier, 11);
+        final Asked read = askSpec(carrier);
+        world.run(world.now() + 20);
+        world.kill(master, true);
+        answered(order);
+        answered(read);
+        assertEquals(order.status(), 504, order.toString());
+        assertTrue(order.response.json().contains("unsettled"), order.toString());
+        assertEquals(read.status(), 503, read.toString());
+    }
+
+    /** Its callers go on to another node all the sooner. */
+    @Test
+    public void aMachineThatIsCutOffSaysSoAtOnce() {
+        begin(116);
+        final Proc master = master();
+        final Proc slave = others(master).get(0);
+        for (final Proc lost : List.of(slave, master)) {
+            cutFrom(lost);
+            cutTo(lost);
+            world.run(world.now() + 2 * world.tempo.down() + world.tempo.beat());
+            for (final Asked asked :
+                    List.of(askSpec(lost), askChange(lost, document(1, "cut-" + lost.id)), askRetire(lost, 11))) {
+                world.run(world.now() + 20);
+                assertEquals(asked.status(), 503, asked.toString());
+                assertTrue(asked.response.retryAfterMs() > 0, asked.toString());
+            }
+            world.net.heal();
+            world.run(world.now() + 4_000);
+        }
+    }
+}
