--- a/trial/src/main/java/brookpath/trial/mutate/Mutants.java
+++ b/trial/src/main/java/brookpath/trial/mutate/Mutants.java
@@ -25,6 +25,13 @@
 public final class Mutants {
     private record Mutant(String name, String file, String find, String replace, String faults) {}
 
+    private static final String SCENES = String.join(
+            ",",
+            "brookpath.trial.sim.ScenesTest",
+            "brookpath.trial.sim.ControlReadsTest",
+            "brookpath.trial.sim.OrderRepeatsTest",
+            "brookpath.trial.ControlStateTest");
+
     private Mutants() {}
 
     public static void main(final String[] args) throws Exception {
@@ -49,7 +56,7 @@
                 "-verbose",
                 "2",
                 "-testclass",
-                "brookpath.trial.sim.ScenesTest");
+                SCENES);
         if (whole != null) {
             System.err.println("mutants: the scenes are red without any mutant: " + whole);
             System.exit(1);
@@ -114,7 +121,7 @@
                 "-d",
                 work.resolve("testng").toString(),
                 "-testclass",
-                "brookpath.trial.sim.ScenesTest");
+                SCENES);
         if (seen != null) {
             return "| " + m.name + " | scene | " + seen + " |";
         }
