--- a/coordination/src/main/java/brookpath/coordination/group/GroupMachine.java
+++ b/coordination/src/main/java/brookpath/coordination/group/GroupMachine.java
@@ -285,7 +285,7 @@
 
     /** Whether the node, a voter or a learner, is this master itself or has answered it within the lease. */
     public boolean follows(final int node, final long now) {
-        return node == self || answered(node, now);
+        return node == self || answeredSince(node, now - tempo.lease());
     }
 
     /** Copies of a record that are known to be synced. */
@@ -900,21 +900,30 @@
     }
 
     private boolean leaseHeld(final long now) {
-        return leaseHeld(members, now);
+        return majoritySince(members, now - tempo.lease());
     }
 
     private boolean leaseHeld(final List<Member> voters, final long now) {
+        return majoritySince(voters, now - tempo.lease());
+    }
+
+    /** Whether a majority has answered beats of this mastership that were sent at this time or later. */
+    public boolean majoritySince(final long since) {
+        return majoritySince(members, since);
+    }
+
+    private boolean majoritySince(final List<Member> voters, final long since) {
         int n = 1;
         for (final Member m : voters) {
-            n += m.node() != self && answered(m.node(), now) ? 1 : 0;
+            n += m.node() != self && answeredSince(m.node(), since) ? 1 : 0;
         }
         return n >= majority(voters.size());
     }
 
-    /** Whether the node has answered, within the lease, a beat that told of this mastership. */
-    private boolean answered(final int node, final long now) {
+    /** Whether the node has answered a beat that told of this mastership and was sent at this time or later. */
+    private boolean answeredSince(final int node, final long since) {
         final BeatTable.Row row = table.row(node);
-        if (row == null || now - row.answeredSentAt() > tempo.lease()) {
+        if (row == null || row.answeredSentAt() < since) {
             return false;
         }
         final BeatEntry told = row.answeredOwn().get(id);
--- a/trial/src/main/java/brookpath/trial/mutate/Mutants.java
+++ b/trial/src/main/java/brookpath/trial/mutate/Mutants.java
@@ -32,6 +32,10 @@
     private static final String SCENES = String.join(
             ",",
             "brookpath.trial.sim.ScenesTest",
+            "brookpath.trial.sim.ControlReadsTest",
+            "brookpath.trial.sim.OrderRepeatsTest",
+            "brookpath.trial.ControlStateTest",
+            "brookpath.trial.sim.GroupRepairTest",
             "brookpath.trial.sim.ControlMembershipTest",
             "brookpath.trial.sim.AddressReuseTest",
             "brookpath.trial.sim.CallIdsTest",
