--- a/trial/src/main/java/brookpath/trial/disk/TrialDisk.java
+++ b/trial/src/main/java/brookpath/trial/disk/TrialDisk.java
@@ -79,6 +79,23 @@
         }
     }
 
+    /** As {@link #powerLoss}, and each name made or removed since the folder was synced is kept or lost by itself. */
+    public void powerLossByName(final SplittableRandom rnd) {
+        final TreeMap<String, Data> left = new TreeMap<>();
+        names.forEach((name, d) -> {
+            if (durable.get(name) == d || rnd.nextBoolean()) {
+                left.put(name, d);
+            }
+        });
+        durable.forEach((name, d) -> {
+            if (names.get(name) != d && rnd.nextBoolean()) {
+                left.putIfAbsent(name, d);
+            }
+        });
+        durable = left;
+        powerLoss(rnd);
+    }
+
     public void wipe() {
         names.clear();
         durable.clear();
--- a/trial/src/main/java/brookpath/trial/mutate/Mutants.java
+++ b/trial/src/main/java/brookpath/trial/mutate/Mutants.java
@@ -25,6 +25,15 @@
 public final class Mutants {
     private record Mutant(String name, String file, String find, String replace, String faults) {}
 
+    /** The staged scenes, by test class. */
+    private static final String SCENES = String.join(
+            ",",
+            "brookpath.trial.sim.ScenesTest",
+            "brookpath.trial.sim.ControlStateSizeTest",
+            "brookpath.trial.sim.FullSyncTest",
+            "brookpath.trial.sim.FullDiskTest",
+            "brookpath.trial.sim.RejoinAfterManyChangesTest");
+
     private Mutants() {}
 
     public static void main(final String[] args) throws Exception {
@@ -49,7 +58,7 @@
                 "-verbose",
                 "2",
                 "-testclass",
-                "brookpath.trial.sim.ScenesTest");
+                SCENES);
         if (whole != null) {
             System.err.println("mutants: the scenes are red without any mutant: " + whole);
             System.exit(1);
@@ -114,7 +123,7 @@
                 "-d",
                 work.resolve("testng").toString(),
                 "-testclass",
-                "brookpath.trial.sim.ScenesTest");
+                SCENES);
         if (seen != null) {
             return "| " + m.name + " | scene | " + seen + " |";
         }
--- a/trial/src/test/java/brookpath/trial/SpoolRoomTest.java
+++ b/trial/src/test/java/brookpath/trial/SpoolRoomTest.java
@@ -29,6 +29,7 @@
     private static final byte[] SECOND = filled(2, 300);
     private static final byte[] THIRD = filled(3, 50);
     private static final int ROLL_STEPS = 12;
+    private static final int SEEDS = 40;
 
     @Test
     public void aWriteWithoutRoomLeavesWhatWasThereAndIsTriedAgain() {
@@ -88,7 +89,7 @@
         int before = 0;
         int rolled = 0;
         for (int step = 0; step < ROLL_STEPS; step++) {
-            for (int seed = 0; seed < 20; seed++) {
+            for (int seed = 0; seed < SEEDS; seed++) {
                 final StoppingDisk disk = new StoppingDisk();
                 final Spool spool = Spool.recover(disk).spool();
                 spool.roll(filled(7, 200));
@@ -101,7 +102,11 @@
                     before++;
                 }
                 disk.stepsLeft = Integer.MAX_VALUE;
-                disk.disk.powerLoss(new SplittableRandom(seed));
+                if (seed % 2 == 0) {
+                    disk.disk.powerLoss(new SplittableRandom(seed));
+                } else {
+                    disk.disk.powerLossByName(new SplittableRandom(seed));
+                }
                 final Recovery after = Spool.recover(disk);
                 assertFalse(after.damaged(), "step " + step + ": " + after.findings());
                 final boolean isOld = text(after.snapshot()).equals(text(filled(7, 200)));
