--- a/trial/src/main/java/brookpath/trial/sim/Callers.java
+++ b/trial/src/main/java/brookpath/trial/sim/Callers.java
@@ -47,6 +47,9 @@
     private final Service service;
     private long jobIds;
     private int changes;
+    /** Sees every answer before its caller does. */
+    AnswerObserver answers = (from, jobId, response) -> {};
+
     boolean quiet;
 
     Callers(final World world) {
@@ -138,6 +141,7 @@
     // ---- what the processes give back
 
     void respond(final Proc from, final long jobId, final Response r) {
+        answers.answered(from, jobId, r);
         final Consumer<Response> then = waiting.remove(jobId);
         jobAt.remove(jobId);
         if (then != null) {
@@ -512,9 +516,7 @@
             service.asked("change", at, r.status() == 200 || (r.status() >= 400 && r.status() < 500));
             if (r.status() == 200) {
                 final long version = json(r.json()).getInt("version");
-                world.history.confirmed(world.now(), version, changeId);
-                confirmedAt.putIfAbsent(version, world.now());
-                world.count("changes confirmed");
+                confirmed(version, changeId);
                 then.accept(r);
             } else if (r.status() == 409 || r.status() == 422 || r.status() == 400) {
                 world.count("changes refused");
@@ -526,6 +528,13 @@
         });
     }
 
+    /** A change was confirmed to an operator, and has to hold from now on. */
+    void confirmed(final long version, final String changeId) {
+        world.history.confirmed(world.now(), version, changeId);
+        confirmedAt.putIfAbsent(version, world.now());
+        world.count("changes confirmed");
+    }
+
     private final Set<String> refused = new LinkedHashSet<>();
 
     /** Two operators race on the newest version that one of them read, now and then with nonsense. */
--- /dev/null
+++ b/trial/src/main/java/brookpath/trial/sim/ControlAnswer.java
@@ -0,0 +1,60 @@
+package brookpath.trial.sim;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import brookpath.coordination.message.Response;
+import jakarta.json.Json;
+import jakarta.json.JsonObject;
+import java.io.ByteArrayInputStream;
+
+/**
+ * An answer of the control plane, read.
+ *
+ * @param kind the call that it answers, as far as it tells; else empty
+ * @param subject the change or the machine that it names; else empty
+ * @param version the version that it names; else 0
+ * @param document the configuration that it holds; else empty
+ * @param empty whether it says that a machine holds nothing
+ */
+record ControlAnswer(String kind, String subject, long version, String document, boolean empty) {
+    static final String CHANGE = "change";
+    static final String READ = "spec";
+    static final String RETIRE = "retireNamed";
+    static final String RETIREMENT = "retired";
+
+    private static final String DOCUMENT = "\"document\":";
+
+    static ControlAnswer of(final Response response) {
+        final JsonObject told = json(response.json());
+        final long version = told.containsKey("version") ? told.getJsonNumber("version").longValue() : 0;
+        if (told.containsKey("document")) {
+            return new ControlAnswer(READ, "", version, document(response.json()), false);
+        }
+        if (told.containsKey("changeId")) {
+            return new ControlAnswer(CHANGE, told.getString("changeId"), version, "", false);
+        }
+        if (told.containsKey("node") && told.getString("outcome", "").equals("retiring")) {
+            return new ControlAnswer(RETIRE, String.valueOf(told.getInt("node")), version, "", false);
+        }
+        if (told.containsKey("empty")) {
+            return new ControlAnswer(RETIREMENT, "", version, "", told.getBoolean("empty"));
+        }
+        return new ControlAnswer("", "", version, "", false);
+    }
+
+    /** The change that a configuration came with. */
+    static String changeIdOf(final String document) {
+        return json(document).getString("changeId", "");
+    }
+
+    /** The configuration as its bytes stand in the answer, unread. */
+    private static String document(final String json) {
+        return json.substring(json.indexOf(DOCUMENT) + DOCUMENT.length(), json.lastIndexOf('}'));
+    }
+
+    private static JsonObject json(final String text) {
+        try (var reader = Json.createReader(new ByteArrayInputStream(text.getBytes(UTF_8)))) {
+            return reader.readObject();
+        }
+    }
+}
--- /dev/null
+++ b/trial/src/main/java/brookpath/trial/sim/ControlCall.java
@@ -0,0 +1,85 @@
+package brookpath.trial.sim;
+
+import brookpath.coordination.message.Response;
+import brookpath.coordination.node.Job;
+import brookpath.trial.oracle.control.CallHistory;
+import brookpath.trial.oracle.control.CallHistory.Answer;
+import brookpath.trial.oracle.control.CallHistory.Call;
+import java.util.HashSet;
+import java.util.Set;
+import java.util.function.Consumer;
+
+/** Calls of the control plane as a client makes them: one machine at a time, given up after a second of silence. */
+final class ControlCall {
+    /** Stands for silence, a reset or an answer that was lost. */
+    static final Response SILENCE = new Response(0, 0, "{}");
+
+    private static final long PATIENCE_MS = 1_000;
+    private static final int REACHED = 100;
+
+    private final World world;
+    private final CallHistory history;
+    /** Machines that callers cannot reach. */
+    final Set<Integer> unreachable = new HashSet<>();
+
+    private int lostPercent;
+
+    ControlCall(final World world, final CallHistory history) {
+        this.world = world;
+        this.history = history;
+        world.callers.answers = this::answered;
+    }
+
+    /** From now on so many of a hundred acknowledgements are lost on their way to the operator. */
+    void loseAnswers(final int percent) {
+        lostPercent = percent;
+    }
+
+    /** By chance: is this acknowledgement lost? */
+    boolean losesAnswer() {
+        return lostPercent > 0 && world.rnd.nextInt(100) < lostPercent;
+    }
+
+    /**
+     * Calls a machine.
+     *
+     * @param subject what the call is about, as its answer names it
+     * @param then hears of the answer, or of silence
+     */
+    void call(
+            final Proc proc,
+            final String kind,
+            final byte[] body,
+            final String subject,
+            final Consumer<Response> then) {
+        final boolean[] open = {true};
+        final Consumer<Response> once = response -> {
+            if (open[0]) {
+                open[0] = false;
+                then.accept(response.status() < REACHED ? SILENCE : response);
+            }
+        };
+        world.at(world.now() + PATIENCE_MS, () -> once.accept(SILENCE));
+        if (unreachable.contains(proc.id)) {
+            return;
+        }
+        world.callers.asked(
+                proc,
+                id -> {
+                    history.asked(id, new Call(proc.id, proc.life, kind, subject));
+                    return new Job.Operate(id, kind, body);
+                },
+                response -> {
+                    if (!unreachable.contains(proc.id)) {
+                        once.accept(response);
+                    }
+                });
+    }
+
+    private void answered(final Proc from, final long callId, final Response response) {
+        if (response.status() >= REACHED && history.knows(callId)) {
+            final ControlAnswer told = ControlAnswer.of(response);
+            history.answered(world.now(), callId, new Answer(from.id, from.life, told.kind(), told.subject()));
+        }
+    }
+}
--- /dev/null
+++ b/trial/src/main/java/brookpath/trial/sim/ControlDay.java
@@ -0,0 +1,178 @@
+package brookpath.trial.sim;
+
+import brookpath.trial.oracle.control.ControlHistory;
+import brookpath.trial.oracle.control.ControlRule;
+import java.util.ArrayList;
+import java.util.EnumSet;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/**
+ * One seeded day for the control plane: four controllers, four storage machines and two fronts in virtual time, operators
+ * with up to eight orders under way, troubles one after another, a last one right after an acknowledgement, and a recovery
+ * after which everything is read back.
+ */
+public final class ControlDay {
+    private static final Shape SHAPE = new Shape(2, 2, 4, 6, 6, 8, 2);
+    private static final long START_MS = 4_000;
+    private static final long FIRST_ORDER_MS = 20_000;
+    private static final long ORDER_EVERY_MS = 700;
+    private static final long READ_EVERY_MS = 700;
+    private static final long PAUSE_MS = 6_000;
+    private static final long WATCH_EVERY_MS = 100;
+    private static final long RECOVER_MS = 16_000;
+    private static final long QUIET_MS = 15_000;
+    private static final long READ_BACK_MS = 12_000;
+    private static final int READ_BACK_TRIES = 5;
+    private static final long LAST_ORDER_MS = 15_000;
+
+    /** What a control day is made of. */
+    public record Plan(long seed, long lengthMs, EnumSet<ControlFault> faults) {}
+
+    /**
+     * What a control day came to.
+     *
+     * @param violations of the rules of the control plane
+     * @param others what the fleet's other judges found: topics, usage, masters
+     */
+    public record Outcome(
+            long seed,
+            List<String> violations,
+            Map<ControlRule, Integer> broken,
+            List<String> others,
+            long newest,
+            TreeMap<String, Integer> counts,
+            List<String> notes) {
+        public boolean good() {
+            return violations.isEmpty() && others.isEmpty();
+        }
+
+        @Override
+        public String toString() {
+            final List<String> lines = new ArrayList<>();
+            lines.add("seed " + seed + ": newest version " + newest + ", " + counts);
+            violations.forEach(line -> lines.add("  " + line));
+            others.forEach(line -> lines.add("  other: " + line));
+            return String.join("\n", lines);
+        }
+    }
+
+    private final Plan plan;
+    private final World world;
+    private final ControlFleet fleet;
+    private final ControlHistory history = new ControlHistory();
+    private final ControlCall calls;
+    private final Operators operators;
+    private final ControlFaults faults;
+
+    private ControlDay(final Plan plan) {
+        this.plan = plan;
+        world = new World(plan.seed(), SHAPE, EnumSet.noneOf(Mutation.class));
+        fleet = new ControlFleet(world);
+        calls = new ControlCall(world, history.calls);
+        operators = new Operators(world, fleet, history, calls);
+        final RetireOperator retirements = new RetireOperator(world, fleet, history, calls);
+        faults = new ControlFaults(world, fleet, history, operators, retirements, calls);
+    }
+
+    /** Plays the day. */
+    public static Outcome play(final Plan plan) {
+        return new ControlDay(plan).play();
+    }
+
+    private Outcome play() {
+        begin();
+        troubles();
+        close();
+        recover();
+        return outcome();
+    }
+
+    private void begin() {
+        world.run(START_MS);
+        history.availability.trouble(world.now());
+        operators.order(true);
+        final long giveUpAt = world.now() + FIRST_ORDER_MS;
+        while (operators.newest() == 0 && world.now() < giveUpAt) {
+            world.run(world.now() + WATCH_EVERY_MS);
+        }
+        clients();
+        watch();
+        operators.work(ORDER_EVERY_MS);
+        operators.read(READ_EVERY_MS);
+        world.run(world.now() + MachineFaults.CATCH_UP_MS);
+    }
+
+    private void clients() {
+        for (int i = 0; i < SHAPE.topics(); i++) {
+            world.callers.publisher("ana", Callers.topic(i), "key-members", 1_000, 30);
+        }
+        for (int i = 0; i < SHAPE.sessions(); i++) {
+            world.callers.subscriber("sub-" + i, "key-members", List.of(Callers.topic(i % SHAPE.topics())));
+        }
+    }
+
+    private void watch() {
+        final List<Integer> running = fleet.controllers().stream()
+                .filter(proc -> proc.alive && !proc.frozen())
+                .map(proc -> proc.id)
+                .toList();
+        history.watch(world.now(), running);
+        world.at(world.now() + WATCH_EVERY_MS, this::watch);
+    }
+
+    /** One kind after another: some at once when the last machine is back, some later, some on top of others. */
+    private void troubles() {
+        final List<ControlFault> kinds = new ArrayList<>(plan.faults());
+        final long end = world.now() + plan.lengthMs();
+        while (world.now() < end && !kinds.isEmpty()) {
+            final ControlFault kind = kinds.get(world.rnd.nextInt(kinds.size()));
+            final boolean struck = faults.strike(kind);
+            final long pause = struck && world.rnd.nextBoolean() ? world.rnd.nextLong(PAUSE_MS) : WATCH_EVERY_MS;
+            world.run(Math.min(end, world.now() + pause));
+        }
+        world.run(end);
+    }
+
+    /** The day's last failure comes once all machines are back, right after an acknowledgement. */
+    private void close() {
+        faults.stop();
+        final boolean calm = plan.faults().isEmpty();
+        world.run(Math.max(world.now(), faults.machines().outUntil()));
+        if (calm) {
+            return;
+        }
+        final boolean[] struck = new boolean[1];
+        faults.close(() -> struck[0] = true);
+        final long giveUpAt = world.now() + LAST_ORDER_MS;
+        while (!struck[0] && world.now() < giveUpAt) {
+            world.run(world.now() + 1);
+        }
+        world.count(struck[0] ? "control: closing faults" : "control: no acknowledgement to close on");
+        world.run(Math.max(world.now(), faults.machines().outUntil() - MachineFaults.CATCH_UP_MS + 1));
+    }
+
+    private void recover() {
+        faults.machines().mend();
+        world.run(world.now() + RECOVER_MS);
+        operators.quiet();
+        world.callers.quiet = true;
+        world.run(world.now() + QUIET_MS);
+        operators.readBack(READ_BACK_TRIES);
+        world.run(world.now() + READ_BACK_MS);
+        world.history.settle(world.now());
+        history.settle();
+    }
+
+    private Outcome outcome() {
+        return new Outcome(
+                plan.seed(),
+                history.violations.all().stream().map(Object::toString).toList(),
+                new TreeMap<>(history.violations.counts()),
+                world.history.violations(),
+                operators.newest(),
+                world.counts,
+                world.notes());
+    }
+}
--- /dev/null
+++ b/trial/src/main/java/brookpath/trial/sim/ControlFaults.java
@@ -0,0 +1,272 @@
+package brookpath.trial.sim;
+
+import static brookpath.trial.sim.ControlFault.KILL_AFTER_SEND;
+import static brookpath.trial.sim.MachineFaults.Direction.BOTH;
+import static brookpath.trial.sim.MachineFaults.Direction.HEARING;
+import static brookpath.trial.sim.MachineFaults.Direction.SENDING;
+
+import brookpath.trial.oracle.control.ControlHistory;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Brings the troubles of a control day about, each drawn from the day's seed. */
+final class ControlFaults implements Operators.Observer {
+    private static final long RETIRE_MS = 30_000;
+    private static final int STORM_MOST = 300;
+    private static final int LOST_PERCENT = 70;
+
+    private final World world;
+    private final ControlFleet fleet;
+    private final ControlHistory history;
+    private final Operators operators;
+    private final RetireOperator retirements;
+    private final ControlCall calls;
+    private final MachineFaults machines;
+    /** Waits for the next acknowledgement or change; null for none. */
+    private ControlFault armed;
+
+    private long retiringUntil;
+    private boolean stopped;
+
+    ControlFaults(
+            final World world,
+            final ControlFleet fleet,
+            final ControlHistory history,
+            final Operators operators,
+            final RetireOperator retirements,
+            final ControlCall calls) {
+        this.world = world;
+        this.fleet = fleet;
+        this.history = history;
+        this.operators = operators;
+        this.retirements = retirements;
+        this.calls = calls;
+        machines = new MachineFaults(world, fleet, history, calls);
+        operators.observer(this);
+    }
+
+    MachineFaults machines() {
+        return machines;
+    }
+
+    /** No trouble begins any more. */
+    void stop() {
+        stopped = true;
+        armed = null;
+        calls.loseAnswers(0);
+        retirements.stop();
+    }
+
+    /** Brings this trouble about now, or, where it waits for an order, at the next one; false where it has to wait. */
+    boolean strike(final ControlFault fault) {
+        if (!ControlFault.WITHOUT_LOSS.contains(fault) && (!machines.free() || armed != null)) {
+            return false;
+        }
+        world.count("control: " + fault);
+        if (ControlFault.ON_AN_ORDER.contains(fault)) {
+            armed = fault;
+            operators.order(true);
+        } else if (ControlFault.WITHOUT_LOSS.contains(fault)) {
+            disturb(fault);
+        } else {
+            takeOut(fault);
+        }
+        return true;
+    }
+
+    // ---- troubles that take no machine out
+
+    private void disturb(final ControlFault fault) {
+        switch (fault) {
+            case CLOCK_STEP -> {
+                final long by = 1_000 + world.rnd.nextLong(9_000);
+                machines.clockStep(world.rnd.nextBoolean() ? by : -by, span(2_000, 8_000));
+            }
+            case RESETS -> machines.resets();
+            case STORM -> operators.storm(STORM_MOST / 3 + world.rnd.nextInt(STORM_MOST), 20L + world.rnd.nextInt(80));
+            case RACES -> {
+                for (int i = 0; i < 5; i++) {
+                    world.at(world.now() + 400L * i, operators::race);
+                }
+            }
+            case ANSWERS_LOST -> {
+                calls.loseAnswers(LOST_PERCENT);
+                world.at(world.now() + span(5_000, 10_000), () -> calls.loseAnswers(0));
+            }
+            default -> throw new IllegalArgumentException(fault.name());
+        }
+    }
+
+    // ---- troubles that take one machine out
+
+    private void takeOut(final ControlFault fault) {
+        switch (fault) {
+            case CUT_OFF, CUT_SENDING, CUT_HEARING, CUT_FROM_CORE, CUT_FROM_HALF, CUT_SEEDS ->
+                cut(fault, controller(), span(9_000, 20_000));
+            case FREEZE -> machines.freeze(counted(), span(500, 15_000));
+            case KILL -> machines.down(counted(), false, span(300, 20_000));
+            case POWER -> machines.down(counted(), true, span(300, 20_000));
+            case REPLACE_CONTROLLER -> machines.replace(controller());
+            case REPLACE_CONTROLLER_ANNOUNCED -> machines.replaceAnnounced(controller());
+            case REUSE_CONTROLLER_ADDRESS -> machines.reuseAddress(controller());
+            case REPLACE_STORAGE -> machines.replace(any(fleet.storages()));
+            case REUSE_STORAGE_ADDRESS -> machines.reuseAddress(any(fleet.storages()));
+            case RETIRE -> retire(() -> {});
+            case RETIRE_THEN_WIPE -> retire(() -> {
+                if (!stopped && machines.free()) {
+                    machines.wipe(any(fleet.storages()), span(300, 3_000));
+                }
+            });
+            case SLOW_DISK -> machines.slowDisk(counted(), span(20, 800), span(3_000, 15_000));
+            case HANGING_DISK -> {
+                final long span = span(3_000, 15_000);
+                machines.slowDisk(counted(), span, span);
+            }
+            case FULL_DISK -> machines.fullDisk(counted(), span(3_000, 10_000));
+            case CLOCK_REPEATS -> machines.clockRepeats(controller(), span(300, 3_000));
+            case ROLLING_RESTART -> machines.rollingRestart(span(400, 1_000));
+            default -> throw new IllegalArgumentException(fault.name());
+        }
+    }
+
+    private void cut(final ControlFault fault, final Proc proc, final long span) {
+        final List<Proc> core = machines.others(proc, fleet.counted());
+        final List<Proc> all = machines.others(proc, List.copyOf(world.procs.values()));
+        switch (fault) {
+            case CUT_OFF -> machines.cutFromCallersToo(proc, span);
+            case CUT_SENDING -> machines.cut(proc, all, SENDING, span);
+            case CUT_HEARING -> machines.cut(proc, all, HEARING, span);
+            case CUT_FROM_CORE -> machines.cut(proc, core, BOTH, span);
+            case CUT_FROM_HALF -> {
+                final List<Proc> half =
+                        core.stream().filter(other -> world.rnd.nextBoolean()).toList();
+                machines.cut(proc, half, BOTH, span);
+            }
+            default -> {
+                machines.cut(proc, core, BOTH, span);
+                startOnSeedsOf(proc);
+            }
+        }
+        operators.race();
+    }
+
+    /** New settings name the one first that is cut off, and fronts start on them. */
+    private void startOnSeedsOf(final Proc proc) {
+        final List<Integer> seeds = new ArrayList<>(List.of(proc.id));
+        machines.others(proc, fleet.controllers()).forEach(other -> seeds.add(other.id));
+        fleet.seeds(seeds.subList(0, ControlFleet.SEEDS));
+        final Proc front = any(world.fronts.stream().map(world.procs::get).toList());
+        world.kill(front, false);
+        world.at(world.now() + span(200, 1_000), () -> world.restart(front));
+    }
+
+    /** One more storage machine comes, an old one is emptied, and is shut down for good once it holds nothing. */
+    private void retire(final Runnable then) {
+        if (world.now() < retiringUntil) {
+            return;
+        }
+        retiringUntil = world.now() + 2 * RETIRE_MS;
+        final Proc leaving = any(fleet.storages());
+        machines.addStorage(leaving.zone);
+        world.at(world.now() + MachineFaults.CATCH_UP_MS, () -> {
+            if (leaving.goneForGood || stopped) {
+                return;
+            }
+            retirements.retire(leaving, world.now() + RETIRE_MS, () -> {
+                retiringUntil = world.now();
+                if (!leaving.goneForGood) {
+                    machines.remove(leaving);
+                }
+                then.run();
+            });
+        });
+    }
+
+    // ---- troubles that come with an order
+
+    @Override
+    public void acknowledged(final Proc by) {
+        if (armed == null || armed == KILL_AFTER_SEND || !machines.free()) {
+            return;
+        }
+        final ControlFault fault = armed;
+        armed = null;
+        final Proc master = fleet.controlMaster();
+        final Proc victim = master == null || world.rnd.nextBoolean() ? by : master;
+        world.at(world.now() + world.rnd.nextInt(5), () -> {
+            switch (fault) {
+                case POWER_AFTER_ACK -> machines.down(victim, true, span(300, 10_000));
+                case WIPE_AFTER_ACK -> machines.wipe(victim, span(300, 10_000));
+                case KILL_ALL -> machines.allDown(false, world.rnd.nextBoolean());
+                default -> machines.allDown(true, true);
+            }
+        });
+    }
+
+    @Override
+    public void sent(final Proc to) {
+        if (armed != KILL_AFTER_SEND || !machines.free()) {
+            return;
+        }
+        armed = null;
+        world.at(world.now() + span(5, 400), () -> {
+            final Proc master = fleet.controlMaster();
+            final Proc victim = master == null || world.rnd.nextBoolean() ? to : master;
+            if (!stopped && machines.free() && !victim.goneForGood) {
+                machines.down(victim, world.rnd.nextBoolean(), span(300, 5_000));
+            }
+        });
+    }
+
+    /**
+     * The day's last failure, right after an acknowledgement: all are killed or lose power, or one loses its disk, now and
+     * then while all others lose power.
+     */
+    void close(final Runnable struck) {
+        final int kind = world.rnd.nextInt(4);
+        world.count("control: closed by kind " + kind);
+        operators.observer(new Operators.Observer() {
+            @Override
+            public void acknowledged(final Proc by) {
+                operators.observer(null);
+                if (kind == 0) {
+                    machines.allDown(false, false);
+                } else if (kind == 1) {
+                    machines.allDown(true, true);
+                } else {
+                    if (kind == 3) {
+                        machines.allDown(true, false);
+                    }
+                    machines.wipe(by, span(300, 3_000));
+                }
+                struck.run();
+            }
+
+            @Override
+            public void sent(final Proc to) {
+                // why: the last failure strikes at an acknowledgement
+            }
+        });
+        operators.order(true);
+    }
+
+    // ---- draws
+
+    private long span(final long least, final long most) {
+        return least + world.rnd.nextLong(most - least);
+    }
+
+    private <T> T any(final List<T> list) {
+        return list.get(world.rnd.nextInt(list.size()));
+    }
+
+    /** The control master in every other draw, else any controller. */
+    private Proc controller() {
+        final Proc master = fleet.controlMaster();
+        return master == null || world.rnd.nextBoolean() ? any(fleet.controllers()) : master;
+    }
+
+    private Proc counted() {
+        return world.rnd.nextInt(3) == 0 ? any(fleet.storages()) : controller();
+    }
+}
--- /dev/null
+++ b/trial/src/main/java/brookpath/trial/sim/ControlFleet.java
@@ -0,0 +1,186 @@
+package brookpath.trial.sim;
+
+import brookpath.coordination.group.Member;
+import brookpath.coordination.node.BailiffNode;
+import brookpath.coordination.node.FrontNode;
+import brookpath.coordination.node.Node;
+import brookpath.coordination.node.StorageNode;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * The processes of a control day: a world's fleet with a fourth controller, settings as the users' machines get them, and
+ * machines that are replaced by empty ones, at another number or at one that was used before.
+ */
+final class ControlFleet {
+    /** How many controllers a settings file names: at the first start, the founders. */
+    static final int SEEDS = 3;
+
+    private static final int WEIGHT = 50;
+    private static final int COPIES = 3;
+    private static final int STORAGES = 4;
+    private static final int TOLERATED_LOSSES = 1;
+    private static final long ROLL_BYTES = 64 << 10;
+    private static final int ID_BITS = 16;
+
+    private final World world;
+    private final Map<Integer, String> names = new HashMap<>();
+    /** The controllers that a settings file names which is written now. */
+    private List<Integer> seeds;
+
+    private int nextController = SEEDS + 1;
+    private int nextStorage;
+    private int machines;
+
+    /** Takes over a world none of whose processes has started yet. */
+    ControlFleet(final World world) {
+        this.world = world;
+        seeds = List.copyOf(world.bailiffs);
+        nextStorage = world.storages.get(world.storages.size() - 1) + 1;
+        for (final int id : world.bailiffs) {
+            world.procs.get(id).maker = this::controllerNode;
+        }
+        for (final int id : world.storages) {
+            names.put(id, nextName());
+            world.procs.get(id).maker = this::storageNode;
+        }
+        for (final int id : world.fronts) {
+            world.procs.get(id).maker = this::frontNode;
+        }
+        addController("d").start();
+    }
+
+    private String nextName() {
+        return "machine-" + ++machines;
+    }
+
+    private Node controllerNode(final Proc proc, final List<byte[]> entries) {
+        // why: only the settings of the very first start name founders, as on the users' machines
+        final boolean first = proc.foundOnStart;
+        final List<Member> founders =
+                first ? seeds.stream().map(id -> new Member(id, WEIGHT, "")).toList() : List.of();
+        final BailiffNode node = new BailiffNode(
+                new brookpath.coordination.spec.Roster.NodeInfo(proc.id, proc.zone, "sim:" + proc.id),
+                founders,
+                seeds,
+                new BailiffNode.Founding(world.groups, COPIES, STORAGES, TOLERATED_LOSSES),
+                world.tempo,
+                world.rnd.nextLong(),
+                firstId(proc),
+                ROLL_BYTES);
+        entries.forEach(entry -> node.replay(entry, proc.time()));
+        return node;
+    }
+
+    private Node storageNode(final Proc proc, final List<byte[]> entries) {
+        final StorageNode node = new StorageNode(
+                proc.id,
+                proc.zone,
+                "sim:" + proc.id,
+                name(proc.id),
+                seeds,
+                world.tempo,
+                TOLERATED_LOSSES,
+                world.rnd.nextLong(),
+                ROLL_BYTES);
+        entries.forEach(entry -> node.replay(entry, proc.time()));
+        return node;
+    }
+
+    private Node frontNode(final Proc proc, final List<byte[]> entries) {
+        return new FrontNode(proc.id, proc.zone, "sim:" + proc.id, "", seeds, world.tempo, firstId(proc));
+    }
+
+    /** Job IDs begin where the time of day stands, as on the users' machines; a clock that steps back repeats them. */
+    private static long firstId(final Proc proc) {
+        return proc.time().wall() << ID_BITS;
+    }
+
+    /** What operators call a storage machine. */
+    String name(final int storage) {
+        return names.get(storage);
+    }
+
+    /** Writes the settings of those that start from now on. */
+    void seeds(final List<Integer> next) {
+        seeds = List.copyOf(next);
+    }
+
+    /** The seeds that name the present controllers. */
+    void freshSeeds() {
+        seeds(world.bailiffs.subList(0, SEEDS));
+    }
+
+    List<Integer> seeds() {
+        return seeds;
+    }
+
+    /** An empty controller at a number that nobody had; it does not run yet. */
+    Proc addController(final String zone) {
+        final Proc added = new Proc(world, nextController++, zone, true, this::controllerNode);
+        world.procs.put(added.id, added);
+        world.bailiffs.add(added.id);
+        return added;
+    }
+
+    /** An empty storage machine at a number that nobody had; it does not run yet. */
+    Proc addStorage(final String zone) {
+        final Proc added = new Proc(world, nextStorage++, zone, true, this::storageNode);
+        names.put(added.id, nextName());
+        world.procs.put(added.id, added);
+        world.storages.add(added.id);
+        return added;
+    }
+
+    /** A machine is gone for good, with its disk. */
+    void remove(final Proc gone) {
+        gone.goneForGood = true;
+        world.kill(gone, true);
+        gone.disk.wipe();
+        world.bailiffs.remove((Integer) gone.id);
+        world.storages.remove((Integer) gone.id);
+    }
+
+    /** From the next start on there is another, empty machine at this number. */
+    void reuseAddress(final Proc gone) {
+        world.kill(gone, true);
+        gone.disk.wipe();
+        if (names.containsKey(gone.id)) {
+            names.put(gone.id, nextName());
+        }
+    }
+
+    boolean isController(final Proc proc) {
+        return world.bailiffs.contains(proc.id);
+    }
+
+    List<Proc> controllers() {
+        return world.bailiffs.stream().map(world.procs::get).toList();
+    }
+
+    List<Proc> storages() {
+        return world.storages.stream().map(world.procs::get).toList();
+    }
+
+    /** The machines with disks, whose loss counts. */
+    List<Proc> counted() {
+        final List<Proc> all = new ArrayList<>(controllers());
+        all.addAll(storages());
+        return all;
+    }
+
+    /** The controller that may act as the control group's master, null for none. */
+    Proc controlMaster() {
+        for (final Proc proc : controllers()) {
+            if (proc.alive
+                    && !proc.frozen()
+                    && proc.node() instanceof BailiffNode node
+                    && node.group().mayAct(proc.mono())) {
+                return proc;
+            }
+        }
+        return null;
+    }
+}
--- /dev/null
+++ b/trial/src/main/java/brookpath/trial/sim/ControlSweep.java
@@ -0,0 +1,67 @@
+package brookpath.trial.sim;
+
+import brookpath.trial.sim.ControlDay.Outcome;
+import brookpath.trial.sim.ControlDay.Plan;
+import java.util.EnumSet;
+import java.util.TreeMap;
+import java.util.stream.LongStream;
+
+/**
+ * Runs many control days outside CI: {@code bin/control-sweep FIRST COUNT [KIND,...]}. The kind {@code EACH} plays the
+ * seeds once for each kind alone. Exits 1 where a rule was broken.
+ */
+public final class ControlSweep {
+    private static final long LENGTH_MS = 120_000;
+    private static final String EACH = "EACH";
+
+    private final long first;
+    private final long count;
+    private long bad;
+
+    private ControlSweep(final long first, final long count) {
+        this.first = first;
+        this.count = count;
+    }
+
+    public static void main(final String[] args) {
+        final ControlSweep sweep = new ControlSweep(
+                args.length > 0 ? Long.parseLong(args[0]) : 1, args.length > 1 ? Long.parseLong(args[1]) : 20);
+        final String kinds = args.length > 2 ? args[2] : "";
+        if (kinds.equals(EACH)) {
+            for (final ControlFault kind : ControlFault.values()) {
+                sweep.play(kind.name(), EnumSet.of(kind), false);
+            }
+        } else {
+            final EnumSet<ControlFault> chosen =
+                    kinds.isEmpty() ? EnumSet.allOf(ControlFault.class) : EnumSet.noneOf(ControlFault.class);
+            for (final String kind : kinds.isEmpty() ? new String[0] : kinds.split(",")) {
+                chosen.add(ControlFault.valueOf(kind));
+            }
+            sweep.play(kinds.isEmpty() ? "all kinds" : kinds, chosen, true);
+        }
+        System.exit(sweep.bad == 0 ? 0 : 1);
+    }
+
+    private void play(final String name, final EnumSet<ControlFault> faults, final boolean inFull) {
+        final TreeMap<String, Integer> rules = new TreeMap<>();
+        final TreeMap<Long, String> seeds = new TreeMap<>();
+        LongStream.range(first, first + count).parallel().forEach(seed -> {
+            final Outcome day = ControlDay.play(new Plan(seed, LENGTH_MS, faults));
+            synchronized (this) {
+                if (!day.good()) {
+                    seeds.put(seed, day.broken() + (day.others().isEmpty() ? "" : " and " + day.others().size() + " others"));
+                    day.broken().forEach((rule, n) -> rules.merge(rule.name(), 1, Integer::sum));
+                }
+                if (inFull && (!day.good() || count == 1)) {
+                    System.out.println(day);
+                }
+                if (count == 1 && inFull) {
+                    day.notes().forEach(System.out::println);
+                }
+            }
+        });
+        bad += seeds.size();
+        System.out.println(name + ": " + count + " seeds, " + seeds.size() + " broken, days by rule " + rules);
+        seeds.forEach((seed, what) -> System.out.println("  seed " + seed + ": " + what));
+    }
+}
--- a/trial/src/main/java/brookpath/trial/sim/Net.java
+++ b/trial/src/main/java/brookpath/trial/sim/Net.java
@@ -15,6 +15,7 @@
     private final FrameCodec codec = new FrameCodec();
     private final Map<Long, Long> lastAt = new HashMap<>();
     private final Set<Long> cuts = new HashSet<>();
+    private final Map<Long, Long> resetAt = new HashMap<>();
     int lossPerMille;
     long extraDelay;
     /** Loss of single links, in one direction. */
@@ -46,6 +47,21 @@
         cuts.clear();
     }
 
+    /** Breaks the session between two processes: what is under way is lost, and both hear of it. */
+    void reset(final Proc one, final Proc other) {
+        breakSession(one, other);
+        breakSession(other, one);
+    }
+
+    private void breakSession(final Proc from, final Proc to) {
+        resetAt.put(link(from.id, to.id), world.now());
+        world.at(world.now() + 1, () -> to.run(p -> p.node.sessionLost(from.id, p.time())));
+    }
+
+    private boolean resetSince(final long link, final long sentAt) {
+        return !resetAt.isEmpty() && resetAt.getOrDefault(link, -1L) >= sentAt;
+    }
+
     /** False where the sender knows at once that nothing left: the other process is not running. */
     boolean send(final Proc from, final int to, final Msg msg) {
         final Proc target = world.procs.get(to);
@@ -70,7 +86,7 @@
         }
         final long at = Math.max(lastAt.getOrDefault(link, 0L), world.now() + delay);
         lastAt.put(link, at);
-        arrive(from, from.life, target, target.life, link, frame, at, 0);
+        arrive(from, from.life, target, target.life, link, frame, at, 0, world.now());
         return true;
     }
 
@@ -82,9 +98,10 @@
             final long link,
             final byte[] frame,
             final long at,
-            final int goes) {
+            final int goes,
+            final long sentAt) {
         world.at(at, () -> {
-            if (!to.alive || to.life != toLife) {
+            if (!to.alive || to.life != toLife || resetSince(link, sentAt)) {
                 return;
             }
             if (cuts.contains(link)) {
@@ -97,7 +114,7 @@
                 }
                 final long again = world.now() + 250;
                 lastAt.merge(link, again, Math::max);
-                arrive(from, fromLife, to, toLife, link, frame, again, goes + 1);
+                arrive(from, fromLife, to, toLife, link, frame, again, goes + 1, sentAt);
                 return;
             }
             to.message(from.id, codec.decode(frame, 0, frame.length));
--- /dev/null
+++ b/trial/src/main/java/brookpath/trial/sim/Operators.java
@@ -0,0 +1,244 @@
+package brookpath.trial.sim;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import brookpath.coordination.message.Response;
+import brookpath.trial.oracle.control.ChangeHistory.Change;
+import brookpath.trial.oracle.control.ControlHistory;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * Operators as the users have them: whole configurations to any controller, several under way at once, each sent again
+ * unchanged, to other machines first, until it has a final answer.
+ */
+final class Operators {
+    /** Hears of acknowledgements and of changes that were just sent, so that failures can strike right then. */
+    interface Observer {
+        void acknowledged(Proc by);
+
+        void sent(Proc to);
+    }
+
+    private static final int MOST_UNDER_WAY = 8;
+    private static final int OK = 200;
+    private static final int CONFLICT = 409;
+    private static final long PAUSE_MS = 100;
+    private static final long LONGEST_PAUSE_MS = 1_000;
+    private static final int TOO_LATE = 408;
+    private static final int TOO_MANY = 429;
+
+    private final World world;
+    private final ControlFleet fleet;
+    private final ControlHistory history;
+    private final ControlCall calls;
+    private final List<Change> acknowledged = new ArrayList<>();
+    private Observer observer;
+    private long newest;
+    private int orders;
+    private int underWay;
+    private boolean quiet;
+
+    Operators(final World world, final ControlFleet fleet, final ControlHistory history, final ControlCall calls) {
+        this.world = world;
+        this.fleet = fleet;
+        this.history = history;
+        this.calls = calls;
+    }
+
+    void observer(final Observer next) {
+        observer = next;
+    }
+
+    /** No new orders; those under way are seen through. */
+    void quiet() {
+        quiet = true;
+    }
+
+    int underWay() {
+        return underWay;
+    }
+
+    long newest() {
+        return newest;
+    }
+
+    /** A final answer ends an order; after any other it is sent again. */
+    static boolean isFinal(final int status) {
+        return status / 100 == 2 || (status / 100 == 4 && status != TOO_LATE && status != TOO_MANY);
+    }
+
+    // ---- orders
+
+    /** An order now and then, two at once on one version, nonsense, an old order once more. */
+    void work(final long every) {
+        if (quiet) {
+            return;
+        }
+        switch (world.rnd.nextInt(10)) {
+            case 0 -> race();
+            case 1 -> order(false);
+            case 2 -> repeat();
+            default -> order(true);
+        }
+        world.at(world.now() + every / 2 + world.rnd.nextLong(every), () -> work(every));
+    }
+
+    /** Two operators make different changes from the same version, at once. */
+    void race() {
+        world.count("control: races");
+        order(true);
+        order(true);
+    }
+
+    /** A change each so often, for so many times. */
+    void storm(final int changes, final long gapMs) {
+        if (changes > 0 && !quiet) {
+            order(true);
+            world.at(world.now() + gapMs, () -> storm(changes - 1, gapMs));
+        }
+    }
+
+    /** One whole configuration on top of the newest version that is known; nothing where eight are under way. */
+    void order(final boolean valid) {
+        if (underWay >= MOST_UNDER_WAY) {
+            world.count("control: orders held back");
+            return;
+        }
+        final String changeId = "order-" + ++orders;
+        final String document = world.callers.document(newest, changeId, true);
+        final String text = valid ? document : document.replace("\"keepingSeconds\":30", "\"keepingSeconds\":-3");
+        final Change change = new Change(changeId, newest, text, valid, world.now());
+        history.changes.sent(change);
+        if (valid) {
+            history.availability.ordered(world.now(), changeId);
+        }
+        underWay++;
+        send(change, anyController(null), 0);
+    }
+
+    /** An order that was acknowledged before is sent once more, as by an operator who did not hear of it. */
+    private void repeat() {
+        if (!acknowledged.isEmpty() && underWay < MOST_UNDER_WAY) {
+            world.count("control: repeats");
+            underWay++;
+            final int at = world.rnd.nextBoolean() ? acknowledged.size() - 1 : world.rnd.nextInt(acknowledged.size());
+            final Change change = acknowledged.get(at);
+            history.availability.ordered(world.now(), change.changeId());
+            send(change, anyController(null), 0);
+        }
+    }
+
+    private void send(final Change change, final Proc to, final int tries) {
+        world.count(tries == 0 ? "control: orders" : "control: orders sent again");
+        calls.call(
+                to,
+                ControlAnswer.CHANGE,
+                change.document().getBytes(UTF_8),
+                change.changeId(),
+                response -> answered(change, to, tries, response));
+        if (observer != null) {
+            observer.sent(to);
+        }
+    }
+
+    private void answered(final Change change, final Proc by, final int tries, final Response response) {
+        if (!isFinal(response.status())) {
+            again(change, by, tries);
+            return;
+        }
+        if (response.status() == OK) {
+            taken(change, ControlAnswer.of(response).version());
+            if (calls.losesAnswer()) {
+                world.count("control: acknowledgements lost");
+                history.availability.finished(change.changeId());
+                again(change, by, tries);
+                return;
+            }
+            acknowledged.add(change);
+            newest = Math.max(newest, ControlAnswer.of(response).version());
+        } else {
+            refused(change, response);
+        }
+        underWay--;
+        history.availability.finished(change.changeId());
+        if (response.status() == OK && observer != null) {
+            observer.acknowledged(by);
+        }
+    }
+
+    private void taken(final Change change, final long version) {
+        history.changes.acknowledged(world.now(), change.changeId(), version);
+        world.callers.confirmed(version, change.changeId());
+    }
+
+    private void refused(final Change change, final Response response) {
+        world.count("control: refused with " + response.status());
+        history.changes.refused(world.now(), change.changeId(), response.status());
+        if (response.status() == CONFLICT) {
+            read(anyController(null));
+        }
+    }
+
+    private void again(final Change change, final Proc last, final int tries) {
+        final long pause = Math.min(LONGEST_PAUSE_MS, PAUSE_MS << Math.min(tries, 4));
+        world.at(
+                world.now() + pause / 2 + world.rnd.nextLong(pause),
+                () -> send(change, anyController(last), tries + 1));
+    }
+
+    /** Any controller that is not known to be gone, the one that was tried last only where there is no other. */
+    private Proc anyController(final Proc last) {
+        final List<Proc> others =
+                fleet.controllers().stream().filter(proc -> proc != last).toList();
+        return others.get(world.rnd.nextInt(others.size()));
+    }
+
+    // ---- reads
+
+    /** Reads from each controller, again and again, also after the last order. */
+    void read(final long every) {
+        fleet.controllers().forEach(this::read);
+        world.at(world.now() + every / 2 + world.rnd.nextLong(every), () -> read(every));
+    }
+
+    private void read(final Proc from) {
+        final long startedAt = world.now();
+        calls.call(from, ControlAnswer.READ, new byte[0], "", response -> {
+            if (response.status() == OK) {
+                final ControlAnswer told = ControlAnswer.of(response);
+                history.availability.served(world.now(), from.id);
+                history.changes.read(
+                        startedAt,
+                        world.now(),
+                        told.version(),
+                        ControlAnswer.changeIdOf(told.document()),
+                        told.document());
+                newest = Math.max(newest, told.version());
+            } else if (response.status() / 100 == 4) {
+                // why: no configuration at all is the oldest one
+                history.changes.read(startedAt, world.now(), 0, "", "");
+            }
+        });
+    }
+
+    /** The last read, from any controller that answers; tried for a while. */
+    void readBack(final int tries) {
+        final long startedAt = world.now();
+        calls.call(anyController(null), ControlAnswer.READ, new byte[0], "", response -> {
+            final ControlAnswer told = ControlAnswer.of(response);
+            if (response.status() == OK) {
+                history.changes.readBack(
+                        startedAt,
+                        world.now(),
+                        told.version(),
+                        ControlAnswer.changeIdOf(told.document()),
+                        told.document());
+            } else if (tries > 0 && !isFinal(response.status())) {
+                world.at(world.now() + LONGEST_PAUSE_MS, () -> readBack(tries - 1));
+            } else {
+                history.changes.readBackFailed(world.now(), response.status());
+            }
+        });
+    }
+}
--- a/trial/src/main/java/brookpath/trial/sim/Proc.java
+++ b/trial/src/main/java/brookpath/trial/sim/Proc.java
@@ -25,7 +25,8 @@
     final int id;
     final TrialDisk disk;
     final String zone;
-    private final BiFunction<Proc, List<byte[]>, Node> maker;
+    /** Makes the node of each life; a fleet of another shape sets its own before the first start. */
+    BiFunction<Proc, List<byte[]>, Node> maker;
 
     Node node;
     private BeatMachine beats;
@@ -43,6 +44,9 @@
     /** Never to come back: the one disk machine that may be lost for good. */
     boolean goneForGood;
 
+    /** When this life began. */
+    long startedAt;
+
     long frozenUntil;
     long syncMs = 2;
     long skew;
@@ -92,6 +96,7 @@
     void start() {
         life++;
         alive = true;
+        startedAt = world.now();
         frozenUntil = 0;
         monoBase = world.rnd.nextInt(1_000_000);
         pending = new ArrayList<>();
