--- a/trial/src/main/java/brookpath/trial/sim/ControlFault.java
+++ b/trial/src/main/java/brookpath/trial/sim/ControlFault.java
@@ -62,13 +62,15 @@
     POWER_ALL,
     /** Hundreds of changes, up to eight at once. */
     STORM,
+    /** Hundreds of invalid changes, and then an acknowledged one once more. */
+    REFUSED_ORDERS,
     /** Pairs of changes made from the same version. */
     RACES,
     /** Seven acknowledgements in ten are lost. */
     ANSWERS_LOST;
 
     /** Kinds that take no counted machine out, so that they may come at any moment. */
-    static final EnumSet<ControlFault> WITHOUT_LOSS = EnumSet.of(CLOCK_STEP, RESETS, STORM, RACES, ANSWERS_LOST);
+    static final EnumSet<ControlFault> WITHOUT_LOSS = EnumSet.of(CLOCK_STEP, RESETS, STORM, REFUSED_ORDERS, RACES, ANSWERS_LOST);
 
     /** Kinds that wait for the next acknowledgement or change. */
     static final EnumSet<ControlFault> ON_AN_ORDER =
--- a/trial/src/main/java/brookpath/trial/sim/MachineFaults.java
+++ b/trial/src/main/java/brookpath/trial/sim/MachineFaults.java
@@ -109,6 +109,7 @@
 
     void cut(final Proc proc, final List<Proc> from, final Direction direction, final long spanMs) {
         out(proc, spanMs);
+        excuseThoseCutFromCore(proc, from, spanMs);
         world.note(proc.id, "is cut off, " + direction + ", for " + spanMs, false);
         for (final Proc other : from) {
             if (direction != Direction.HEARING) {
@@ -121,6 +122,17 @@
         world.at(world.now() + spanMs, world.net::heal);
     }
 
+    /**
+     * A controller is in touch only where it reaches every other that itself reaches more than half of them; whoever is
+     * cut off from such a one is excused.
+     */
+    private void excuseThoseCutFromCore(final Proc proc, final List<Proc> from, final long spanMs) {
+        final List<Proc> cut = from.stream().filter(fleet::isController).toList();
+        if (2 * (fleet.controllers().size() - cut.size()) > fleet.controllers().size()) {
+            cut.forEach(other -> history.availability.excuse(other.id, world.now() + spanMs));
+        }
+    }
+
     void cutFromCallersToo(final Proc proc, final long spanMs) {
         cut(proc, others(proc, List.copyOf(world.procs.values())), Direction.BOTH, spanMs);
         calls.unreachable.add(proc.id);
