--- a/trial/src/main/java/brookpath/trial/sim/ControlFaults.java
+++ b/trial/src/main/java/brookpath/trial/sim/ControlFaults.java
@@ -8,6 +8,7 @@
 import brookpath.trial.oracle.control.ControlHistory;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.Consumer;
 
 /** Brings the troubles of a control day about, each drawn from the day's seed. */
 final class ControlFaults implements Operators.Observer {
@@ -56,7 +57,6 @@
         stopped = true;
         armed = null;
         calls.loseAnswers(0);
-        retirements.stop();
     }
 
     /** Brings this trouble about now, or, where it waits for an order, at the next one; false where it has to wait. */
@@ -80,7 +80,8 @@
         return switch (fault) {
             case STORM, REFUSED_ORDERS -> operators.storming();
             case CLOCK_STEP, RESETS, RACES, ANSWERS_LOST -> world.now() < disturbedUntil;
-            case RETIRE, RETIRE_THEN_WIPE -> world.now() < retiringUntil || !machines.free() || armed != null;
+            case RETIRE, RETIRE_THEN_WIPE, POWER_AFTER_RETIRE ->
+                world.now() < retiringUntil || !machines.free() || armed != null;
             default -> !machines.free() || armed != null;
         };
     }
@@ -125,12 +126,9 @@
             case REUSE_CONTROLLER_ADDRESS -> machines.reuseAddress(controller());
             case REPLACE_STORAGE -> machines.replace(any(fleet.storages()));
             case REUSE_STORAGE_ADDRESS -> machines.reuseAddress(any(fleet.storages()));
-            case RETIRE -> retire(() -> {});
-            case RETIRE_THEN_WIPE -> retire(() -> {
-                if (!stopped && machines.free()) {
-                    machines.wipe(any(fleet.storages()), span(300, 3_000));
-                }
-            });
+            case RETIRE -> retire(by -> {}, () -> {});
+            case RETIRE_THEN_WIPE -> retire(by -> {}, this::wipeAnotherStorage);
+            case POWER_AFTER_RETIRE -> retire(this::powerLossAfter, () -> {});
             case SLOW_DISK -> machines.slowDisk(counted(), span(20, 800), span(3_000, 15_000));
             case HANGING_DISK -> {
                 final long span = span(3_000, 15_000);
@@ -175,7 +173,7 @@
     }
 
     /** One more storage machine comes, an old one is emptied, and is shut down for good once it holds nothing. */
-    private void retire(final Runnable then) {
+    private void retire(final Consumer<Proc> acknowledged, final Runnable then) {
         retiringUntil = world.now() + 2 * RETIRE_MS;
         final Proc leaving = any(fleet.storages());
         machines.addStorage(leaving.zone);
@@ -183,16 +181,38 @@
             if (leaving.goneForGood || stopped) {
                 return;
             }
-            retirements.retire(leaving, world.now() + RETIRE_MS, () -> {
+            final Runnable emptied = () -> {
                 retiringUntil = world.now();
-                if (!leaving.goneForGood) {
+                if (!stopped) {
                     machines.remove(leaving);
+                    then.run();
                 }
-                then.run();
-            });
+            };
+            retirements.retire(new RetireOperator.Retirement(
+                    leaving, fleet.name(leaving.id), world.now() + RETIRE_MS, acknowledged, emptied));
         });
     }
 
+    /** Another counted machine loses its disk, once the order is completed. */
+    private void wipeAnotherStorage() {
+        if (machines.free()) {
+            machines.wipe(any(fleet.storages()), span(300, 3_000));
+        }
+    }
+
+    /** The machine that has just acknowledged, the master behind it, or all machines lose power. */
+    private void powerLossAfter(final Proc by) {
+        if (stopped || !machines.free()) {
+            return;
+        }
+        if (world.rnd.nextBoolean()) {
+            machines.allDown(true, true);
+        } else {
+            final Proc master = fleet.controlMaster();
+            machines.down(master == null ? by : master, true, span(300, 10_000));
+        }
+    }
+
     // ---- troubles that come with an order
 
     @Override
--- a/trial/src/main/java/brookpath/trial/sim/Operators.java
+++ b/trial/src/main/java/brookpath/trial/sim/Operators.java
@@ -169,6 +169,7 @@
 
     private void answered(final Change change, final Proc by, final int tries, final Response response) {
         if (!isFinal(response.status())) {
+            world.note(by.id, change.changeId() + " got no clear answer: " + response, false);
             again(change, by, tries);
             return;
         }
--- a/trial/src/main/java/brookpath/trial/sim/RetireOperator.java
+++ b/trial/src/main/java/brookpath/trial/sim/RetireOperator.java
@@ -2,9 +2,11 @@
 
 import static java.nio.charset.StandardCharsets.UTF_8;
 
+import brookpath.coordination.message.Response;
 import brookpath.trial.oracle.control.ControlHistory;
 import brookpath.trial.oracle.control.RetireHistory.Progress;
 import java.util.List;
+import java.util.function.Consumer;
 
 /** An operator who has storage machines emptied by name, and shuts them down once they hold nothing. */
 final class RetireOperator {
@@ -12,11 +14,19 @@
     private static final int OK = 200;
     private static final int UNKNOWN = 404;
 
+    /**
+     * A machine that is to be emptied.
+     *
+     * @param giveUpAt an order that was not acknowledged by then is not sent again
+     * @param acknowledged runs with the controller that acknowledges the order
+     * @param emptied runs once a caller has been told that the machine holds nothing
+     */
+    record Retirement(Proc storage, String name, long giveUpAt, Consumer<Proc> acknowledged, Runnable emptied) {}
+
     private final World world;
     private final ControlFleet fleet;
     private final ControlHistory history;
     private final ControlCall calls;
-    private boolean stopped;
 
     RetireOperator(final World world, final ControlFleet fleet, final ControlHistory history, final ControlCall calls) {
         this.world = world;
@@ -25,66 +35,80 @@
         this.calls = calls;
     }
 
-    /** Gives up whatever has not been completed. */
-    void stop() {
-        stopped = true;
-    }
-
-    /**
-     * Orders that the machine be emptied, again until that is acknowledged; waits until it is empty.
-     *
-     * @param giveUpAt a machine that cannot be emptied by then is kept
-     * @param emptied runs once a caller has been told that the machine holds nothing
-     */
-    void retire(final Proc storage, final long giveUpAt, final Runnable emptied) {
+    /** Orders that the machine be emptied, again until that is acknowledged; waits until it is empty. */
+    void retire(final Retirement retirement) {
         world.count("control: retirements");
-        order(storage, fleet.name(storage.id), giveUpAt, emptied);
+        order(retirement);
     }
 
-    private void order(final Proc storage, final String name, final long giveUpAt, final Runnable emptied) {
-        if (stopped || world.now() > giveUpAt) {
-            world.count("control: retirements given up");
+    private void order(final Retirement retirement) {
+        if (world.now() > retirement.giveUpAt()) {
+            look(retirement);
             return;
         }
-        final long startedAt = world.now();
-        calls.call(
-                anyController(), ControlAnswer.RETIRE, name.getBytes(UTF_8), String.valueOf(storage.id), response -> {
-                    final boolean taken = response.status() / 100 == 2;
-                    if (taken) {
-                        history.retirements.acknowledged(world.now(), name);
-                    } else if (Operators.isFinal(response.status())) {
-                        world.count("control: retirements refused with " + response.status());
-                        history.retirements.refused(startedAt, world.now(), name, response.status());
-                    }
-                    final Runnable next = taken && !calls.losesAnswer()
-                            ? () -> look(storage, name, giveUpAt, emptied)
-                            : () -> order(storage, name, giveUpAt, emptied);
-                    world.at(world.now() + AGAIN_MS, next);
-                });
+        send(retirement, taken -> {
+            if (taken && !calls.losesAnswer()) {
+                look(retirement);
+            } else {
+                order(retirement);
+            }
+        });
     }
 
-    private void look(final Proc storage, final String name, final long giveUpAt, final Runnable emptied) {
+    /** Sends the order once; the next step comes a while after its answer. */
+    private void send(final Retirement retirement, final Consumer<Boolean> next) {
         final long startedAt = world.now();
-        calls.call(anyController(), ControlAnswer.RETIREMENT, name.getBytes(UTF_8), "", response -> {
-            if (response.status() == OK && ControlAnswer.of(response).empty()) {
-                world.count("control: retirements completed");
-                history.retirements.progress(startedAt, world.now(), name, Progress.COMPLETED);
-                emptied.run();
-                return;
+        final Proc to = anyController();
+        final String subject = String.valueOf(retirement.storage().id);
+        calls.call(to, ControlAnswer.RETIRE, retirement.name().getBytes(UTF_8), subject, response -> {
+            final boolean taken = response.status() / 100 == 2;
+            if (taken) {
+                history.retirements.acknowledged(world.now(), retirement.name());
+                retirement.acknowledged().accept(to);
+            } else if (Operators.isFinal(response.status())) {
+                world.count("control: retirements refused with " + response.status());
+                history.retirements.refused(startedAt, world.now(), retirement.name(), response.status());
             }
-            if (response.status() == OK || response.status() == UNKNOWN) {
-                history.retirements.progress(
-                        startedAt,
-                        world.now(),
-                        name,
-                        response.status() == OK ? Progress.RUNNING : Progress.UNKNOWN);
+            world.at(world.now() + AGAIN_MS, () -> next.accept(taken));
+        });
+    }
+
+    /** Asks how far it is; now and then the order is sent once more, as after a lost acknowledgement. */
+    private void look(final Retirement retirement) {
+        if (retirement.storage().goneForGood
+                || !retirement.name().equals(fleet.name(retirement.storage().id))) {
+            return;
+        }
+        final long startedAt = world.now();
+        final byte[] name = retirement.name().getBytes(UTF_8);
+        calls.call(anyController(), ControlAnswer.RETIREMENT, name, "", response -> {
+            final Progress progress = progress(response);
+            if (progress != null) {
+                history.retirements.progress(startedAt, world.now(), retirement.name(), progress);
             }
-            if (!stopped) {
-                world.at(world.now() + AGAIN_MS, () -> look(storage, name, giveUpAt, emptied));
+            if (progress == Progress.COMPLETED) {
+                world.count("control: retirements completed");
+                retirement.emptied().run();
+                world.at(world.now() + AGAIN_MS, () -> send(retirement, taken -> {}));
+            } else if (progress == Progress.RUNNING && world.rnd.nextInt(4) == 0) {
+                send(retirement, taken -> look(retirement));
+            } else {
+                world.at(world.now() + AGAIN_MS, () -> look(retirement));
             }
         });
     }
 
+    /** How far the retirement is, null where the answer does not say. */
+    private static Progress progress(final Response response) {
+        if (response.status() == UNKNOWN) {
+            return Progress.UNKNOWN;
+        }
+        if (response.status() != OK) {
+            return null;
+        }
+        return ControlAnswer.of(response).empty() ? Progress.COMPLETED : Progress.RUNNING;
+    }
+
     private Proc anyController() {
         final List<Proc> all = fleet.controllers();
         return all.get(world.rnd.nextInt(all.size()));
