--- a/trial/src/main/java/brookpath/trial/oracle/control/Availability.java
+++ b/trial/src/main/java/brookpath/trial/oracle/control/Availability.java
@@ -6,8 +6,8 @@
 import java.util.Map;
 
 /**
- * Whether the control plane answers while the core is settled: no machine of it has been stopped, started, frozen, cut off,
- * joined again, reset, slowed or had its clock stepped for a while.
+ * Whether the control plane answers while the core is settled: no machine of it has been stopped, started, frozen, cut
+ * off, joined again, reset, slowed or had its clock stepped for a while.
  */
 public final class Availability {
     /** The core is settled this long after the last trouble. */
@@ -70,7 +70,9 @@
         if (!settled(now)) {
             return;
         }
-        for (final Iterator<Map.Entry<String, Long>> open = openOrders.entrySet().iterator(); open.hasNext(); ) {
+        for (final Iterator<Map.Entry<String, Long>> open =
+                        openOrders.entrySet().iterator();
+                open.hasNext(); ) {
             final Map.Entry<String, Long> order = open.next();
             final long since = Math.max(order.getValue(), settledSince());
             if (now - since > ACKNOWLEDGE_MS) {
@@ -91,8 +93,7 @@
         final long since = Math.max(Math.max(excused, settledSince()), servedAt.getOrDefault(node, 0L));
         if (now - since > READ_MS) {
             servedAt.put(node, now);
-            violations.add(
-                    now, ControlRule.UNAVAILABLE, "controller " + node + " has served no read since " + since);
+            violations.add(now, ControlRule.UNAVAILABLE, "controller " + node + " has served no read since " + since);
         }
     }
 }
--- a/trial/src/main/java/brookpath/trial/oracle/control/CallHistory.java
+++ b/trial/src/main/java/brookpath/trial/oracle/control/CallHistory.java
@@ -50,8 +50,9 @@
         }
         final boolean otherProcess = answer.node() != call.node() || answer.life() != call.life();
         final boolean otherKind = !answer.kind().isEmpty() && !answer.kind().equals(call.kind());
-        final boolean otherSubject =
-                !answer.kind().isEmpty() && !call.subject().isEmpty() && !answer.subject().equals(call.subject());
+        final boolean otherSubject = !answer.kind().isEmpty()
+                && !call.subject().isEmpty()
+                && !answer.subject().equals(call.subject());
         if (otherProcess || otherKind || otherSubject) {
             violations.add(at, ControlRule.WRONG_ANSWER, "call " + callId + ", " + call + ", was given " + answer);
         }
--- a/trial/src/main/java/brookpath/trial/oracle/control/ChangeHistory.java
+++ b/trial/src/main/java/brookpath/trial/oracle/control/ChangeHistory.java
@@ -9,8 +9,8 @@
 import java.util.TreeMap;
 
 /**
- * Changes of the configuration and reads of it, as their callers saw them. A change whose acknowledgement was lost on its
- * way counts as acknowledged: whoever lost it knows that it was given.
+ * Changes of the configuration and reads of it, as their callers saw them. A change whose acknowledgement was lost on
+ * its way counts as acknowledged: whoever lost it knows that it was given.
  */
 public final class ChangeHistory {
     /** A whole configuration that is to replace the version that it was made from. */
@@ -101,7 +101,9 @@
         final Change change = sent.get(changeId);
         if (change == null || !change.valid()) {
             violations.add(
-                    at, ControlRule.INVALID_IN_FORCE, "version " + version + " reads as " + changeId + ", not a valid order");
+                    at,
+                    ControlRule.INVALID_IN_FORCE,
+                    "version " + version + " reads as " + changeId + ", not a valid order");
             return;
         }
         if (!change.document().equals(document)) {
@@ -143,8 +145,8 @@
                 violations.add(
                         refusal.at(),
                         ControlRule.REFUSED_WITHOUT_CAUSE,
-                        refusal.changeId() + ", based on " + change.basedOn() + ", was refused as stale; the newest ever in force is "
-                                + newestKnown());
+                        refusal.changeId() + ", based on " + change.basedOn()
+                                + ", was refused as stale; the newest ever in force is " + newestKnown());
             } else if (refusal.status() != CONFLICT && change.valid()) {
                 violations.add(
                         refusal.at(),
--- a/trial/src/main/java/brookpath/trial/oracle/control/ControlHistory.java
+++ b/trial/src/main/java/brookpath/trial/oracle/control/ControlHistory.java
@@ -2,7 +2,9 @@
 
 import java.util.Collection;
 
-/** All that callers of the control plane saw in a day, and whether it may be so. Knows nothing of the system's insides. */
+/**
+ * All that callers of the control plane saw in a day, and whether it may be so. Knows nothing of the system's insides.
+ */
 public final class ControlHistory {
     public final ControlViolations violations = new ControlViolations();
     public final ChangeHistory changes = new ChangeHistory(violations);
--- a/trial/src/main/java/brookpath/trial/oracle/control/RetireHistory.java
+++ b/trial/src/main/java/brookpath/trial/oracle/control/RetireHistory.java
@@ -50,8 +50,8 @@
             violations.add(
                     at,
                     ControlRule.RETIREMENT,
-                    "the retirement of " + name + " was taken at " + retirement.takenAt
-                            + ", and refused with " + status + " when it was sent again");
+                    "the retirement of " + name + " was taken at " + retirement.takenAt + ", and refused with " + status
+                            + " when it was sent again");
         }
     }
 
--- a/trial/src/main/java/brookpath/trial/sim/ControlAnswer.java
+++ b/trial/src/main/java/brookpath/trial/sim/ControlAnswer.java
@@ -26,7 +26,8 @@
 
     static ControlAnswer of(final Response response) {
         final JsonObject told = json(response.json());
-        final long version = told.containsKey("version") ? told.getJsonNumber("version").longValue() : 0;
+        final long version =
+                told.containsKey("version") ? told.getJsonNumber("version").longValue() : 0;
         if (told.containsKey("document")) {
             return new ControlAnswer(READ, "", version, document(response.json()), false);
         }
--- a/trial/src/main/java/brookpath/trial/sim/ControlDay.java
+++ b/trial/src/main/java/brookpath/trial/sim/ControlDay.java
@@ -9,9 +9,9 @@
 import java.util.TreeMap;
 
 /**
- * One seeded day for the control plane: four controllers, four storage machines and two fronts in virtual time, operators
- * with up to eight orders under way, troubles one after another, a last one right after an acknowledgement, and a recovery
- * after which everything is read back.
+ * One seeded day for the control plane: four controllers, four storage machines and two fronts in virtual time,
+ * operators with up to eight orders under way, troubles one after another, a last one right after an acknowledgement,
+ * and a recovery after which everything is read back.
  */
 public final class ControlDay {
     private static final Shape SHAPE = new Shape(2, 2, 4, 6, 6, 8, 2);
--- a/trial/src/main/java/brookpath/trial/sim/ControlFault.java
+++ b/trial/src/main/java/brookpath/trial/sim/ControlFault.java
@@ -72,7 +72,8 @@
     ANSWERS_LOST;
 
     /** Kinds that take no counted machine out, so that they may come at any moment. */
-    static final EnumSet<ControlFault> WITHOUT_LOSS = EnumSet.of(CLOCK_STEP, RESETS, STORM, REFUSED_ORDERS, RACES, ANSWERS_LOST);
+    static final EnumSet<ControlFault> WITHOUT_LOSS =
+            EnumSet.of(CLOCK_STEP, RESETS, STORM, REFUSED_ORDERS, RACES, ANSWERS_LOST);
 
     /** Kinds that wait for the next acknowledgement or change. */
     static final EnumSet<ControlFault> ON_AN_ORDER =
--- a/trial/src/main/java/brookpath/trial/sim/ControlFaults.java
+++ b/trial/src/main/java/brookpath/trial/sim/ControlFaults.java
@@ -250,8 +250,8 @@
     }
 
     /**
-     * The day's last failure, right after an acknowledgement: all are killed or lose power, or one loses its disk, now and
-     * then while all others lose power.
+     * The day's last failure, right after an acknowledgement: all are killed or lose power, or one loses its disk, now
+     * and then while all others lose power.
      */
     void close(final Runnable struck) {
         final int kind = world.rnd.nextInt(4);
--- a/trial/src/main/java/brookpath/trial/sim/ControlFleet.java
+++ b/trial/src/main/java/brookpath/trial/sim/ControlFleet.java
@@ -12,8 +12,8 @@
 import java.util.Map;
 
 /**
- * The processes of a control day: a world's fleet with a fourth controller, settings as the users' machines get them, and
- * machines that are replaced by empty ones, at another number or at one that was used before.
+ * The processes of a control day: a world's fleet with a fourth controller, settings as the users' machines get them,
+ * and machines that are replaced by empty ones, at another number or at one that was used before.
  */
 final class ControlFleet {
     /** How many controllers a settings file names: at the first start, the founders. */
--- a/trial/src/main/java/brookpath/trial/sim/ControlSweep.java
+++ b/trial/src/main/java/brookpath/trial/sim/ControlSweep.java
@@ -49,7 +49,12 @@
             final Outcome day = ControlDay.play(new Plan(seed, LENGTH_MS, faults));
             synchronized (this) {
                 if (!day.good()) {
-                    seeds.put(seed, day.broken() + (day.others().isEmpty() ? "" : " and " + day.others().size() + " others"));
+                    seeds.put(
+                            seed,
+                            day.broken()
+                                    + (day.others().isEmpty()
+                                            ? ""
+                                            : " and " + day.others().size() + " others"));
                     day.broken().forEach((rule, n) -> rules.merge(rule.name(), 1, Integer::sum));
                 }
                 if (inFull && (!day.good() || count == 1)) {
--- a/trial/src/main/java/brookpath/trial/sim/MachineFaults.java
+++ b/trial/src/main/java/brookpath/trial/sim/MachineFaults.java
@@ -5,8 +5,8 @@
 import java.util.List;
 
 /**
- * Takes machines down, cuts them off and replaces them: never more than one counted machine at a time. A machine counts as
- * out while it is down, frozen, slowed or cut off, and for a while after it is back.
+ * Takes machines down, cuts them off and replaces them: never more than one counted machine at a time. A machine counts
+ * as out while it is down, frozen, slowed or cut off, and for a while after it is back.
  */
 final class MachineFaults {
     /** A machine counts as out this long after it is back, or after its start if it is new. */
@@ -239,7 +239,8 @@
 
     /** Most sessions between processes break, and those with callers. */
     void resets() {
-        final List<Proc> all = world.procs.values().stream().filter(p -> p.alive).toList();
+        final List<Proc> all =
+                world.procs.values().stream().filter(p -> p.alive).toList();
         for (int i = 0; i < all.size(); i++) {
             for (int j = i + 1; j < all.size(); j++) {
                 if (world.rnd.nextInt(5) != 0) {
--- a/trial/src/main/java/brookpath/trial/sim/RetireOperator.java
+++ b/trial/src/main/java/brookpath/trial/sim/RetireOperator.java
@@ -75,8 +75,7 @@
 
     /** Asks how far it is; now and then the order is sent once more, as after a lost acknowledgement. */
     private void look(final Retirement retirement) {
-        if (retirement.storage().goneForGood
-                || !retirement.name().equals(fleet.name(retirement.storage().id))) {
+        if (retirement.storage().goneForGood || !retirement.name().equals(fleet.name(retirement.storage().id))) {
             return;
         }
         final long startedAt = world.now();
