--- a/trial/src/main/java/brookpath/trial/sim/ControlFault.java
+++ b/trial/src/main/java/brookpath/trial/sim/ControlFault.java
@@ -42,6 +42,8 @@
     RETIRE,
     /** The same, and another counted machine loses its disk as soon as that is completed. */
     RETIRE_THEN_WIPE,
+    /** A storage machine, the leaving one or another, loses its disk right after a retirement is acknowledged. */
+    WIPE_DURING_RETIRE,
     /** The controller that has acknowledged a retirement, or all machines, lose power right then. */
     POWER_AFTER_RETIRE,
     /** A disk takes its time. */
