--- a/trial/src/test/java/brookpath/trial/ControlDayTest.java
+++ b/trial/src/test/java/brookpath/trial/ControlDayTest.java
@@ -26,7 +26,7 @@
  * of its own.
  */
 public final class ControlDayTest {
-    private static final long LENGTH_MS = 45_000;
+    private static final long LENGTH_MS = 60_000;
     /** The length of bin/control-sweep's days, for troubles that need time. */
     private static final long LONG_MS = 120_000;
 
