--- a/trial/src/main/java/brookpath/trial/sim/Proc.java
+++ b/trial/src/main/java/brookpath/trial/sim/Proc.java
@@ -28,7 +28,8 @@
     final int id;
     final TrialDisk disk;
     final String zone;
-    private final BiFunction<Proc, List<byte[]>, Node> maker;
+    /** Makes the node of each life; a fleet of another shape sets its own before the first start. */
+    BiFunction<Proc, List<byte[]>, Node> maker;
 
     Node node;
     private BeatMachine beats;
