A member with a merely slow disk may stand: only one that took nothing for recoverMs / 4 may not

The new obstacle "its disk takes nothing" began at the detection time, 500 ms, and kept members with syncs of 600 ms from standing.

Change: the obstacle has the same bound as the handing over, recoverMs / 4.

Ruled out: a second loss beside the full disk.

Conclusion: a slow disk is not a disk in trouble.

--- a/coordination/src/main/java/brookpath/coordination/group/GroupMachine.java
+++ b/coordination/src/main/java/brookpath/coordination/group/GroupMachine.java
@@ -593,7 +593,7 @@
         if (now - startedAt <= tempo.down()) {
             return "it has just started";
         }
-        if (diskLag(now) > tempo.down()) {
+        if (diskLag(now) > tempo.diskPatience()) {
             return "its disk takes nothing";
         }
         int answering = 1;
