A storage machine that lost its disk goes on retiring; only another name is another machine

Ruled out: taking the new identity for the old machine altogether: its copies count for nothing until they are synced, as before.

--- a/trial/src/main/java/brookpath/trial/sim/Proc.java
+++ b/trial/src/main/java/brookpath/trial/sim/Proc.java
@@ -46,6 +46,8 @@
     long life;
     /** The machine's identity: what the disk keeps, or where there is none, another in each life. */
     private long machine;
+    /** What operators call the machine. */
+    String name;
 
     boolean alive;
     /** Never to come back: the one disk machine that may be lost for good. */
@@ -76,13 +78,14 @@
         this.world = world;
         this.id = id;
         this.zone = zone;
+        name = "machine-" + id;
         this.maker = maker;
         disk = hasDisk ? new TrialDisk() : null;
     }
 
     /** The process as others are told of it. */
     NodeInfo info() {
-        return new NodeInfo(id, zone, "sim:" + id, "machine-" + id, machine);
+        return new NodeInfo(id, zone, "sim:" + id, name, machine);
     }
 
     Time time() {
--- a/trial/src/test/java/brookpath/trial/sim/AddressReuseTest.java
+++ b/trial/src/test/java/brookpath/trial/sim/AddressReuseTest.java
@@ -83,6 +83,7 @@
         proc.disk.wipe();
         world.run(world.now() + 4_000);
         assertEquals(roster().retiring(), List.of(proc.id), "gone is not replaced");
+        proc.name = "another-machine";
         world.restart(proc);
         world.run(world.now() + 4_000);
         assertNotEquals(roster().node(proc.id).machine(), former);
@@ -92,6 +93,21 @@
         assertTrue(((StorageNode) proc.node).client().leased(proc.mono()));
     }
 
+    @Test
+    public void aMachineThatLostItsDiskIsStillLeaving() {
+        final Proc proc = emptied(74);
+        final long former = roster().node(proc.id).machine();
+        world.kill(proc, true);
+        proc.disk.wipe();
+        world.run(world.now() + 1_000);
+        world.restart(proc);
+        world.run(world.now() + 4_000);
+        assertNotEquals(roster().node(proc.id).machine(), former);
+        assertEquals(roster().retiring(), List.of(proc.id), "the order is forgotten with the disk");
+        final Response again = operate("retireNamed", name(proc).getBytes(java.nio.charset.StandardCharsets.UTF_8));
+        assertEquals(again.status(), ACCEPTED, "a repeat is refused: " + again);
+    }
+
     @Test
     public void aMachineThatOnlyRestartsIsStillLeaving() {
         final Proc proc = emptied(72);
