A silent source of a feed is left though topics come and go; a master with a full disk yields sooner

Change: the front counts from the first question that has no answer; a storage machine answers a renewed question by the time of the first. The disk's patience is 3/4 of the delivery bound. Ruled out: avoiding a machine for one group's sake (the machine that was asked was the one that was cut off).

--- a/coordination/src/main/java/brookpath/coordination/Tempo.java
+++ b/coordination/src/main/java/brookpath/coordination/Tempo.java
@@ -143,7 +143,7 @@
 
     /** A member whose disk has taken nothing for this long is not fit to lead. */
     public long diskPatience() {
-        return recoverMs() / 4;
+        return deliverMs * 3 / 4;
     }
 
     public int retryAfterMs() {
--- a/coordination/src/main/java/brookpath/coordination/node/StorageNode.java
+++ b/coordination/src/main/java/brookpath/coordination/node/StorageNode.java
@@ -466,11 +466,21 @@
             }
         }
         if (!serve(from, m, g, !m.hold(), now)) {
-            held.computeIfAbsent(g.id(), k -> new TreeMap<>())
-                    .put(from, new HeldFetch(from, m, now + tempo.fetchHold()));
+            hold(from, m, now);
         }
     }
 
+    /**
+     * A front that asks anew for other topics is answered by the time of its first question, lest it take this node for
+     * silent.
+     */
+    private void hold(final int from, final Fetch fetch, final long now) {
+        final TreeMap<Integer, HeldFetch> ofGroup = held.computeIfAbsent(fetch.group(), k -> new TreeMap<>());
+        final HeldFetch replaced = ofGroup.get(from);
+        final long deadline = replaced == null ? now + tempo.fetchHold() : replaced.horizon;
+        ofGroup.put(from, new HeldFetch(from, fetch, deadline));
+    }
+
     private boolean serve(final int to, final Fetch m, final GroupMachine g, final boolean evenEmpty, final long now) {
         if (m.tail()) {
             out.send(to, new FetchReply(m.jobId(), g.id(), FetchReply.OK, g.accepted(), List.of(), List.of()));
--- a/coordination/src/main/java/brookpath/coordination/node/front/Feed.java
+++ b/coordination/src/main/java/brookpath/coordination/node/front/Feed.java
@@ -28,7 +28,7 @@
     long position = UNKNOWN_POSITION;
     /** The fetch under way; 0 for none. */
     long fetchId;
-    /** The node that was asked last, and when. */
+    /** The node that was asked last, and since when it owes an answer. */
     int source;
 
     long fetchSentAt;
--- a/coordination/src/main/java/brookpath/coordination/node/front/FeedFetcher.java
+++ b/coordination/src/main/java/brookpath/coordination/node/front/FeedFetcher.java
@@ -60,13 +60,15 @@
             feed.fetchId = 0;
             return;
         }
-        send(feed, source, now);
+        // a source that is asked anew for other topics has been silent since it was asked first
+        final boolean stillUnanswered = underWay && !overdue && source == feed.source;
+        send(feed, source, stillUnanswered ? feed.fetchSentAt : now);
     }
 
-    private void send(final Feed feed, final int source, final long now) {
+    private void send(final Feed feed, final int source, final long unansweredSince) {
         feed.fetchId = ids.getAsLong();
         feed.source = source;
-        feed.fetchSentAt = now;
+        feed.fetchSentAt = unansweredSince;
         final List<TopicAt> topics = new ArrayList<>();
         if (feed.sourceToldTopics != source || feed.toldTopicsVersion != feed.topicsVersion) {
             feed.topics().forEach(topic -> topics.add(new TopicAt(topic, 0)));
