Changes of the configuration reach copies and processes as differences, not whole

Change: Delta (state/record) names base and result by length and CRC32C; a record of the control log holds the difference from the newest configuration in the log, an answer to a poll the difference from the version that the poll told of (VersionUpdates: 16 versions, 1 MiB). Cluster metadata in the same way. The whole is the fall-back; a process whose base does not fit asks for it and takes no lease before. Ruled out: Deflate with the former document as dictionary (sees 32 KiB of it); typed differences of spaces and keys (the operator's own document would travel whole all the same).

--- a/coordination/src/main/java/brookpath/coordination/message/Msg.java
+++ b/coordination/src/main/java/brookpath/coordination/message/Msg.java
@@ -211,6 +211,10 @@
     /**
      * For the node that polled, whoever carries it; wall is the fleet's clock, 0 while the control master does not know
      * it yet.
+     *
+     * @param spec the configuration as a difference from the version that the poll told of
+     *     ({@link brookpath.state.record.Delta}), empty where that is the newest
+     * @param roster the cluster metadata in the same way
      */
     record SpecReply(
             long pollId,
--- a/coordination/src/main/java/brookpath/coordination/node/BailiffNode.java
+++ b/coordination/src/main/java/brookpath/coordination/node/BailiffNode.java
@@ -34,6 +34,7 @@
 import brookpath.coordination.spec.SpecReader;
 import brookpath.coordination.spec.StorageSilence;
 import brookpath.coordination.spec.StoredSpec;
+import brookpath.coordination.spec.VersionUpdates;
 import brookpath.state.record.Pack;
 import brookpath.state.record.Rec;
 import jakarta.json.Json;
@@ -110,6 +111,10 @@
     private final GroupMachine group;
     private final ControlMembers controlMembers;
     private final TreeMap<Integer, Poller> pollers = new TreeMap<>();
+    /** The configurations and the cluster metadata as followers get them. */
+    private final VersionUpdates specUpdates = new VersionUpdates();
+
+    private final VersionUpdates rosterUpdates = new VersionUpdates();
     private final Replies replies;
     private final RelayedRequests relayed;
     private final PendingAnswers pending;
@@ -453,6 +458,7 @@
         final StoredSpec spec = spec();
         final Roster roster = roster();
         final boolean news = p.last.specVersion() < spec.version() || p.last.rosterVersion() < roster.version();
+        noteVersions(spec, roster);
         // why: a lease that a predecessor granted may be about to run out, so the first poll is never held
         // why: until it knows the clock, a storage machine accepts nothing
         if (!news
@@ -472,19 +478,30 @@
                         self,
                         group.epoch(),
                         spec.version(),
-                        p.last.specVersion() < spec.version() ? spec.lean() : new byte[0],
+                        specUpdates.since(p.last.specVersion()),
                         roster.version(),
-                        p.last.rosterVersion() < roster.version() ? roster.save() : new byte[0],
+                        rosterUpdates.since(p.last.rosterVersion()),
                         p.last.node(),
                         clock.known() ? clock.wall(now) : 0));
     }
 
+    private void noteVersions(final StoredSpec spec, final Roster roster) {
+        if (!specUpdates.has(spec.version())) {
+            specUpdates.newest(spec.version(), spec.lean());
+        }
+        if (!rosterUpdates.has(roster.version())) {
+            rosterUpdates.newest(roster.version(), roster.save());
+        }
+    }
+
     private void after(final Time time) {
         final long now = time.mono();
         if (!group.mayAct(now)) {
             if (group.role() != GroupMachine.MASTER && dutySince >= 0) {
                 dutySince = -1;
                 pollers.clear();
+                specUpdates.clear();
+                rosterUpdates.clear();
                 clock.clear();
                 usage.clear();
                 masters.clear();
--- a/coordination/src/main/java/brookpath/coordination/node/control/ChangeOrders.java
+++ b/coordination/src/main/java/brookpath/coordination/node/control/ChangeOrders.java
@@ -77,8 +77,8 @@
             return;
         }
         if (appends) {
-            final byte[] body =
-                    ControlState.specBody(changeId, checksum, reading.spec().version(), op.body());
+            final byte[] body = ControlState.specBody(
+                    newest, changeId, checksum, reading.spec().version(), op.body());
             group.append(Rec.CONTROL, body, time.mono(), time.wall());
         }
         final PendingAnswers.Answer answer = at -> {
--- a/coordination/src/main/java/brookpath/coordination/spec/ControlState.java
+++ b/coordination/src/main/java/brookpath/coordination/spec/ControlState.java
@@ -1,6 +1,7 @@
 package brookpath.coordination.spec;
 
 import brookpath.coordination.group.LogState;
+import brookpath.state.record.Delta;
 import brookpath.state.record.Pack;
 import brookpath.state.record.Rec;
 import java.util.ArrayList;
@@ -17,6 +18,9 @@
     public static final int ROSTER = 3;
     public static final int USAGE = 4;
     public static final int DELIVERED = 5;
+    /** A configuration as its difference from the one in the record of a configuration before it. */
+    public static final int SPEC_DELTA = 6;
+
     /** Totals that the platform has not been told yet are kept for as many windows. */
     private static final int KEPT_WINDOWS = 360;
 
@@ -48,13 +52,32 @@
     private final ChangeOutcomes outcomes = new ChangeOutcomes();
     private final Retirements retirements = new Retirements();
 
+    /** A configuration in full. */
     public static byte[] specBody(final String changeId, final long sum, final long version, final byte[] doc) {
+        return specBody(SPEC, changeId, sum, version, doc);
+    }
+
+    /**
+     * A configuration as its difference from the newest one in the log, or in full where that is no longer.
+     *
+     * @param newest what {@link #specAt} gives for the end of the log that the record is appended to
+     */
+    public static byte[] specBody(
+            final StoredSpec newest, final String changeId, final long sum, final long version, final byte[] doc) {
+        final byte[] delta = Delta.between(newest.doc(), doc);
+        return delta.length < doc.length
+                ? specBody(SPEC_DELTA, changeId, sum, version, delta)
+                : specBody(SPEC, changeId, sum, version, doc);
+    }
+
+    private static byte[] specBody(
+            final int kind, final String changeId, final long sum, final long version, final byte[] content) {
         return Pack.writer()
-                .num(SPEC)
+                .num(kind)
                 .str(changeId)
                 .num(sum)
                 .num(version)
-                .bytes(doc)
+                .bytes(content)
                 .done();
     }
 
@@ -134,13 +157,14 @@
             return;
         }
         final Pack in = Pack.reader(rec.body());
-        switch ((int) in.num()) {
-            case SPEC -> {
+        final int kind = (int) in.num();
+        switch (kind) {
+            case SPEC, SPEC_DELTA -> {
                 final String changeId = in.str();
                 final long sum = in.num();
                 final long version = in.num();
-                final byte[] doc = in.bytes();
-                addSpec(rec.lsn(), version, doc);
+                final byte[] content = in.bytes();
+                addSpec(rec.lsn(), version, kind == SPEC ? content : followingNewest(rec, content));
                 outcomes.add(changeId, new ChangeOutcomes.Outcome(rec.lsn(), sum, version));
             }
             case REFUSAL -> {
@@ -162,6 +186,16 @@
         }
     }
 
+    /** The document that a record holds as its difference from the one in the log before it. */
+    private byte[] followingNewest(final Rec rec, final byte[] delta) {
+        try {
+            return Delta.apply(specAt(Long.MAX_VALUE).doc(), delta);
+        } catch (final Delta.MismatchException ex) {
+            // why: the records before this one decide the base, and each stands on a checksum of its own
+            throw new IllegalStateException("configuration record at " + rec.lsn() + ": " + ex.getMessage(), ex);
+        }
+    }
+
     private void addSpec(final long lsn, final long version, final byte[] doc) {
         specs.add(lsn, new StoredSpec(lsn, version, doc));
     }
--- a/coordination/src/main/java/brookpath/coordination/spec/SpecClient.java
+++ b/coordination/src/main/java/brookpath/coordination/spec/SpecClient.java
@@ -6,11 +6,15 @@
 import brookpath.coordination.message.Msg.SpecReply;
 import brookpath.coordination.node.Node.Time;
 import brookpath.coordination.spec.Roster.NodeInfo;
+import brookpath.state.record.Delta;
 import java.util.ArrayList;
 import java.util.List;
 
 /** A data-plane process's side of the spec: asks with the version that it has, and holds the lease on it. */
 public final class SpecClient {
+    /** Told in place of a version, so that the answer brings the whole. */
+    private static final int NOTHING_KNOWN = -1;
+
     private final NodeInfo info;
     private final int self;
     private final int role;
@@ -22,7 +26,14 @@
 
     private Spec spec = Spec.NONE;
     private Roster roster = Roster.NONE;
+    /** Both as they came, for the differences that follow. */
+    private byte[] specBytes = VersionUpdates.NO_NEWS;
+
+    private byte[] rosterBytes = VersionUpdates.NO_NEWS;
     private boolean known;
+    /** A difference did not fit, so the next answer is to bring both whole. */
+    private boolean wantsWhole;
+
     private long leaseUntil = Long.MIN_VALUE;
     private long pollId;
     private long sentAt;
@@ -185,8 +196,8 @@
                         info.zone(),
                         info.address(),
                         info.name(),
-                        known ? spec.version() : -1,
-                        known ? roster.version() : -1,
+                        known && !wantsWhole ? spec.version() : NOTHING_KNOWN,
+                        known && !wantsWhole ? roster.version() : NOTHING_KNOWN,
                         drain,
                         relay,
                         time.wall(),
@@ -228,21 +239,22 @@
             }
             return false;
         }
-        boolean news = !known;
         if (m.specVersion() < spec.version()) {
             // why: a process that has shown a version never goes back, whoever says so
             out.grave("spec went back from " + spec.version() + " to " + m.specVersion());
             return false;
         }
-        if (m.specVersion() > spec.version()) {
-            spec = SpecReader.stored(m.spec(), m.specVersion());
-            news = true;
-        }
-        if (m.rosterVersion() > roster.version()) {
-            roster = Roster.load(m.roster());
-            learn();
-            news = true;
+        final boolean news;
+        try {
+            news = take(m) || !known;
+        } catch (final Delta.MismatchException ex) {
+            // why: no lease without the configuration that it is for; the whole fits whatever there is
+            out.note("asks for the whole configuration: " + ex.getMessage());
+            wantsWhole = true;
+            poll(time);
+            return false;
         }
+        wantsWhole = false;
         known = true;
         askDirectly(m.masterHint());
         // why: the lease runs from when the poll was sent, which is before it was granted
@@ -253,4 +265,22 @@
         poll(time);
         return news;
     }
+
+    /** Takes what is newer in the reply; nothing of it where one part does not fit. True where there was something. */
+    private boolean take(final SpecReply m) throws Delta.MismatchException {
+        final boolean newSpec = m.specVersion() > spec.version();
+        final boolean newRoster = m.rosterVersion() > roster.version();
+        final byte[] nextSpec = newSpec ? Delta.apply(specBytes, m.spec()) : specBytes;
+        final byte[] nextRoster = newRoster ? Delta.apply(rosterBytes, m.roster()) : rosterBytes;
+        if (newSpec) {
+            spec = SpecReader.stored(nextSpec, m.specVersion());
+            specBytes = nextSpec;
+        }
+        if (newRoster) {
+            roster = Roster.load(nextRoster);
+            rosterBytes = nextRoster;
+            learn();
+        }
+        return newSpec || newRoster;
+    }
 }
--- /dev/null
+++ b/trial/src/test/java/brookpath/trial/DeltaTest.java
@@ -0,0 +1,122 @@
+package brookpath.trial;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertThrows;
+import static org.testng.Assert.assertTrue;
+
+import brookpath.state.record.Delta;
+import java.util.Arrays;
+import java.util.Random;
+import org.testng.annotations.Test;
+
+/** Differences between documents: whatever the edits, they give the result they were made for, or nothing. */
+public final class DeltaTest {
+    private static final int ROUNDS = 2_000;
+    private static final int LARGEST = 4_000;
+    private static final int ALPHABET = 4;
+
+    private static byte[] random(final Random rnd, final int length) {
+        final byte[] bytes = new byte[length];
+        for (int i = 0; i < length; i++) {
+            bytes[i] = (byte) ('a' + rnd.nextInt(ALPHABET));
+        }
+        return bytes;
+    }
+
+    /** Removes, inserts, overwrites or moves a piece. */
+    private static byte[] edited(final Random rnd, final byte[] from) {
+        final int at = rnd.nextInt(from.length + 1);
+        final int until = at + rnd.nextInt(Math.min(200, from.length - at) + 1);
+        final byte[] head = Arrays.copyOf(from, at);
+        final byte[] piece = Arrays.copyOfRange(from, at, until);
+        final byte[] tail = Arrays.copyOfRange(from, until, from.length);
+        return switch (rnd.nextInt(4)) {
+            case 0 -> join(head, tail);
+            case 1 -> join(head, random(rnd, rnd.nextInt(200)), piece, tail);
+            case 2 -> join(head, random(rnd, piece.length), tail);
+            default -> join(piece, head, tail);
+        };
+    }
+
+    private static byte[] join(final byte[]... parts) {
+        final byte[] all = new byte[Arrays.stream(parts).mapToInt(p -> p.length).sum()];
+        int at = 0;
+        for (final byte[] part : parts) {
+            System.arraycopy(part, 0, all, at, part.length);
+            at += part.length;
+        }
+        return all;
+    }
+
+    @Test
+    public void editsAreReproduced() throws Delta.MismatchException {
+        final Random rnd = new Random(1);
+        for (int round = 0; round < ROUNDS; round++) {
+            final byte[] base = random(rnd, rnd.nextInt(LARGEST));
+            byte[] result = base;
+            for (int edits = rnd.nextInt(4); edits > 0; edits--) {
+                result = edited(rnd, result);
+            }
+            assertEquals(Delta.apply(base, Delta.between(base, result)), result, "round " + round);
+        }
+    }
+
+    @Test
+    public void aSmallChangeOfALargeDocumentIsSmall() throws Delta.MismatchException {
+        final StringBuilder text = new StringBuilder();
+        for (int i = 0; i < 2_000; i++) {
+            text.append("{\"name\":\"space-").append(i).append("\",\"keepingSeconds\":35},");
+        }
+        final byte[] base = text.toString().getBytes(UTF_8);
+        final byte[] result = text.toString()
+                .replace("space-1000\",\"keepingSeconds\":35", "space-1000\",\"keepingSeconds\":36")
+                .getBytes(UTF_8);
+        final byte[] delta = Delta.between(base, result);
+        assertTrue(delta.length < 40, delta.length + " bytes of " + result.length);
+        assertEquals(Delta.apply(base, delta), result);
+    }
+
+    @Test
+    public void theWholeFitsAnyBase() throws Delta.MismatchException {
+        final byte[] result = random(new Random(2), 1_000);
+        final byte[] whole = Delta.whole(result);
+        assertTrue(Delta.isWhole(whole));
+        assertEquals(Delta.apply(new byte[0], whole), result);
+        assertEquals(Delta.apply(random(new Random(3), 500), whole), result);
+        assertFalse(Delta.isWhole(Delta.between(result, result)));
+        assertFalse(Delta.isWhole(new byte[0]));
+    }
+
+    @Test
+    public void anotherBaseIsRefused() {
+        final Random rnd = new Random(4);
+        final byte[] base = random(rnd, 1_000);
+        final byte[] delta = Delta.between(base, edited(rnd, base));
+        final byte[] other = base.clone();
+        other[500] ^= 1;
+        assertThrows(Delta.MismatchException.class, () -> Delta.apply(other, delta));
+        assertThrows(Delta.MismatchException.class, () -> Delta.apply(new byte[0], delta));
+        assertThrows(Delta.MismatchException.class, () -> Delta.apply(Arrays.copyOf(base, 999), delta));
+    }
+
+    @Test
+    public void aDamagedDifferenceNeverGivesAnotherResult() {
+        final Random rnd = new Random(5);
+        for (int round = 0; round < ROUNDS; round++) {
+            final byte[] base = random(rnd, 1 + rnd.nextInt(300));
+            final byte[] result = edited(rnd, base);
+            final byte[] delta = Delta.between(base, result);
+            final byte[] damaged = rnd.nextBoolean() ? delta.clone() : Arrays.copyOf(delta, rnd.nextInt(delta.length));
+            if (damaged.length == delta.length) {
+                damaged[rnd.nextInt(delta.length)] ^= (byte) (1 << rnd.nextInt(8));
+            }
+            try {
+                assertEquals(Delta.apply(base, damaged), result, "round " + round);
+            } catch (final Delta.MismatchException ex) {
+                assertFalse(ex.getMessage().isEmpty());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/trial/src/test/java/brookpath/trial/sim/ConfigurationUpdatesTest.java
@@ -0,0 +1,188 @@
+package brookpath.trial.sim;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertNotNull;
+import static org.testng.Assert.assertTrue;
+
+import brookpath.coordination.Tempo;
+import brookpath.coordination.action.Action;
+import brookpath.coordination.action.Actions;
+import brookpath.coordination.message.Msg.SpecPoll;
+import brookpath.coordination.message.Msg.SpecReply;
+import brookpath.coordination.message.Response;
+import brookpath.coordination.node.FrontNode;
+import brookpath.coordination.node.Node.Time;
+import brookpath.coordination.spec.ControlState;
+import brookpath.coordination.spec.Roster.NodeInfo;
+import brookpath.coordination.spec.SpecClient;
+import brookpath.coordination.spec.VersionUpdates;
+import brookpath.state.record.Delta;
+import brookpath.state.record.Rec;
+import java.util.List;
+import java.util.Map;
+import org.testng.annotations.Test;
+
+/** Configurations reach the copies of the control log and the processes that follow as differences. */
+public final class ConfigurationUpdatesTest extends ControlScene {
+    private static final int CHANGES = 300;
+    private static final int FURTHER_SPACES = 120;
+    private static final List<String> CARRIERS = List.of("PullReply", "SpecReply");
+    private static final Time NOW = new Time(10_000, 10_000);
+
+    /** A document as the users' operators send it: many spaces, and the whole a second time as its annotation. */
+    private String large(final long basedOn, final String changeId, final int changed) {
+        final StringBuilder further = new StringBuilder("\"spaces\":[");
+        for (int i = 0; i < FURTHER_SPACES; i++) {
+            final int keeping = i == changed % FURTHER_SPACES ? 36 : 35;
+            further.append("{\"name\":\"further-")
+                    .append(i)
+                    .append("\",\"keepingSeconds\":")
+                    .append(keeping)
+                    .append("},");
+        }
+        final String whole = document(basedOn, changeId).replaceFirst("\"spaces\":\\[", further.toString());
+        final String annotation = whole.replace("\\", "\\\\").replace("\"", "\\\"");
+        return whole.substring(0, whole.length() - 1) + ",\"annotation\":\"" + annotation + "\"}";
+    }
+
+    private long changed(final long basedOn, final String changeId, final int which) {
+        final Response response = settled(large(basedOn, changeId, which), changeId);
+        assertEquals(response.status(), 200, response.toString());
+        return version(response);
+    }
+
+    private long carried() {
+        final Map<String, Long> bytes = world.net.crossZoneBytes;
+        return CARRIERS.stream().mapToLong(c -> bytes.getOrDefault(c, 0L)).sum();
+    }
+
+    @Test
+    public void aStormOfChangesCarriesWhatChangedAndNotTheWhole() {
+        begin(61);
+        long version = version(answered(askSpec(master())).response);
+        version = changed(version, "larger", 0);
+        final long before = carried();
+        for (int i = 1; i <= CHANGES; i++) {
+            version = changed(version, "storm-" + i, i);
+        }
+        final long bytes = carried() - before;
+        final long document = large(version, "storm-" + CHANGES, CHANGES).length();
+        System.out.println("MEASURED " + CHANGES + " changes of a document of " + document + " bytes carried " + bytes
+                + " bytes between zones to copies and followers");
+        assertTrue(bytes < CHANGES * document, bytes + " bytes: more than one whole document a change");
+        final long last = version;
+        world.run(world.now() + 2_000);
+        world.procs.values().stream()
+                .filter(p -> p.node instanceof FrontNode)
+                .forEach(p -> assertEquals(((FrontNode) p.node).client().spec().version(), last));
+    }
+
+    @Test
+    public void aNewMasterTellsFollowersOfVersionsThatItNeverTold() {
+        begin(62);
+        long version = version(answered(askSpec(master())).response);
+        for (int i = 0; i < 6; i++) {
+            version = changed(version, "before-" + i, i);
+            world.kill(master(), true);
+            world.run(world.now() + 1_500);
+            others(actingMaster()).forEach(p -> {
+                if (!p.alive) {
+                    world.restart(p);
+                }
+            });
+            version = changed(version, "after-" + i, i + 1);
+        }
+        assertTrue(world.history.violations().isEmpty(), String.join("\n", world.history.violations()));
+    }
+
+    @Test
+    public void theLogHoldsDifferencesAndTheStateWholeDocuments() {
+        final ControlState state = new ControlState();
+        final byte[] first = "x".repeat(1_000).getBytes(UTF_8);
+        final byte[] second = ("x".repeat(500) + "y" + "x".repeat(500)).getBytes(UTF_8);
+        state.apply(record(1, ControlState.specBody(state.specAt(1), "one", 1, 1, first)));
+        final byte[] body = ControlState.specBody(state.specAt(1), "two", 2, 2, second);
+        assertTrue(body.length < 200, "a record of " + body.length + " bytes");
+        state.apply(record(2, body));
+        assertEquals(state.specAt(1).doc(), first);
+        assertEquals(state.specAt(2).doc(), second);
+        final ControlState loaded = new ControlState();
+        loaded.load(state.save());
+        assertEquals(loaded.specAt(2).doc(), second);
+        loaded.apply(record(3, ControlState.specBody(loaded.specAt(2), "three", 3, 3, first)));
+        assertEquals(loaded.specAt(3).doc(), first);
+    }
+
+    private static Rec record(final long lsn, final byte[] body) {
+        return Rec.of(lsn, 1, 0, Rec.CONTROL, body, 0);
+    }
+
+    @Test
+    public void updatesAreFromWhatTheFollowerHas() throws Delta.MismatchException {
+        final VersionUpdates updates = new VersionUpdates();
+        assertEquals(updates.since(0), VersionUpdates.NO_NEWS);
+        for (int version = 1; version <= 40; version++) {
+            updates.newest(version, text(version));
+        }
+        assertEquals(updates.since(40), VersionUpdates.NO_NEWS);
+        assertEquals(updates.since(41), VersionUpdates.NO_NEWS);
+        assertFalse(Delta.isWhole(updates.since(39)));
+        assertEquals(Delta.apply(text(39), updates.since(39)), text(40));
+        assertEquals(Delta.apply(text(25), updates.since(25)), text(40));
+        assertTrue(Delta.isWhole(updates.since(24)), "a version that is told no more");
+        assertTrue(Delta.isWhole(updates.since(-1)), "a follower that knows nothing");
+        updates.clear();
+        assertEquals(updates.since(1), VersionUpdates.NO_NEWS);
+    }
+
+    @Test
+    public void largeVersionsAreFewButTheNewestStays() throws Delta.MismatchException {
+        final VersionUpdates updates = new VersionUpdates();
+        updates.newest(1, new byte[700_000]);
+        updates.newest(2, new byte[800_000]);
+        assertTrue(Delta.isWhole(updates.since(1)));
+        updates.newest(3, new byte[2_000_000]);
+        assertEquals(Delta.apply(new byte[0], updates.since(2)), new byte[2_000_000]);
+    }
+
+    private static byte[] text(final int version) {
+        return ("{\"version\":" + version + ",\"basedOn\":0,\"changeId\":\"change\",\"spaces\":[],\"tenants\":[]"
+                        + " ".repeat(100) + "}")
+                .getBytes(UTF_8);
+    }
+
+    @Test
+    public void aDifferenceThatDoesNotFitIsAskedForWhole() {
+        final Actions out = new Actions();
+        final SpecClient client = new SpecClient(
+                new NodeInfo(31, "a", "sim:31", "", 31), SpecPoll.FRONT, List.of(1), 100, Tempo.DEFAULT, out);
+        client.tick(NOW);
+        assertTrue(client.onReply(reply(poll(out), 1, Delta.whole(text(1))), NOW));
+        assertEquals(client.spec().version(), 1);
+        final SpecPoll second = poll(out);
+        assertEquals(second.specVersion(), 1);
+        assertFalse(client.onReply(reply(second, 2, Delta.between(text(9), text(2))), NOW));
+        assertEquals(client.spec().version(), 1, "a difference from another document was taken");
+        final SpecPoll third = poll(out);
+        assertEquals(third.specVersion(), -1, "the whole was not asked for");
+        assertTrue(client.onReply(reply(third, 2, Delta.whole(text(2))), NOW));
+        assertEquals(client.spec().version(), 2);
+        assertEquals(poll(out).specVersion(), 2);
+    }
+
+    private static SpecPoll poll(final Actions out) {
+        final SpecPoll poll = out.drain().stream()
+                .filter(a -> a instanceof Action.Send s && s.msg() instanceof SpecPoll)
+                .map(a -> (SpecPoll) ((Action.Send) a).msg())
+                .reduce((first, second) -> second)
+                .orElse(null);
+        assertNotNull(poll, "no poll was sent");
+        return poll;
+    }
+
+    private static SpecReply reply(final SpecPoll poll, final long version, final byte[] spec) {
+        return new SpecReply(poll.pollId(), true, 1, 1, version, spec, 0, new byte[0], 31, NOW.wall());
+    }
+}
