--- a/coordination/src/main/java/brookpath/coordination/message/Msg.java
+++ b/coordination/src/main/java/brookpath/coordination/message/Msg.java
@@ -205,7 +205,7 @@
             implements Msg {
         public static final int FRONT = 1;
         public static final int STORAGE = 2;
-        public static final int BAILIFF = 3;
+        public static final int CONTROLLER = 3;
     }
 
     /**
--- a/coordination/src/main/java/brookpath/coordination/node/ControlMembers.java
+++ b/coordination/src/main/java/brookpath/coordination/node/control/ControlMembers.java
@@ -1,4 +1,4 @@
-package brookpath.coordination.node;
+package brookpath.coordination.node.control;
 
 import brookpath.coordination.Tempo;
 import brookpath.coordination.beat.BeatTable;
@@ -19,7 +19,7 @@
  * Keeps the control group's membership up: watches who answers, and as the acting master appends the steps that
  * {@link MembershipPlan} names.
  */
-final class ControlMembers {
+public final class ControlMembers {
     /** When a member was first watched, and when it last failed to answer. */
     private static final class Watched {
         final long since;
@@ -37,7 +37,7 @@
     private final long steadyMs;
     private final TreeMap<Integer, Watched> watched = new TreeMap<>();
 
-    ControlMembers(final int self, final GroupMachine group, final Tempo tempo, final int toleratedLosses) {
+    public ControlMembers(final int self, final GroupMachine group, final Tempo tempo, final int toleratedLosses) {
         this.self = self;
         this.group = group;
         // why: the machine that replaces a dead one may itself be lost soon; timing.md has the arithmetic
@@ -46,7 +46,7 @@
     }
 
     /** Every member watches, so that a new master knows at once who has been gone for how long. */
-    void watch(final BeatTable table, final long now) {
+    public void watch(final BeatTable table, final long now) {
         final Membership membership = group.membership();
         watched.keySet().removeIf(node -> !membership.holds(node));
         members().forEach(m -> {
@@ -67,7 +67,7 @@
      * @param observers controllers that are no members but have asked this master lately
      * @param zones of all controllers that are known
      */
-    boolean advance(
+    public boolean advance(
             final BeatTable table,
             final List<NodeInfo> observers,
             final Map<Integer, String> zones,
--- /dev/null
+++ b/coordination/src/main/java/brookpath/coordination/node/control/ControlStatus.java
@@ -0,0 +1,58 @@
+package brookpath.coordination.node.control;
+
+import brookpath.coordination.group.Member;
+import brookpath.coordination.spec.Roster;
+import brookpath.coordination.spec.Roster.GroupInfo;
+import brookpath.coordination.spec.Roster.NodeInfo;
+import jakarta.json.Json;
+import jakarta.json.JsonArrayBuilder;
+import jakarta.json.JsonObject;
+import jakarta.json.JsonObjectBuilder;
+
+/** The cluster metadata as the status page shows it. */
+public final class ControlStatus {
+    private ControlStatus() {}
+
+    /** Where each topic group lies. */
+    public static JsonArrayBuilder placement(final Roster roster) {
+        final JsonArrayBuilder placed = Json.createArrayBuilder();
+        roster.groups().forEach(g -> placed.add(group(g)));
+        return placed;
+    }
+
+    private static JsonObjectBuilder group(final GroupInfo g) {
+        final JsonArrayBuilder members = Json.createArrayBuilder();
+        g.members().forEach(m -> members.add(member(m)));
+        final JsonArrayBuilder learners = Json.createArrayBuilder();
+        g.membership().learners().forEach(m -> learners.add(m.node()));
+        return Json.createObjectBuilder()
+                .add("group", g.id())
+                .add("groupVersion", g.version())
+                .add("founded", g.founded())
+                .add("members", members)
+                .add("learners", learners);
+    }
+
+    private static JsonObject member(final Member m) {
+        return Json.createObjectBuilder()
+                .add("node", m.node())
+                .add("zone", m.zone())
+                .add("weight", m.weight())
+                .build();
+    }
+
+    /** The storage machines. */
+    public static JsonArrayBuilder storages(final Roster roster) {
+        final JsonArrayBuilder storages = Json.createArrayBuilder();
+        roster.nodes().forEach(n -> storages.add(storage(n)));
+        return storages;
+    }
+
+    private static JsonObject storage(final NodeInfo n) {
+        return Json.createObjectBuilder()
+                .add("node", n.node())
+                .add("zone", n.zone())
+                .add("address", n.address())
+                .build();
+    }
+}
--- a/coordination/src/main/java/brookpath/coordination/spec/MovePlan.java
+++ b/coordination/src/main/java/brookpath/coordination/spec/MovePlan.java
@@ -11,7 +11,7 @@
 import java.util.Set;
 
 /**
- * Which copies are to move, and which masterships: asked by the bailiff again and again, and by the planner, which
+ * Which copies are to move, and which masterships: asked by the controller again and again, and by the planner, which
  * changes nothing. It follows from the roster alone, so that any control master goes on with what another began;
  * nothing of a move is kept but the memberships themselves.
  */
--- a/coordination/src/main/java/brookpath/coordination/spec/Roster.java
+++ b/coordination/src/main/java/brookpath/coordination/spec/Roster.java
@@ -11,7 +11,7 @@
  *
  * @param nodes the storage machines
  * @param retiring nodes that are to be emptied
- * @param bailiffs the control plane's machines, members of the control group or not
+ * @param controllers the control plane's machines, members of the control group or not
  * @param control the control group's members
  */
 public record Roster(
@@ -19,7 +19,7 @@
         List<NodeInfo> nodes,
         List<GroupInfo> groups,
         List<Integer> retiring,
-        List<NodeInfo> bailiffs,
+        List<NodeInfo> controllers,
         Membership control) {
     /**
      * What a saved roster begins with. The first format began with the version, which is never negative; this one adds
@@ -105,13 +105,13 @@
                 List.copyOf(newNodes),
                 List.copyOf(newGroups),
                 List.copyOf(newRetiring),
-                bailiffs,
+                controllers,
                 control);
     }
 
     /** The next version with another control plane. */
-    public Roster with(final List<NodeInfo> newBailiffs, final Membership newControl) {
-        return new Roster(version + 1, nodes, groups, retiring, List.copyOf(newBailiffs), newControl);
+    public Roster with(final List<NodeInfo> newControllers, final Membership newControl) {
+        return new Roster(version + 1, nodes, groups, retiring, List.copyOf(newControllers), newControl);
     }
 
     public NodeInfo node(final int id) {
@@ -132,8 +132,8 @@
         }
         pack.num(retiring.size());
         retiring.forEach(pack::num);
-        pack.num(bailiffs.size());
-        bailiffs.forEach(n -> n.pack(pack));
+        pack.num(controllers.size());
+        controllers.forEach(n -> n.pack(pack));
         return control.pack(pack).done();
     }
 
--- a/coordination/src/main/java/brookpath/coordination/spec/SpecClient.java
+++ b/coordination/src/main/java/brookpath/coordination/spec/SpecClient.java
@@ -19,7 +19,7 @@
     private final int self;
     private final int role;
     /** Whom it may ask: those that the settings name, and those that the roster has told of since. */
-    private List<Integer> bailiffs;
+    private List<Integer> controllers;
 
     private final Tempo tempo;
     private final Actions out;
@@ -50,8 +50,8 @@
     private long clockAhead = Long.MIN_VALUE;
 
     /**
-     * @param info this process as others are told of it; siblings reach a storage machine or a bailiff at its address,
-     *     callers a front
+     * @param info this process as others are told of it; siblings reach a storage machine or a controller at its
+     *     address, callers a front
      * @param firstId where the polls' IDs begin, another place in each life of the process: a reply that a third node
      *     carries may outlive the one that asked, and must grant no lease to its successor
      */
@@ -66,11 +66,11 @@
         self = info.node();
         this.role = role;
         pollId = firstId;
-        bailiffs = seeds.stream().filter(n -> n != self).toList();
+        controllers = seeds.stream().filter(n -> n != self).toList();
         this.tempo = tempo;
         this.out = out;
-        turn = bailiffs.isEmpty() ? 0 : Math.floorMod(self, bailiffs.size());
-        target = bailiffs.isEmpty() ? 0 : bailiffs.get(turn);
+        turn = controllers.isEmpty() ? 0 : Math.floorMod(self, controllers.size());
+        target = controllers.isEmpty() ? 0 : controllers.get(turn);
     }
 
     public Spec spec() {
@@ -139,20 +139,20 @@
     }
 
     private void nextSeed() {
-        if (!bailiffs.isEmpty()) {
-            turn = (turn + 1) % bailiffs.size();
-            target = bailiffs.get(turn);
+        if (!controllers.isEmpty()) {
+            turn = (turn + 1) % controllers.size();
+            target = controllers.get(turn);
         }
     }
 
-    /** Further bailiffs that may be asked, from a log that may be old. */
+    /** Further controllers that may be asked, from a log that may be old. */
     public void suggest(final List<Roster.NodeInfo> more) {
-        final List<Integer> all = new ArrayList<>(bailiffs);
+        final List<Integer> all = new ArrayList<>(controllers);
         more.stream()
                 .map(Roster.NodeInfo::node)
                 .filter(n -> n != self && !all.contains(n))
                 .forEach(all::add);
-        bailiffs = List.copyOf(all);
+        controllers = List.copyOf(all);
         if (target == 0) {
             nextSeed();
         }
@@ -160,7 +160,7 @@
 
     /** The answer that was carried brought the master's address, so that the next poll can go there. */
     private void askDirectly(final int master) {
-        if (masterUnknown && bailiffs.contains(master)) {
+        if (masterUnknown && controllers.contains(master)) {
             relay = false;
             target = master;
         }
@@ -168,18 +168,18 @@
     }
 
     private void learn() {
-        final List<Integer> known = new ArrayList<>(bailiffs);
-        roster.bailiffs().forEach(b -> {
+        final List<Integer> known = new ArrayList<>(controllers);
+        roster.controllers().forEach(b -> {
             if (b.node() != self && !known.contains(b.node())) {
                 known.add(b.node());
             }
         });
         // why: machines of the first days may be gone for good
-        if (!roster.bailiffs().isEmpty()) {
-            known.removeIf(n -> n != target && roster.bailiffs().stream().noneMatch(b -> b.node() == n));
+        if (!roster.controllers().isEmpty()) {
+            known.removeIf(n -> n != target && roster.controllers().stream().noneMatch(b -> b.node() == n));
         }
-        bailiffs = List.copyOf(known);
-        turn = Math.max(0, bailiffs.indexOf(target));
+        controllers = List.copyOf(known);
+        turn = Math.max(0, controllers.indexOf(target));
     }
 
     private void poll(final Time time) {
@@ -223,7 +223,7 @@
         }
         polling = false;
         if (!m.master()) {
-            if (!relay && m.masterHint() != 0 && m.masterHint() != target && bailiffs.contains(m.masterHint())) {
+            if (!relay && m.masterHint() != 0 && m.masterHint() != target && controllers.contains(m.masterHint())) {
                 target = m.masterHint();
                 nextAt = now;
             } else if (!relay && m.masterHint() != 0 && m.masterHint() != target) {
--- a/programs/src/main/java/brookpath/programs/Bailiff.java
+++ b/programs/src/main/java/brookpath/programs/Controller.java
@@ -3,8 +3,8 @@
 import brookpath.programs.boot.Boot;
 
 /** The control plane. */
-public final class Bailiff {
-    private Bailiff() {}
+public final class Controller {
+    private Controller() {}
 
     public static void main(final String[] args) throws Exception {
         // why: Dropwizard brings logback along; SLF4J is to go to tinylog before anything logs
--- a/programs/src/main/java/brookpath/programs/boot/Assembly.java
+++ b/programs/src/main/java/brookpath/programs/boot/Assembly.java
@@ -3,11 +3,12 @@
 import brookpath.coordination.Tempo;
 import brookpath.coordination.action.Action;
 import brookpath.coordination.group.Member;
-import brookpath.coordination.node.BailiffNode;
+import brookpath.coordination.node.ControllerNode;
 import brookpath.coordination.node.FrontNode;
 import brookpath.coordination.node.Node;
 import brookpath.coordination.node.Node.Time;
 import brookpath.coordination.node.StorageNode;
+import brookpath.coordination.node.control.Founding;
 import brookpath.coordination.spec.Roster;
 import brookpath.coordination.spec.Roster.NodeInfo;
 import brookpath.coordination.spec.SpecClient;
@@ -34,14 +35,14 @@
     public enum Role {
         FRONT,
         STORAGE,
-        BAILIFF
+        CONTROLLER
     }
 
     /**
      * @param info this process as others are told of it
-     * @param founders the control group's members at its founding; for a bailiff alone
-     * @param seeds bailiffs that may be asked, with the addresses where siblings reach them
-     * @param found whether this bailiff founds the control group, on an empty folder
+     * @param founders the control group's members at its founding; for a controller alone
+     * @param seeds controllers that may be asked, with the addresses where siblings reach them
+     * @param found whether this controller founds the control group, on an empty folder
      * @param data the data folder; empty where the machine has no disk
      * @param rollBytes a new segment after so much
      * @param threads that carry traffic
@@ -53,7 +54,7 @@
             List<Member> founders,
             Map<Integer, String> seeds,
             Tempo tempo,
-            BailiffNode.Founding founding,
+            Founding founding,
             boolean found,
             String data,
             long rollBytes,
@@ -88,7 +89,7 @@
             throw new IllegalStateException(
                     "the data folder already holds a control log, and the control group is founded only once");
         }
-        final List<Action> first = node instanceof BailiffNode b ? b.start(plan.found, time) : List.of();
+        final List<Action> first = node instanceof ControllerNode b ? b.start(plan.found, time) : List.of();
         final SpecClient client =
                 node instanceof FrontNode f ? f.client() : node instanceof StorageNode n ? n.client() : null;
         final Host host = new Host(
@@ -143,21 +144,21 @@
             case FRONT -> new FrontNode(me, seeds, plan.tempo, firstId);
             case STORAGE ->
                 new StorageNode(me, seeds, plan.tempo, plan.founding.toleratedLosses(), seed, firstId, plan.rollBytes);
-            case BAILIFF ->
-                new BailiffNode(me, plan.founders, seeds, plan.founding, plan.tempo, seed, firstId, plan.rollBytes);
+            case CONTROLLER ->
+                new ControllerNode(me, plan.founders, seeds, plan.founding, plan.tempo, seed, firstId, plan.rollBytes);
         };
     }
 
-    /** Whom the process keeps sessions with: the bailiffs, and from the roster the storage machines. */
+    /** Whom the process keeps sessions with: the controllers, and from the roster the storage machines. */
     private static Map<Integer, String> addresses(final Plan plan, final Node node) {
         final Map<Integer, String> map = new LinkedHashMap<>(plan.seeds);
-        if (node instanceof BailiffNode b) {
+        if (node instanceof ControllerNode b) {
             map.putAll(b.addresses());
         } else {
             final Roster roster = node instanceof FrontNode f
                     ? f.client().roster()
                     : ((StorageNode) node).client().roster();
-            roster.bailiffs().forEach(n -> map.put(n.node(), n.address()));
+            roster.controllers().forEach(n -> map.put(n.node(), n.address()));
             roster.nodes().forEach(n -> map.put(n.node(), n.address()));
         }
         map.remove(plan.info.node());
--- a/programs/src/main/java/brookpath/programs/boot/Boot.java
+++ b/programs/src/main/java/brookpath/programs/boot/Boot.java
@@ -4,8 +4,8 @@
 import static brookpath.programs.settings.Settings.port;
 
 import brookpath.coordination.group.Member;
-import brookpath.coordination.node.BailiffNode;
 import brookpath.coordination.node.Job;
+import brookpath.coordination.node.control.Founding;
 import brookpath.coordination.spec.Roster.NodeInfo;
 import brookpath.programs.boot.Assembly.Role;
 import brookpath.programs.settings.Settings;
@@ -39,10 +39,10 @@
 
     private Boot() {}
 
-    public static void main(final String program, final boolean bailiff, final String[] args) throws Exception {
-        final SettingsReader.Reading reading = SettingsReader.read(args, bailiff);
+    public static void main(final String program, final boolean controller, final String[] args) throws Exception {
+        final SettingsReader.Reading reading = SettingsReader.read(args, controller);
         if (reading.help()) {
-            new HelpFormatter().printHelp(program, SettingsReader.options(bailiff));
+            new HelpFormatter().printHelp(program, SettingsReader.options(controller));
             return;
         }
         if (!reading.findings().isEmpty()) {
@@ -54,15 +54,15 @@
             return;
         }
         try {
-            run(reading.settings(), args, bailiff);
+            run(reading.settings(), args, controller);
         } catch (final IllegalStateException | java.io.UncheckedIOException ex) {
             System.err.println(program + ": " + ex.getMessage());
             System.exit(1);
         }
     }
 
-    private static void run(final Settings s, final String[] args, final boolean bailiff) throws Exception {
-        final Injector injector = Guice.createInjector(new Parts(s, args, bailiff));
+    private static void run(final Settings s, final String[] args, final boolean controller) throws Exception {
+        final Injector injector = Guice.createInjector(new Parts(s, args, controller));
         final Host host = injector.getInstance(Host.class);
         if (!s.siblings().isEmpty()) {
             host.wire().listen(host(s.siblings()), port(s.siblings()));
@@ -72,7 +72,7 @@
         resources.add(injector.getInstance(CommonResource.class));
         if (s.role().equals(Settings.FRONT)) {
             resources.add(injector.getInstance(FrontResource.class));
-        } else if (s.role().equals(Settings.BAILIFF)) {
+        } else if (s.role().equals(Settings.CONTROLLER)) {
             resources.add(injector.getInstance(OperatorResource.class));
         }
         new Web(host(s.http()), port(s.http()), resources).run("server");
@@ -102,18 +102,18 @@
     private static final class Parts extends AbstractModule {
         private final Settings s;
         private final String[] args;
-        private final boolean bailiff;
+        private final boolean controller;
 
-        Parts(final Settings s, final String[] args, final boolean bailiff) {
+        Parts(final Settings s, final String[] args, final boolean controller) {
             this.s = s;
             this.args = args;
-            this.bailiff = bailiff;
+            this.controller = controller;
         }
 
         @Provides
         @Singleton
         SettingsWatch settings(final Host host, final PlatformPoster poster) {
-            return new SettingsWatch(args, bailiff, s, is -> {
+            return new SettingsWatch(args, controller, s, is -> {
                 poster.url(is.platform());
                 host.tell(new Job.Adopt(is.rollBytes()));
             });
@@ -137,19 +137,19 @@
             if (!front) {
                 RingWriter.to(Path.of(s.data(), "ring.log"));
             }
-            final List<Member> founders = bailiff
+            final List<Member> founders = controller
                     ? s.seeds().keySet().stream()
                             .map(n -> new Member(n, 50, ""))
                             .toList()
                     : List.of();
             return Assembly.of(
                     new Assembly.Plan(
-                            front ? Role.FRONT : bailiff ? Role.BAILIFF : Role.STORAGE,
+                            front ? Role.FRONT : controller ? Role.CONTROLLER : Role.STORAGE,
                             new NodeInfo(s.node(), s.zone(), front ? s.http() : s.reachedAs()),
                             founders,
                             s.seeds(),
                             s.tempo(),
-                            new BailiffNode.Founding(s.groups(), s.copies(), s.storages(), s.toleratedLosses()),
+                            new Founding(s.groups(), s.copies(), s.storages(), s.toleratedLosses()),
                             s.found(),
                             front ? "" : s.data(),
                             s.rollBytes(),
--- a/programs/src/main/java/brookpath/programs/settings/Settings.java
+++ b/programs/src/main/java/brookpath/programs/settings/Settings.java
@@ -23,7 +23,7 @@
         String reachedAs) {
     public static final String FRONT = "front";
     public static final String STORAGE = "storage";
-    public static final String BAILIFF = "bailiff";
+    public static final String CONTROLLER = "bailiff";
 
     public static String host(final String address) {
         return address.substring(0, address.lastIndexOf(':'));
--- a/programs/src/main/java/brookpath/programs/settings/SettingsReader.java
+++ b/programs/src/main/java/brookpath/programs/settings/SettingsReader.java
@@ -48,16 +48,16 @@
     public record Reading(Settings settings, List<Finding> findings, boolean help, boolean checkOnly) {}
 
     private final List<Finding> findings = new ArrayList<>();
-    private final boolean bailiff;
+    private final boolean controller;
     private final CommandLine cl;
     private JsonObject file = JsonValue.EMPTY_JSON_OBJECT;
 
-    private SettingsReader(final boolean bailiff, final CommandLine cl) {
-        this.bailiff = bailiff;
+    private SettingsReader(final boolean controller, final CommandLine cl) {
+        this.controller = controller;
         this.cl = cl;
     }
 
-    public static Options options(final boolean bailiff) {
+    public static Options options(final boolean controller) {
         final Options opts = new Options()
                 .addOption(null, "settings", true, "settings file (JSON); flags go over it")
                 .addOption(null, "node", true, "this process's number, unique in the fleet")
@@ -68,21 +68,21 @@
                 .addOption(null, "data", true, "the data folder")
                 .addOption(null, "check", false, "check the settings and stop")
                 .addOption("h", "help", false, "this text");
-        return bailiff
+        return controller
                 ? opts.addOption(
                         null, "found", false, "first start ever: found the control group on an empty data folder")
                 : opts.addOption(null, "role", true, "front or storage");
     }
 
-    public static Reading read(final String[] args, final boolean bailiff) {
-        return read(args, bailiff, null);
+    public static Reading read(final String[] args, final boolean controller) {
+        return read(args, controller, null);
     }
 
     /** The settings file that the flags name, null for none. */
-    public static Path file(final String[] args, final boolean bailiff) {
+    public static Path file(final String[] args, final boolean controller) {
         try {
             final String name =
-                    new DefaultParser().parse(options(bailiff), args).getOptionValue("settings");
+                    new DefaultParser().parse(options(controller), args).getOptionValue("settings");
             return name == null ? null : Path.of(name);
         } catch (final ParseException ex) {
             return null;
@@ -90,14 +90,14 @@
     }
 
     /** @param content what the settings file held when it was looked at, null to look now */
-    static Reading read(final String[] args, final boolean bailiff, final byte[] content) {
+    static Reading read(final String[] args, final boolean controller, final byte[] content) {
         final CommandLine cl;
         try {
-            cl = new DefaultParser().parse(options(bailiff), args);
+            cl = new DefaultParser().parse(options(controller), args);
         } catch (final ParseException ex) {
             return new Reading(null, List.of(new Finding("flags", ex.getMessage())), false, false);
         }
-        final SettingsReader rd = new SettingsReader(bailiff, cl);
+        final SettingsReader rd = new SettingsReader(controller, cl);
         final Settings settings = cl.hasOption("help") ? null : rd.settings(content);
         return new Reading(settings, rd.findings, cl.hasOption("help"), cl.hasOption("check"));
     }
@@ -121,14 +121,14 @@
         }
         for (final String field : file.keySet()) {
             if (!BOTH.contains(field)
-                    && !(bailiff && Set.of("founding", "platform").contains(field))) {
+                    && !(controller && Set.of("founding", "platform").contains(field))) {
                 findings.add(new Finding("/" + field, "unknown field"));
             }
         }
         final int node = (int) num(file, "", "node", 1, 999_999, null);
         final String zone = text("zone", null);
-        final String role = bailiff ? Settings.BAILIFF : text("role", null);
-        if (!bailiff && !role.isEmpty() && !role.equals(Settings.FRONT) && !role.equals(Settings.STORAGE)) {
+        final String role = controller ? Settings.CONTROLLER : text("role", null);
+        if (!controller && !role.isEmpty() && !role.equals(Settings.FRONT) && !role.equals(Settings.STORAGE)) {
             findings.add(new Finding(place("role"), "must be \"front\" or \"storage\""));
         }
         final String siblings = address("siblings", role.equals(Settings.FRONT) ? "" : null);
@@ -136,10 +136,10 @@
         final boolean disk = !role.equals(Settings.FRONT);
         final String data = text("data", disk ? null : "");
         final Map<Integer, String> seeds = seeds();
-        if (bailiff && node > 0 && !seeds.isEmpty() && !seeds.containsKey(node)) {
+        if (controller && node > 0 && !seeds.isEmpty() && !seeds.containsKey(node)) {
             findings.add(new Finding(place("seeds"), "a bailiff must be among the seeds; node " + node + " is not"));
         }
-        if (!bailiff && seeds.containsKey(node)) {
+        if (!controller && seeds.containsKey(node)) {
             findings.add(new Finding(place("node"), "node " + node + " is one of the seeds"));
         }
         final JsonObject bounds = object("bounds", Set.of("deliverMs", "recoverMs", "changeMs", "windowMs"));
--- a/programs/src/main/java/brookpath/programs/settings/SettingsWatch.java
+++ b/programs/src/main/java/brookpath/programs/settings/SettingsWatch.java
@@ -22,7 +22,7 @@
 public final class SettingsWatch implements SettingsReport {
     private final Path file;
     private final String[] args;
-    private final boolean bailiff;
+    private final boolean controller;
     private final Consumer<Settings> taker;
     private volatile Settings inForce;
     private volatile List<Finding> findings = List.of();
@@ -32,12 +32,12 @@
 
     /** @param args as the process was started; without a settings file among them there is nothing to look after */
     public SettingsWatch(
-            final String[] args, final boolean bailiff, final Settings inForce, final Consumer<Settings> taker) {
+            final String[] args, final boolean controller, final Settings inForce, final Consumer<Settings> taker) {
         this.args = args;
-        this.bailiff = bailiff;
+        this.controller = controller;
         this.inForce = inForce;
         this.taker = taker;
-        file = SettingsReader.file(args, bailiff);
+        file = SettingsReader.file(args, controller);
         judged = content();
         last = judged;
     }
@@ -67,7 +67,7 @@
                                 List.of(new Finding(file.toString(), "is gone; the next start needs it")),
                                 false,
                                 false)
-                        : SettingsReader.read(args, bailiff, now));
+                        : SettingsReader.read(args, controller, now));
         return true;
     }
 
--- a/tools/src/main/java/brookpath/tools/creelcheck/CreelCheck.java
+++ b/tools/src/main/java/brookpath/tools/creelcheck/CreelCheck.java
@@ -6,7 +6,7 @@
 import brookpath.coordination.action.Actions;
 import brookpath.coordination.beat.Pledges;
 import brookpath.coordination.group.GroupMachine;
-import brookpath.coordination.node.BailiffNode;
+import brookpath.coordination.node.ControllerNode;
 import brookpath.coordination.spec.ControlState;
 import brookpath.coordination.spec.StoredSpec;
 import brookpath.coordination.topic.TopicState;
@@ -168,7 +168,7 @@
                                         Tempo.DEFAULT,
                                         1,
                                         0,
-                                        () -> id == BailiffNode.CONTROL
+                                        () -> id == ControllerNode.CONTROL
                                                 ? new ControlState()
                                                 : new TopicState(t -> Long.MAX_VALUE, Tempo.DEFAULT.windowMs()),
                                         new Pledges(0),
--- a/tools/src/main/java/brookpath/tools/plan/Plan.java
+++ b/tools/src/main/java/brookpath/tools/plan/Plan.java
@@ -32,7 +32,7 @@
 
 /**
  * Tells what a retiring, a drain or a change would do, step by step, or why it would not be done. Changes nothing; the
- * code that decides is the bailiff's own. Exit 0: it can be done. 1: it would be refused, or something could not be
+ * code that decides is the controller's own. Exit 0: it can be done. 1: it would be refused, or something could not be
  * reached or read. 2: wrong arguments.
  */
 public final class Plan {
@@ -261,7 +261,7 @@
         final Spec present = version == 0
                 ? Spec.NONE
                 : SpecReader.stored(now.getJsonObject("document").toString().getBytes(UTF_8), version);
-        // the bailiff's floor follows from the copies and from one machine that may be lost, as its settings have
+        // the controller's floor follows from the copies and from one machine that may be lost, as its settings have
         // it by default
         final SpecReader.Reading r =
                 SpecReader.read(doc, version + 1, new SpecReader.Limits(copies, Copies.floor(copies, 1)), present);
--- a/transport/src/main/java/brookpath/transport/http/OperatorResource.java
+++ b/transport/src/main/java/brookpath/transport/http/OperatorResource.java
@@ -18,7 +18,7 @@
 import java.io.InputStream;
 import java.util.concurrent.CompletionStage;
 
-/** What operators ask of any bailiff. docs/operators/operator-interface.md shows it with examples. */
+/** What operators ask of any controller. docs/operators/operator-interface.md shows it with examples. */
 @Path("/v1")
 @Produces(APPLICATION_JSON)
 public final class OperatorResource {
--- a/transport/src/main/java/brookpath/transport/http/PlatformPoster.java
+++ b/transport/src/main/java/brookpath/transport/http/PlatformPoster.java
@@ -19,7 +19,7 @@
     private final HttpClient http;
     private volatile URI uri;
 
-    /** @param url empty where there is no platform to tell: totals can be read from a bailiff */
+    /** @param url empty where there is no platform to tell: totals can be read from a controller */
     public PlatformPoster(final String url, final long horizonMs) {
         url(url);
         horizon = Duration.ofMillis(horizonMs);
--- a/trial/src/main/java/brookpath/trial/fleet/Fleet.java
+++ b/trial/src/main/java/brookpath/trial/fleet/Fleet.java
@@ -63,7 +63,7 @@
     public final class Unit {
         public final int node;
         public final String zone;
-        public final boolean bailiff;
+        public final boolean controller;
         public final int httpPort;
         private final int peerPort;
         private final int callersPort;
@@ -76,7 +76,7 @@
             this.zone = zone;
             this.httpPort = httpPort;
             this.peerPort = peerPort;
-            bailiff = role.equals("bailiff");
+            controller = role.equals("bailiff");
             callersPort = relay == null || !role.equals("front") ? httpPort : relay.open(node, httpPort, false);
             settings = folder.resolve(role + "-" + node + ".json");
             Files.writeString(settings, settingsJson(role));
@@ -84,20 +84,20 @@
 
         private String settingsJson(final String role) throws InterruptedException {
             final StringBuilder json = new StringBuilder("{\"node\":" + node + ",\"zone\":\"" + zone + "\"");
-            if (!bailiff) {
+            if (!controller) {
                 json.append(",\"role\":").append(quoted(role));
             }
             if (peerPort > 0) {
                 json.append(",\"siblings\":").append(quoted(HOST + ":" + peerPort));
                 json.append(",\"data\":").append(quoted(folder.resolve("data-" + node)));
-                if (relay != null && !bailiff) {
+                if (relay != null && !controller) {
                     final int relayPort = relay.open(node, peerPort, true);
                     json.append(",\"reachedAs\":").append(quoted(HOST + ":" + relayPort));
                 }
             }
             json.append(",\"http\":").append(quoted(HOST + ":" + httpPort));
             json.append(",\"seeds\":[").append(seeds()).append(']');
-            if (bailiff) {
+            if (controller) {
                 json.append(",\"founding\":{\"groups\":16,\"copies\":3,\"storages\":4}");
                 json.append(platform.isEmpty() ? "" : ",\"platform\":" + quoted(platform));
             }
@@ -132,7 +132,7 @@
                     "java.base/jdk.internal.misc=ALL-UNNAMED",
                     "-cp",
                     System.getProperty("surefire.test.class.path", System.getProperty("java.class.path")),
-                    bailiff ? "brookpath.programs.Bailiff" : "brookpath.programs.Creel",
+                    controller ? "brookpath.programs.Controller" : "brookpath.programs.Creel",
                     "--settings",
                     settings.toString()));
             if (found) {
@@ -271,7 +271,7 @@
     public void start() throws IOException {
         // a data folder that is there already belongs to a control group that was founded
         for (final Unit u : units.values()) {
-            u.start(u.bailiff && !Files.exists(folder.resolve("data-" + u.node)));
+            u.start(u.controller && !Files.exists(folder.resolve("data-" + u.node)));
         }
     }
 
--- a/trial/src/main/java/brookpath/trial/fleet/FleetDay.java
+++ b/trial/src/main/java/brookpath/trial/fleet/FleetDay.java
@@ -113,13 +113,13 @@
 
     /** Storage machines most of all, and never while another machine is away. */
     private Fleet.Unit victim() {
-        final List<Fleet.Unit> bailiffs =
-                fleet.units().values().stream().filter(unit -> unit.bailiff).toList();
+        final List<Fleet.Unit> controllers =
+                fleet.units().values().stream().filter(unit -> unit.controller).toList();
         final int kind = random.nextInt(10);
         if (kind < 5) {
             return any(fleet.storages());
         }
-        return any(kind < 8 ? bailiffs : fleet.fronts());
+        return any(kind < 8 ? controllers : fleet.fronts());
     }
 
     private void strike(final Strike kind) throws IOException, InterruptedException {
--- a/trial/src/main/java/brookpath/trial/oracle/UsageBook.java
+++ b/trial/src/main/java/brookpath/trial/oracle/UsageBook.java
@@ -7,8 +7,8 @@
 import java.util.function.Predicate;
 
 /**
- * What the platform was told, per window, against what the senders know, the clock on the wall, and what each bailiff
- * would tell.
+ * What the platform was told, per window, against what the senders know, the clock on the wall, and what each
+ * controller would tell.
  */
 public final class UsageBook {
     /** How far the fleet's clock may be from the true one. */
@@ -54,7 +54,7 @@
         }
     }
 
-    /** What one bailiff holds as a window's total, posted or not: all must hold the same, at all times. */
+    /** What one controller holds as a window's total, posted or not: all must hold the same, at all times. */
     public void agrees(
             final long now,
             final String where,
--- a/trial/src/main/java/brookpath/trial/sim/Callers.java
+++ b/trial/src/main/java/brookpath/trial/sim/Callers.java
@@ -223,9 +223,10 @@
     }
 
     /** One that takes connections at all. */
-    private Proc anyBailiff() {
-        final List<Integer> from =
-                world.bailiffs.stream().filter(id -> world.procs.get(id).alive).toList();
+    private Proc anyController() {
+        final List<Integer> from = world.controllers.stream()
+                .filter(id -> world.procs.get(id).alive)
+                .toList();
         return world.procs.get(from.isEmpty() ? 1 : from.get(world.rnd.nextInt(from.size())));
     }
 
@@ -508,9 +509,9 @@
         return document(basedOn, changeId, withGuest ? SHAKY : List.of("half"));
     }
 
-    /** Hands a document to any bailiff, again and again under the same ID until it gets a final outcome. */
+    /** Hands a document to any controller, again and again under the same ID until it gets a final outcome. */
     void change(final String doc, final String changeId, final Consumer<Response> then) {
-        final Proc p = anyBailiff();
+        final Proc p = anyController();
         final long at = world.now();
         ask(p, id -> new Job.Operate(id, "change", doc.getBytes(UTF_8)), r -> {
             service.asked("change", at, r.status() == 200 || (r.status() >= 400 && r.status() < 500));
@@ -542,7 +543,7 @@
         if (quiet) {
             return;
         }
-        final Proc p = anyBailiff();
+        final Proc p = anyController();
         ask(p, id -> new Job.Operate(id, "spec", new byte[0]), r -> {
             if (r.status() == 200 && !quiet) {
                 final long version = json(r.json()).getInt("version");
@@ -568,7 +569,7 @@
 
     /** An operator's job that nobody waits for. */
     void operate(final String kind, final byte[] body) {
-        ask(anyBailiff(), id -> new Job.Operate(id, kind, body), r -> world.count(kind + " said " + r.status()));
+        ask(anyController(), id -> new Job.Operate(id, kind, body), r -> world.count(kind + " said " + r.status()));
     }
 
     /** One change that takes keys away or gives them back, by chance. */
@@ -599,7 +600,7 @@
     }
 
     void readSpec(final Consumer<Response> then) {
-        final Proc p = anyBailiff();
+        final Proc p = anyController();
         ask(p, id -> new Job.Operate(id, "spec", new byte[0]), then);
     }
 
--- a/trial/src/main/java/brookpath/trial/sim/ControlFleet.java
+++ b/trial/src/main/java/brookpath/trial/sim/ControlFleet.java
@@ -1,10 +1,11 @@
 package brookpath.trial.sim;
 
 import brookpath.coordination.group.Member;
-import brookpath.coordination.node.BailiffNode;
+import brookpath.coordination.node.ControllerNode;
 import brookpath.coordination.node.FrontNode;
 import brookpath.coordination.node.Node;
 import brookpath.coordination.node.StorageNode;
+import brookpath.coordination.node.control.Founding;
 import brookpath.coordination.spec.Roster.NodeInfo;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -41,8 +42,8 @@
     /** Takes over a world none of whose processes has started yet. */
     ControlFleet(final World world) {
         this.world = world;
-        seeds = List.copyOf(world.bailiffs);
-        for (final int id : world.bailiffs) {
+        seeds = List.copyOf(world.controllers);
+        for (final int id : world.controllers) {
             world.procs.get(id).maker = this::controllerNode;
         }
         for (final int id : world.storages) {
@@ -65,11 +66,11 @@
         final boolean first = proc.foundOnStart;
         final List<Member> founders =
                 first ? seeds.stream().map(id -> new Member(id, WEIGHT, "")).toList() : List.of();
-        final BailiffNode node = new BailiffNode(
+        final ControllerNode node = new ControllerNode(
                 info(proc, ""),
                 founders,
                 seeds,
-                new BailiffNode.Founding(world.groups, COPIES, STORAGES, TOLERATED_LOSSES),
+                new Founding(world.groups, COPIES, STORAGES, TOLERATED_LOSSES),
                 world.tempo,
                 world.rnd.nextLong(),
                 firstId(),
@@ -122,14 +123,14 @@
 
     /** The seeds that name the present controllers. */
     void freshSeeds() {
-        seeds(world.bailiffs.subList(0, SEEDS));
+        seeds(world.controllers.subList(0, SEEDS));
     }
 
     /** An empty controller at a number that nobody had; it does not run yet. */
     Proc addController(final String zone) {
         final Proc added = new Proc(world, nextController++, zone, true, this::controllerNode);
         world.procs.put(added.id, added);
-        world.bailiffs.add(added.id);
+        world.controllers.add(added.id);
         world.wellness.down(added);
         return added;
     }
@@ -149,7 +150,7 @@
         gone.goneForGood = true;
         world.kill(gone, true);
         gone.disk.wipe();
-        world.bailiffs.remove((Integer) gone.id);
+        world.controllers.remove((Integer) gone.id);
         world.storages.remove((Integer) gone.id);
     }
 
@@ -163,11 +164,11 @@
     }
 
     boolean isController(final Proc proc) {
-        return world.bailiffs.contains(proc.id);
+        return world.controllers.contains(proc.id);
     }
 
     List<Proc> controllers() {
-        return world.bailiffs.stream().map(world.procs::get).toList();
+        return world.controllers.stream().map(world.procs::get).toList();
     }
 
     List<Proc> storages() {
@@ -186,7 +187,7 @@
         for (final Proc proc : controllers()) {
             if (proc.alive
                     && !proc.frozen()
-                    && proc.node() instanceof BailiffNode node
+                    && proc.node() instanceof ControllerNode node
                     && node.group().mayAct(proc.mono())) {
                 return proc;
             }
--- a/trial/src/main/java/brookpath/trial/sim/CrashPoint.java
+++ b/trial/src/main/java/brookpath/trial/sim/CrashPoint.java
@@ -5,7 +5,7 @@
 import brookpath.coordination.action.Action;
 import brookpath.coordination.group.GroupMachine;
 import brookpath.coordination.message.Msg;
-import brookpath.coordination.node.BailiffNode;
+import brookpath.coordination.node.ControllerNode;
 import brookpath.coordination.node.Node;
 import brookpath.coordination.node.StorageNode;
 import brookpath.coordination.spec.ControlState;
@@ -72,7 +72,7 @@
             for (int g = 0; g < groups; g++) {
                 sum += s.group(g) == null ? 0 : of(s.group(g));
             }
-        } else if (node instanceof BailiffNode b) {
+        } else if (node instanceof ControllerNode b) {
             sum = of(b.group());
         }
         return sum;
--- a/trial/src/main/java/brookpath/trial/sim/Day.java
+++ b/trial/src/main/java/brookpath/trial/sim/Day.java
@@ -3,7 +3,7 @@
 import static java.nio.charset.StandardCharsets.UTF_8;
 
 import brookpath.coordination.group.GroupMachine;
-import brookpath.coordination.node.BailiffNode;
+import brookpath.coordination.node.ControllerNode;
 import brookpath.coordination.node.Job;
 import brookpath.coordination.node.StorageNode;
 import brookpath.state.record.Pack;
@@ -232,7 +232,7 @@
         for (int i = 0; i < 200 && (p == null || !othersWell(p)); i++) {
             // why: never two at a time; the last failure's victim is waited for
             world.run(world.now() + 100);
-            p = world.rnd.nextInt(3) == 0 ? any(world.bailiffs) : owner();
+            p = world.rnd.nextInt(3) == 0 ? any(world.controllers) : owner();
         }
         if (p != null && othersWell(p)) {
             world.count("gone for good");
@@ -335,7 +335,7 @@
         }
     }
 
-    // ---- failures: never more than one storage machine and one bailiff out at a time, as the users must survive
+    // ---- failures: never more than one storage machine and one controller out at a time, as the users must survive
 
     private Proc any(final List<Integer> of) {
         return world.procs.get(of.get(world.rnd.nextInt(of.size())));
@@ -343,12 +343,12 @@
 
     private Proc victim() {
         final int kind = world.rnd.nextInt(10);
-        return kind < 6 ? any(world.storages) : kind < 8 ? any(world.bailiffs) : any(world.fronts);
+        return kind < 6 ? any(world.storages) : kind < 8 ? any(world.controllers) : any(world.fronts);
     }
 
     private boolean othersWell(final Proc p) {
-        final List<Integer> kin = world.bailiffs.contains(p.id)
-                ? world.bailiffs
+        final List<Integer> kin = world.controllers.contains(p.id)
+                ? world.controllers
                 : world.storages.contains(p.id) ? world.storages : world.fronts;
         for (final int id : kin) {
             final Proc other = world.procs.get(id);
@@ -368,7 +368,7 @@
                 }
             }
         }
-        return p.node() instanceof BailiffNode b && b.group().lost();
+        return p.node() instanceof ControllerNode b && b.group().lost();
     }
 
     private void back(final Proc p, final long after) {
@@ -580,9 +580,9 @@
     }
 
     private Proc controlMaster() {
-        for (final int id : world.bailiffs) {
+        for (final int id : world.controllers) {
             final Proc p = world.procs.get(id);
-            if (p.alive && !p.frozen() && ((BailiffNode) p.node()).group().mayAct(p.mono())) {
+            if (p.alive && !p.frozen() && ((ControllerNode) p.node()).group().mayAct(p.mono())) {
                 return p;
             }
         }
@@ -602,7 +602,7 @@
                 }
             } else if (p.alive
                     && !p.frozen()
-                    && p.node() instanceof BailiffNode b
+                    && p.node() instanceof ControllerNode b
                     && b.group().mayAct(p.mono())) {
                 owners.add(p);
             }
--- a/trial/src/main/java/brookpath/trial/sim/Platform.java
+++ b/trial/src/main/java/brookpath/trial/sim/Platform.java
@@ -3,7 +3,7 @@
 import static java.nio.charset.StandardCharsets.UTF_8;
 
 import brookpath.coordination.action.Action;
-import brookpath.coordination.node.BailiffNode;
+import brookpath.coordination.node.ControllerNode;
 import brookpath.coordination.node.Job;
 import brookpath.coordination.node.usage.PostOutcome;
 import brookpath.coordination.spec.ControlState;
@@ -55,7 +55,7 @@
 
     /** What is posted is in the control log and accepted there: a successor must not be able to total anew. */
     private void logged(final Proc from, final Action.Post post) {
-        final BailiffNode b = (BailiffNode) from.node;
+        final ControllerNode b = (ControllerNode) from.node;
         final long window = Long.parseLong(post.key());
         for (final ControlState.Window w : ((ControlState) b.group().live()).windows()) {
             if (w.window() == window && w.lsn() <= b.group().accepted()) {
@@ -83,13 +83,13 @@
         }
     }
 
-    /** Every so often: reports are punctual, and every bailiff that knows a window's total knows the same. */
+    /** Every so often: reports are punctual, and every controller that knows a window's total knows the same. */
     void watch() {
         final long excused = Math.max(troubleUntil, world.wellness.noControlUntil());
         world.history.usage.punctual(
                 world.now(), world.callers.tenants(), world.tempo.windowMs(), Math.min(excused, world.now()));
-        for (final int id : world.bailiffs) {
-            if (world.procs.get(id).alive && world.procs.get(id).node instanceof BailiffNode b) {
+        for (final int id : world.controllers) {
+            if (world.procs.get(id).alive && world.procs.get(id).node instanceof ControllerNode b) {
                 for (final ControlState.Window w : ((ControlState) b.group().live()).windows()) {
                     final long end = (w.window() + 1) * world.tempo.windowMs() - World.WALL;
                     if (w.lsn() <= b.group().accepted()) {
--- a/trial/src/main/java/brookpath/trial/sim/Proc.java
+++ b/trial/src/main/java/brookpath/trial/sim/Proc.java
@@ -6,7 +6,7 @@
 import brookpath.coordination.beat.BeatTable;
 import brookpath.coordination.beat.StatusHandoff;
 import brookpath.coordination.message.Msg;
-import brookpath.coordination.node.BailiffNode;
+import brookpath.coordination.node.ControllerNode;
 import brookpath.coordination.node.Job;
 import brookpath.coordination.node.Node;
 import brookpath.coordination.node.Node.Time;
@@ -139,7 +139,7 @@
         }
         node = maker.apply(this, entries);
         beats = new BeatMachine(world.tempoOf(id), node.beatPeriod(), node.pledges());
-        if (node instanceof BailiffNode b) {
+        if (node instanceof ControllerNode b) {
             obey(b.start(foundOnStart, time()));
             foundOnStart = false;
         }
--- a/trial/src/main/java/brookpath/trial/sim/Slopes.java
+++ b/trial/src/main/java/brookpath/trial/sim/Slopes.java
@@ -46,7 +46,7 @@
                     (world.history.delivered() - delivered) * 1_000L / MEASURED_MS);
             tell("front", world, world.fronts);
             tell("storage", world, world.storages);
-            tell("bailiff", world, world.bailiffs);
+            tell("bailiff", world, world.controllers);
         }
     }
 
--- a/trial/src/main/java/brookpath/trial/sim/Wellness.java
+++ b/trial/src/main/java/brookpath/trial/sim/Wellness.java
@@ -2,7 +2,7 @@
 
 import brookpath.coordination.group.GroupMachine;
 import brookpath.coordination.group.Member;
-import brookpath.coordination.node.BailiffNode;
+import brookpath.coordination.node.ControllerNode;
 import brookpath.coordination.node.StorageNode;
 import java.util.ArrayList;
 import java.util.List;
@@ -71,7 +71,7 @@
     }
 
     private boolean rebuilt(final int id) {
-        return world.procs.get(id).node instanceof BailiffNode b && b.group().lost();
+        return world.procs.get(id).node instanceof ControllerNode b && b.group().lost();
     }
 
     /** Seen between two looks. */
@@ -82,7 +82,7 @@
 
     void watch() {
         final long now = world.now();
-        final List<Integer> control = core(world.bailiffs);
+        final List<Integer> control = core(world.controllers);
         if (control.size() < 2) {
             noControlUntil = now;
         }
--- a/trial/src/main/java/brookpath/trial/sim/World.java
+++ b/trial/src/main/java/brookpath/trial/sim/World.java
@@ -3,9 +3,10 @@
 import brookpath.coordination.Tempo;
 import brookpath.coordination.group.GroupMachine;
 import brookpath.coordination.group.Member;
-import brookpath.coordination.node.BailiffNode;
+import brookpath.coordination.node.ControllerNode;
 import brookpath.coordination.node.FrontNode;
 import brookpath.coordination.node.StorageNode;
+import brookpath.coordination.node.control.Founding;
 import brookpath.trial.oracle.History;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -39,7 +40,7 @@
     final int groups;
     final Wellness wellness = new Wellness(this);
     public final List<Long> sendToAccept = new ArrayList<>();
-    final List<Integer> bailiffs = new ArrayList<>();
+    final List<Integer> controllers = new ArrayList<>();
     final List<Integer> storages = new ArrayList<>();
     final List<Integer> fronts = new ArrayList<>();
     private final PriorityQueue<Due> queue =
@@ -77,12 +78,12 @@
         final String[] zones = {"a", "b", "c", "d"};
         final List<Member> members = List.of(new Member(1, 50, ""), new Member(2, 50, ""), new Member(3, 50, ""));
         for (int i = 1; i <= 3; i++) {
-            bailiffs.add(i);
+            controllers.add(i);
             final Proc p = new Proc(this, i, zones[i - 1], true, (proc, entries) -> {
-                final BailiffNode node = new BailiffNode(
+                final ControllerNode node = new ControllerNode(
                         proc.id,
                         members,
-                        new BailiffNode.Founding(groups, 3, 4, toleratedLosses),
+                        new Founding(groups, 3, 4, toleratedLosses),
                         controlTempo,
                         rnd.nextLong(),
                         proc.life << 32,
@@ -115,13 +116,13 @@
 
     /** One more controller that no founding names, as an operator would add it: empty, with these to ask first. */
     Proc addController(final int id, final String zone, final List<Integer> seeds) {
-        bailiffs.add(id);
+        controllers.add(id);
         final Proc added = new Proc(this, id, zone, true, (proc, entries) -> {
-            final BailiffNode node = new BailiffNode(
+            final ControllerNode node = new ControllerNode(
                     proc.info(),
                     List.of(),
                     seeds,
-                    new BailiffNode.Founding(groups, 3, 4, toleratedLosses),
+                    new Founding(groups, 3, 4, toleratedLosses),
                     controlTempo,
                     rnd.nextLong(),
                     proc.life << 32,
@@ -179,7 +180,7 @@
 
     /** The periods of one process. */
     Tempo tempoOf(final int id) {
-        return bailiffs.contains(id) ? controlTempo : tempo;
+        return controllers.contains(id) ? controlTempo : tempo;
     }
 
     public void at(final long time, final Runnable what) {
@@ -234,7 +235,7 @@
             if (!p.alive || p.frozen()) {
                 continue;
             }
-            if (p.node instanceof BailiffNode b) {
+            if (p.node instanceof ControllerNode b) {
                 acts(acting, b.group(), p);
             } else if (p.node instanceof StorageNode s) {
                 for (int g = 0; g < groups; g++) {
--- a/trial/src/test/java/brookpath/platform/settings/NodeFileTest.java
+++ b/trial/src/test/java/brookpath/platform/settings/NodeFileTest.java
@@ -34,21 +34,22 @@
     @Test
     public void onlyASeedOnAnEmptyDiskFoundsAndOnlyAtTheFirstStart() throws IOException {
         final Path data = Files.createTempDirectory("data");
-        assertTrue(plan("10.1.0.3", Role.BAILIFF, true, data).found());
-        assertFalse(plan("10.4.0.3", Role.BAILIFF, true, data).found(), "it is no seed");
-        assertFalse(plan("10.1.0.3", Role.BAILIFF, false, data).found(), "it may have lost its disk");
+        assertTrue(plan("10.1.0.3", Role.CONTROLLER, true, data).found());
+        assertFalse(plan("10.4.0.3", Role.CONTROLLER, true, data).found(), "it is no seed");
+        assertFalse(plan("10.1.0.3", Role.CONTROLLER, false, data).found(), "it may have lost its disk");
         assertFalse(plan("10.1.0.3", Role.STORAGE, true, data).found());
         Files.createFile(data.resolve("seg-0"));
-        assertFalse(plan("10.1.0.3", Role.BAILIFF, true, data).found(), "its folder is not empty");
+        assertFalse(plan("10.1.0.3", Role.CONTROLLER, true, data).found(), "its folder is not empty");
         assertTrue(
-                plan("10.1.0.3", Role.BAILIFF, false, data).founders().isEmpty(), "later seeds are not the founders");
+                plan("10.1.0.3", Role.CONTROLLER, false, data).founders().isEmpty(),
+                "later seeds are not the founders");
     }
 
     @Test
     public void whoSeedsFoundAndAllReckonAlike() throws IOException {
         final Path data = Files.createTempDirectory("data");
-        final Plan one = plan("10.1.0.3", Role.BAILIFF, true, data);
-        assertEquals(plan("10.2.0.38", Role.BAILIFF, true, data).founders(), one.founders());
+        final Plan one = plan("10.1.0.3", Role.CONTROLLER, true, data);
+        assertEquals(plan("10.2.0.38", Role.CONTROLLER, true, data).founders(), one.founders());
         assertEquals(
                 one.founders().stream().map(Member::node).toList(),
                 one.seeds().keySet().stream().toList());
--- a/trial/src/test/java/brookpath/trial/CreelCheckTest.java
+++ b/trial/src/test/java/brookpath/trial/CreelCheckTest.java
@@ -7,8 +7,9 @@
 import brookpath.coordination.Tempo;
 import brookpath.coordination.action.Action;
 import brookpath.coordination.group.Member;
-import brookpath.coordination.node.BailiffNode;
+import brookpath.coordination.node.ControllerNode;
 import brookpath.coordination.node.Node.Time;
+import brookpath.coordination.node.control.Founding;
 import brookpath.state.disk.FolderDisk;
 import brookpath.state.record.Pack;
 import brookpath.state.record.Rec;
@@ -79,14 +80,8 @@
         final Path folder = Files.createTempDirectory("creel-check");
         try (FolderDisk disk = new FolderDisk(folder)) {
             final Spool spool = Spool.recover(disk).spool();
-            final BailiffNode node = new BailiffNode(
-                    1,
-                    List.of(new Member(1, 50, "")),
-                    new BailiffNode.Founding(2, 1, 1, 0),
-                    Tempo.DEFAULT,
-                    1,
-                    1,
-                    1 << 20);
+            final ControllerNode node = new ControllerNode(
+                    1, List.of(new Member(1, 50, "")), new Founding(2, 1, 1, 0), Tempo.DEFAULT, 1, 1, 1 << 20);
             long written = obey(spool, node.start(true, new Time(0, 0)));
             for (long now = 100; now < 3_000; now += 100) {
                 written = Math.max(
--- a/trial/src/test/java/brookpath/trial/MachineIdentityTest.java
+++ b/trial/src/test/java/brookpath/trial/MachineIdentityTest.java
@@ -95,7 +95,7 @@
         final Roster read = Roster.load(MEMBERS.pack(old).done());
         assertEquals(read.version(), 5);
         assertEquals(read.nodes(), List.of(new NodeInfo(11, "a", "x:1", "one")));
-        assertEquals(read.bailiffs(), List.of(new NodeInfo(1, "a", "y:1", "two")));
+        assertEquals(read.controllers(), List.of(new NodeInfo(1, "a", "y:1", "two")));
         assertEquals(read.retiring(), List.of(11));
         assertEquals(read.control(), MEMBERS);
     }
--- a/trial/src/test/java/brookpath/trial/SettingsTest.java
+++ b/trial/src/test/java/brookpath/trial/SettingsTest.java
@@ -17,14 +17,14 @@
 
 /** Settings and flags: all findings, with their place, together. */
 public final class SettingsTest {
-    private static Reading read(final boolean bailiff, final String json, final String... flags) throws Exception {
+    private static Reading read(final boolean controller, final String json, final String... flags) throws Exception {
         final Path file = Files.createTempFile("settings", ".json");
         Files.writeString(file, json);
         final String[] args = new String[flags.length + 2];
         args[0] = "--settings";
         args[1] = file.toString();
         System.arraycopy(flags, 0, args, 2, flags.length);
-        return SettingsReader.read(args, bailiff);
+        return SettingsReader.read(args, controller);
     }
 
     private static final String GOOD = "{\"node\":31,\"zone\":\"a\",\"role\":\"front\",\"http\":\"127.0.0.1:1\","
--- a/trial/src/test/java/brookpath/trial/sim/AddressReuseTest.java
+++ b/trial/src/test/java/brookpath/trial/sim/AddressReuseTest.java
@@ -7,7 +7,7 @@
 import static org.testng.Assert.assertTrue;
 
 import brookpath.coordination.message.Response;
-import brookpath.coordination.node.BailiffNode;
+import brookpath.coordination.node.ControllerNode;
 import brookpath.coordination.node.Job;
 import brookpath.coordination.node.StorageNode;
 import brookpath.coordination.spec.ControlState;
@@ -23,17 +23,17 @@
 
     private World world;
 
-    private BailiffNode controlMaster() {
-        return world.bailiffs.stream()
+    private ControllerNode controlMaster() {
+        return world.controllers.stream()
                 .map(id -> world.procs.get(id))
-                .filter(p -> p.alive && ((BailiffNode) p.node).group().mayAct(p.mono()))
-                .map(p -> (BailiffNode) p.node)
+                .filter(p -> p.alive && ((ControllerNode) p.node).group().mayAct(p.mono()))
+                .map(p -> (ControllerNode) p.node)
                 .findFirst()
                 .orElseThrow();
     }
 
     private Roster roster() {
-        final BailiffNode master = controlMaster();
+        final ControllerNode master = controlMaster();
         return ((ControlState) master.group().live()).rosterAt(master.group().accepted());
     }
 
--- a/trial/src/test/java/brookpath/trial/sim/ControlMembershipTest.java
+++ b/trial/src/test/java/brookpath/trial/sim/ControlMembershipTest.java
@@ -10,7 +10,7 @@
 import brookpath.coordination.group.Member;
 import brookpath.coordination.group.Membership;
 import brookpath.coordination.message.Response;
-import brookpath.coordination.node.BailiffNode;
+import brookpath.coordination.node.ControllerNode;
 import brookpath.coordination.node.Job;
 import brookpath.state.record.Pack;
 import java.util.EnumSet;
@@ -41,11 +41,11 @@
     }
 
     private static GroupMachine group(final Proc p) {
-        return ((BailiffNode) p.node).group();
+        return ((ControllerNode) p.node).group();
     }
 
     private Proc master() {
-        for (final int id : world.bailiffs) {
+        for (final int id : world.controllers) {
             final Proc p = world.procs.get(id);
             if (p.alive && !p.frozen() && group(p).mayAct(p.mono())) {
                 return p;
@@ -94,7 +94,7 @@
     }
 
     private void send(final String document, final boolean[] done, final int turn) {
-        final Proc asked = world.procs.get(world.bailiffs.get(turn % world.bailiffs.size()));
+        final Proc asked = world.procs.get(world.controllers.get(turn % world.controllers.size()));
         final byte[] body = document.getBytes(java.nio.charset.StandardCharsets.UTF_8);
         world.callers.asked(asked, id -> new Job.Operate(id, "change", body), r -> {
             assertFalse(r.status() == 409 || r.status() == 422, r.toString());
@@ -113,7 +113,7 @@
     }
 
     private void readBackEverywhere() {
-        for (final int id : world.bailiffs) {
+        for (final int id : world.controllers) {
             if (world.procs.get(id).alive) {
                 final Response r = read(world.procs.get(id));
                 assertTrue(r.status() == 200 && r.json().contains('"' + newestChange + '"'), id + ": " + r);
@@ -127,7 +127,7 @@
         world.kill(old, true);
         old.goneForGood = true;
         world.run(world.now() + SUCCESSOR_AFTER_MS);
-        final int live = world.bailiffs.stream()
+        final int live = world.controllers.stream()
                 .filter(id -> world.procs.get(id).alive)
                 .findFirst()
                 .orElseThrow();
--- a/trial/src/test/java/brookpath/trial/sim/ControlReadsTest.java
+++ b/trial/src/test/java/brookpath/trial/sim/ControlReadsTest.java
@@ -55,7 +55,7 @@
         long confirmed = 1;
         Asked change = null;
         for (int i = 0; world.now() < healedAt + 5_000; i++) {
-            for (final int id : world.bailiffs) {
+            for (final int id : world.controllers) {
                 reads.add(askSpec(world.procs.get(id)));
                 confirmedBefore.add(confirmed);
             }
--- a/trial/src/test/java/brookpath/trial/sim/ControlScene.java
+++ b/trial/src/test/java/brookpath/trial/sim/ControlScene.java
@@ -5,7 +5,7 @@
 
 import brookpath.coordination.group.GroupMachine;
 import brookpath.coordination.message.Response;
-import brookpath.coordination.node.BailiffNode;
+import brookpath.coordination.node.ControllerNode;
 import brookpath.coordination.node.Job;
 import brookpath.coordination.spec.ControlState;
 import brookpath.coordination.spec.Roster;
@@ -53,7 +53,7 @@
 
     /** The process that acts as the control master just now, null for none. */
     Proc actingMaster() {
-        for (final int id : world.bailiffs) {
+        for (final int id : world.controllers) {
             final Proc p = world.procs.get(id);
             if (p.alive && !p.frozen() && group(p).mayAct(p.mono())) {
                 return p;
@@ -73,7 +73,7 @@
     /** Members of the control group other than this one. */
     List<Proc> others(final Proc p) {
         final List<Proc> others = new ArrayList<>();
-        world.bailiffs.forEach(id -> {
+        world.controllers.forEach(id -> {
             if (id != p.id) {
                 others.add(world.procs.get(id));
             }
@@ -82,7 +82,7 @@
     }
 
     static GroupMachine group(final Proc p) {
-        return ((BailiffNode) p.node).group();
+        return ((ControllerNode) p.node).group();
     }
 
     static Roster roster(final Proc p) {
--- a/trial/src/test/java/brookpath/trial/sim/ControlStateSizeTest.java
+++ b/trial/src/test/java/brookpath/trial/sim/ControlStateSizeTest.java
@@ -10,9 +10,10 @@
 import brookpath.coordination.group.GroupMachine;
 import brookpath.coordination.group.Member;
 import brookpath.coordination.message.Response;
-import brookpath.coordination.node.BailiffNode;
+import brookpath.coordination.node.ControllerNode;
 import brookpath.coordination.node.Job;
 import brookpath.coordination.node.Node.Time;
+import brookpath.coordination.node.control.Founding;
 import brookpath.coordination.spec.ControlState;
 import java.util.ArrayList;
 import java.util.List;
@@ -36,7 +37,7 @@
         final Proc master = controlMaster(world);
         final long accepted = acceptedVersion(master);
         assertTrue(accepted > 0);
-        for (final int id : world.bailiffs) {
+        for (final int id : world.controllers) {
             if (id != master.id) {
                 // why: the slaves answer beats, so the master leads on, but nothing that it appends reaches a disk
                 // there
@@ -54,14 +55,14 @@
         assertTrue(
                 responses.stream().anyMatch(r -> r.status() == 503 && r.retryAfterMs() > 0),
                 "none was refused at once for the many that wait: " + responses);
-        for (final int id : world.bailiffs) {
+        for (final int id : world.controllers) {
             world.procs.get(id).syncMs = 2;
         }
     }
 
     @Test
     public void thousandsOfLargeChangesLeaveASmallLogAndASmallSnapshot() {
-        final BailiffNode node = alone();
+        final ControllerNode node = alone();
         long mono = 0;
         for (int i = 0; i < 400; i++) {
             mono += 10;
@@ -91,21 +92,15 @@
         return (head + "x".repeat(DOCUMENT_BYTES) + "\"}").getBytes(UTF_8);
     }
 
-    private static BailiffNode alone() {
-        final BailiffNode node = new BailiffNode(
-                1,
-                List.of(new Member(1, 50, "")),
-                new BailiffNode.Founding(1, 1, 1, 0),
-                Tempo.DEFAULT,
-                1,
-                0,
-                Long.MAX_VALUE);
+    private static ControllerNode alone() {
+        final ControllerNode node = new ControllerNode(
+                1, List.of(new Member(1, 50, "")), new Founding(1, 1, 1, 0), Tempo.DEFAULT, 1, 0, Long.MAX_VALUE);
         obey(node, node.start(true, time(0)), 0);
         return node;
     }
 
     /** A disk that syncs at once. */
-    private static void obey(final BailiffNode node, final List<Action> actions, final long mono) {
+    private static void obey(final ControllerNode node, final List<Action> actions, final long mono) {
         for (final Action action : actions) {
             if (action instanceof Action.Write w) {
                 obey(node, node.synced(w.number(), time(mono)), mono);
@@ -126,20 +121,20 @@
     }
 
     private static Proc controlMaster(final World world) {
-        return world.bailiffs.stream()
+        return world.controllers.stream()
                 .map(world.procs::get)
-                .filter(p -> p.alive && ((BailiffNode) p.node).group().mayAct(p.mono()))
+                .filter(p -> p.alive && ((ControllerNode) p.node).group().mayAct(p.mono()))
                 .findFirst()
                 .orElseThrow();
     }
 
     private static long acceptedVersion(final Proc p) {
-        final GroupMachine group = ((BailiffNode) p.node).group();
+        final GroupMachine group = ((ControllerNode) p.node).group();
         return ((ControlState) group.live()).specAt(group.accepted()).version();
     }
 
     private static long acceptedRosterVersion(final Proc p) {
-        final GroupMachine group = ((BailiffNode) p.node).group();
+        final GroupMachine group = ((ControllerNode) p.node).group();
         return ((ControlState) group.live()).rosterAt(group.accepted()).version();
     }
 }
--- a/trial/src/test/java/brookpath/trial/sim/FullDiskTest.java
+++ b/trial/src/test/java/brookpath/trial/sim/FullDiskTest.java
@@ -8,7 +8,7 @@
 
 import brookpath.coordination.group.GroupMachine;
 import brookpath.coordination.message.Response;
-import brookpath.coordination.node.BailiffNode;
+import brookpath.coordination.node.ControllerNode;
 import brookpath.coordination.node.Job;
 import brookpath.coordination.node.StorageNode;
 import brookpath.coordination.spec.Placement;
@@ -75,12 +75,12 @@
             change(i + 1, "while-full-" + i);
         }
         assertTrue(full.alive && full.life == life, "the process ended");
-        assertNotEquals(((BailiffNode) full.node).group().role(), GroupMachine.MASTER);
+        assertNotEquals(((ControllerNode) full.node).group().role(), GroupMachine.MASTER);
         full.disk.full(false);
         world.run(world.now() + 3_000);
         assertEquals(
-                ((BailiffNode) full.node).group().syncedLsn(),
-                ((BailiffNode) controlMaster().node).group().syncedLsn());
+                ((ControllerNode) full.node).group().syncedLsn(),
+                ((ControllerNode) controlMaster().node).group().syncedLsn());
         assertTrue(world.history.violations().isEmpty(), String.join("\n", world.history.violations()));
     }
 
@@ -98,8 +98,8 @@
         member.disk.full(false);
         world.run(world.now() + 3_000);
         assertEquals(
-                ((BailiffNode) member.node).group().syncedLsn(),
-                ((BailiffNode) controlMaster().node).group().syncedLsn());
+                ((ControllerNode) member.node).group().syncedLsn(),
+                ((ControllerNode) controlMaster().node).group().syncedLsn());
     }
 
     @Test
@@ -152,9 +152,9 @@
     }
 
     private Proc controlMaster() {
-        return world.bailiffs.stream()
+        return world.controllers.stream()
                 .map(world.procs::get)
-                .filter(p -> p.alive && ((BailiffNode) p.node).group().mayAct(p.mono()))
+                .filter(p -> p.alive && ((ControllerNode) p.node).group().mayAct(p.mono()))
                 .findFirst()
                 .orElseThrow();
     }
--- a/trial/src/test/java/brookpath/trial/sim/GroupRepairTest.java
+++ b/trial/src/test/java/brookpath/trial/sim/GroupRepairTest.java
@@ -9,7 +9,7 @@
 import brookpath.coordination.group.GroupMachine;
 import brookpath.coordination.group.Member;
 import brookpath.coordination.message.Response;
-import brookpath.coordination.node.BailiffNode;
+import brookpath.coordination.node.ControllerNode;
 import brookpath.coordination.node.Job;
 import brookpath.coordination.node.StorageNode;
 import brookpath.state.record.Pack;
@@ -65,9 +65,9 @@
     }
 
     private Proc controlMaster() {
-        for (final int id : world.bailiffs) {
+        for (final int id : world.controllers) {
             final Proc p = world.procs.get(id);
-            if (p.alive && ((BailiffNode) p.node).group().mayAct(p.mono())) {
+            if (p.alive && ((ControllerNode) p.node).group().mayAct(p.mono())) {
                 return p;
             }
         }
@@ -258,13 +258,13 @@
 
     private boolean completed(final int node) {
         final Proc master = controlMaster();
-        final BailiffNode control = master == null ? null : (BailiffNode) master.node;
+        final ControllerNode control = master == null ? null : (ControllerNode) master.node;
         return control != null
                 && !control.statusJson(master.time()).contains("\"placement\":[]")
                 && placedGroups(control, master, node) == 0;
     }
 
-    private int placedGroups(final BailiffNode control, final Proc master, final int node) {
+    private int placedGroups(final ControllerNode control, final Proc master, final int node) {
         return control.statusJson(master.time()).split("\\{\"node\":" + node + ",\"zone\":\"[a-d]\",\"weight\"").length
                 - 1;
     }
--- a/trial/src/test/java/brookpath/trial/sim/JoinedSessionsTest.java
+++ b/trial/src/test/java/brookpath/trial/sim/JoinedSessionsTest.java
@@ -8,11 +8,12 @@
 import brookpath.coordination.action.Action;
 import brookpath.coordination.group.GroupMachine;
 import brookpath.coordination.message.Response;
-import brookpath.coordination.node.BailiffNode;
+import brookpath.coordination.node.ControllerNode;
 import brookpath.coordination.node.Cursor;
 import brookpath.coordination.node.FrontNode;
 import brookpath.coordination.node.Job;
 import brookpath.coordination.node.StorageNode;
+import brookpath.coordination.node.control.Founding;
 import brookpath.coordination.spec.Placement;
 import brookpath.coordination.spec.Roster.NodeInfo;
 import brookpath.coordination.spec.Spec;
@@ -264,18 +265,18 @@
     }
 
     @Test
-    public void aBailiffThatIsNoMemberCarriesJobsAndKnowsTheOthers() {
+    public void aControllerThatIsNoMemberCarriesJobsAndKnowsTheOthers() {
         begin(28);
         final Proc attendant = new Proc(
                 world,
                 4,
                 "d",
                 true,
-                (proc, entries) -> new BailiffNode(
+                (proc, entries) -> new ControllerNode(
                         new NodeInfo(4, "d", "sim:4", "four"),
                         List.of(),
                         List.of(1, 2, 3),
-                        new BailiffNode.Founding(4, 3, 4, 1),
+                        new Founding(4, 3, 4, 1),
                         world.tempo,
                         7,
                         proc.life << 32,
@@ -286,7 +287,7 @@
         final Response read = ask(4, i -> new Job.Operate(i, "spec", new byte[0]));
         assertEquals(read.status(), 200, read.toString());
         assertEquals(ask(4, Job.Ready::new).status(), 200);
-        assertEquals(((BailiffNode) attendant.node).addresses().keySet(), java.util.Set.of(1, 2, 3));
-        assertEquals(((BailiffNode) attendant.node).group().role(), GroupMachine.SLAVE);
+        assertEquals(((ControllerNode) attendant.node).addresses().keySet(), java.util.Set.of(1, 2, 3));
+        assertEquals(((ControllerNode) attendant.node).group().role(), GroupMachine.SLAVE);
     }
 }
--- a/trial/src/test/java/brookpath/trial/sim/OrderRepeatsTest.java
+++ b/trial/src/test/java/brookpath/trial/sim/OrderRepeatsTest.java
@@ -54,7 +54,7 @@
         for (int i = 0; i < 2_000 && order.response == null; i++) {
             world.run(world.now() + 1);
         }
-        world.bailiffs.forEach(id -> world.kill(world.procs.get(id), true));
+        world.controllers.forEach(id -> world.kill(world.procs.get(id), true));
         others(master).forEach(p -> {
             p.syncMs = 2;
             world.restart(p);
@@ -75,7 +75,7 @@
         world.kill(world.procs.get(13), false);
         world.run(world.now() + 4_000);
         for (int i = 0; i < 3; i++) {
-            final Asked again = answered(askRetire(world.procs.get(world.bailiffs.get(i)), LEAVING));
+            final Asked again = answered(askRetire(world.procs.get(world.controllers.get(i)), LEAVING));
             assertEquals(again.status(), 202, again.toString());
         }
     }
@@ -92,7 +92,7 @@
         world.run(world.now() + 500);
         assertEquals(roster(master()).node(LEAVING), null, "nothing was staged");
         for (int round = 0; round < 2; round++) {
-            for (final int id : world.bailiffs) {
+            for (final int id : world.controllers) {
                 final Proc p = world.procs.get(id);
                 assertEquals(answered(askRetireNamed(p, LEAVING_NAME)).status(), 202);
                 final Asked state = answered(ask(p, "retired", LEAVING_NAME.getBytes(UTF_8)));
@@ -101,8 +101,8 @@
                 assertEquals(answered(askRetireNamed(p, "nobody")).status(), 404);
             }
             // why: what is remembered must come back from the disks, and from another master
-            world.bailiffs.forEach(id -> world.kill(world.procs.get(id), true));
-            world.bailiffs.forEach(id -> world.restart(world.procs.get(id)));
+            world.controllers.forEach(id -> world.kill(world.procs.get(id), true));
+            world.controllers.forEach(id -> world.restart(world.procs.get(id)));
             master();
             world.run(world.now() + 4_000);
         }
@@ -154,7 +154,7 @@
             }
         }
         assertEquals(refused, 5_000);
-        for (final int id : world.bailiffs) {
+        for (final int id : world.controllers) {
             final Asked again = answered(askChange(world.procs.get(id), newest));
             assertEquals(again.status(), 200, again.toString());
             assertEquals(version(again.response), 2);
@@ -181,13 +181,13 @@
             assertEquals(settled(document(i, "later-" + i), "later-" + i).status(), 200);
         }
         for (int round = 0; round < 2; round++) {
-            for (final int id : world.bailiffs) {
+            for (final int id : world.controllers) {
                 final Asked again = answered(askChange(world.procs.get(id), first));
                 assertEquals(again.status(), 200, again.toString());
                 assertEquals(version(again.response), 2, again.toString());
             }
-            world.bailiffs.forEach(id -> world.kill(world.procs.get(id), true));
-            world.bailiffs.forEach(id -> world.restart(world.procs.get(id)));
+            world.controllers.forEach(id -> world.kill(world.procs.get(id), true));
+            world.controllers.forEach(id -> world.restart(world.procs.get(id)));
             master();
             world.run(world.now() + 4_000);
         }
@@ -200,7 +200,7 @@
             begin(seed);
             final String document = document(1, "same");
             final List<Asked> asked = new ArrayList<>();
-            world.bailiffs.forEach(id -> asked.add(askChange(world.procs.get(id), document)));
+            world.controllers.forEach(id -> asked.add(askChange(world.procs.get(id), document)));
             if (seed % 2 == 0) {
                 final Proc master = master();
                 world.at(world.now() + (seed - 130) / 2, () -> world.kill(master, true));
@@ -229,7 +229,7 @@
             final List<Asked> asked = new ArrayList<>();
             // why: each goes to all nodes at once, and again after the death, as after lost answers
             for (int round = 0; round < 5; round++) {
-                for (final int id : world.bailiffs) {
+                for (final int id : world.controllers) {
                     asked.add(askChange(world.procs.get(id), documents.get(id % 2)));
                     asked.add(askChange(world.procs.get(id), documents.get(1 - id % 2)));
                 }
--- a/trial/src/test/java/brookpath/trial/sim/RejoinAfterManyChangesTest.java
+++ b/trial/src/test/java/brookpath/trial/sim/RejoinAfterManyChangesTest.java
@@ -5,7 +5,7 @@
 import static org.testng.Assert.assertTrue;
 
 import brookpath.coordination.group.GroupMachine;
-import brookpath.coordination.node.BailiffNode;
+import brookpath.coordination.node.ControllerNode;
 import brookpath.coordination.node.Job;
 import brookpath.coordination.spec.ControlState;
 import org.testng.annotations.Test;
@@ -100,7 +100,7 @@
         world.kill(master, true);
         world.run(world.now() + 4_000);
         assertEquals(acceptedVersion(controlMaster()), version);
-        final Proc other = world.bailiffs.stream()
+        final Proc other = world.controllers.stream()
                 .map(world.procs::get)
                 .filter(p -> p != away && p != master)
                 .findFirst()
@@ -114,7 +114,7 @@
     }
 
     private Proc controlMaster() {
-        return world.bailiffs.stream()
+        return world.controllers.stream()
                 .map(world.procs::get)
                 .filter(p -> p.alive && group(p).mayAct(p.mono()))
                 .findFirst()
@@ -122,7 +122,7 @@
     }
 
     private static GroupMachine group(final Proc p) {
-        return ((BailiffNode) p.node).group();
+        return ((ControllerNode) p.node).group();
     }
 
     private static long acceptedVersion(final Proc p) {
--- a/trial/src/test/java/brookpath/trial/sim/ScenesTest.java
+++ b/trial/src/test/java/brookpath/trial/sim/ScenesTest.java
@@ -11,7 +11,7 @@
 import brookpath.coordination.group.Membership;
 import brookpath.coordination.message.Msg;
 import brookpath.coordination.message.Response;
-import brookpath.coordination.node.BailiffNode;
+import brookpath.coordination.node.ControllerNode;
 import brookpath.coordination.node.FrontNode;
 import brookpath.coordination.node.Job;
 import brookpath.coordination.node.StorageNode;
@@ -198,7 +198,7 @@
         world.callers.publisher("guest-1", "permits/t0", "key-guest", 200, 5);
         world.run(world.now() + 2_000);
         final Proc cutOff = world.procs.get(31);
-        for (final int b : world.bailiffs) {
+        for (final int b : world.controllers) {
             world.net.cut(b, 31);
             world.net.cut(31, b);
         }
@@ -242,13 +242,13 @@
     }
 
     private Proc controlMaster() {
-        for (final int id : world.bailiffs) {
+        for (final int id : world.controllers) {
             final Proc p = world.procs.get(id);
-            if (p.alive && ((BailiffNode) p.node).group().mayAct(p.mono())) {
+            if (p.alive && ((ControllerNode) p.node).group().mayAct(p.mono())) {
                 return p;
             }
         }
-        return world.procs.get(world.bailiffs.get(0));
+        return world.procs.get(world.controllers.get(0));
     }
 
     @Test
@@ -354,9 +354,9 @@
             if (seed % 2 == 1) {
                 // why: a move must outlast a change of the control master and of a group's master
                 world.run(world.now() + 300);
-                final Proc bailiff = controlMaster();
-                world.kill(bailiff, true);
-                world.at(world.now() + 2_000, () -> world.restart(bailiff));
+                final Proc controller = controlMaster();
+                world.kill(controller, true);
+                world.at(world.now() + 2_000, () -> world.restart(controller));
                 final Proc other = world.procs.get(world.storages.stream()
                         .filter(id -> id != leaving.id)
                         .findFirst()
@@ -758,7 +758,7 @@
                 final Proc now = controlMaster();
                 final boolean acts = now != first
                         && now.alive
-                        && ((BailiffNode) now.node).group().mayAct(now.mono());
+                        && ((ControllerNode) now.node).group().mayAct(now.mono());
                 if (acts && second == null) {
                     second = now;
                     actsSince = world.now();
--- a/trial/src/test/java/brookpath/trial/sim/UsageRepeatTest.java
+++ b/trial/src/test/java/brookpath/trial/sim/UsageRepeatTest.java
@@ -5,7 +5,7 @@
 import static org.testng.Assert.assertTrue;
 
 import brookpath.coordination.group.GroupMachine;
-import brookpath.coordination.node.BailiffNode;
+import brookpath.coordination.node.ControllerNode;
 import brookpath.coordination.spec.ControlState;
 import org.testng.annotations.Test;
 
@@ -16,9 +16,9 @@
     private World world;
 
     private Proc controlMaster() {
-        return world.bailiffs.stream()
+        return world.controllers.stream()
                 .map(id -> world.procs.get(id))
-                .filter(p -> ((BailiffNode) p.node).group().mayAct(p.mono()))
+                .filter(p -> ((ControllerNode) p.node).group().mayAct(p.mono()))
                 .findFirst()
                 .orElseThrow();
     }
@@ -49,9 +49,9 @@
         begin();
         world.run(answerAt - 1);
         final Proc master = controlMaster();
-        final GroupMachine group = ((BailiffNode) master.node).group();
+        final GroupMachine group = ((ControllerNode) master.node).group();
         final long window = state(group).untold(group.accepted()).get(0).window();
-        final Proc successor = world.bailiffs.stream()
+        final Proc successor = world.controllers.stream()
                 .map(id -> world.procs.get(id))
                 .filter(p -> p != master)
                 .findFirst()
