--- a/trial/src/main/java/brookpath/trial/sim/Callers.java
+++ b/trial/src/main/java/brookpath/trial/sim/Callers.java
@@ -4,49 +4,40 @@
 
 import brookpath.coordination.action.Action;
 import brookpath.coordination.message.Response;
-import brookpath.coordination.node.FrontNode;
 import brookpath.coordination.node.Job;
-import brookpath.coordination.node.StorageNode;
 import brookpath.coordination.spec.Placement;
 import brookpath.coordination.spec.Spec;
-import brookpath.coordination.spec.SpecClient;
-import brookpath.trial.oracle.History.Listener;
 import brookpath.trial.oracle.History.Sent;
 import jakarta.json.Json;
 import jakarta.json.JsonObject;
 import java.io.ByteArrayInputStream;
 import java.util.ArrayList;
-import java.util.Base64;
 import java.util.HashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Consumer;
 
-/** Stand-in callers and operators. They see only what HTTP would show them. */
+/** Stand-in publishers and subscribers. They see only what HTTP would show them. */
 public final class Callers {
     static final long PATIENCE = 3_000;
-    private static final long KEEPING_MS = 30_000;
+    static final long KEEPING_MS = 30_000;
     private static final long AWAY_MAX = 20_000;
-    private static final String[] SPACES = {"permits", "closures", "clues"};
+    static final String[] SPACES = {"permits", "closures", "clues"};
     /** Tenants whose keys operators take away and give back; half of the sessions use the second. */
-    private static final List<String> SHAKY = List.of("guest", "half");
+    static final List<String> SHAKY = List.of("guest", "half");
 
     private final World world;
     private final Map<Long, Consumer<Response>> waiting = new HashMap<>();
     private final Map<Long, Integer> jobAt = new HashMap<>();
-    private final Map<Long, Subscriber> sessions = new TreeMap<>();
+    final Map<Long, Subscriber> sessions = new TreeMap<>();
     private final List<Subscriber> subscribers = new ArrayList<>();
-    private final Map<Integer, Long> shown = new HashMap<>();
-    private final TreeMap<Long, Long> confirmedAt = new TreeMap<>();
-    private final Map<String, Long> removedAt = new HashMap<>();
-    private final Map<String, Integer> grantsUnderWay = new HashMap<>();
     private final Punctual punctual;
-    private final Service service;
+    final Service service;
+    /** Who changes the configuration while these callers are about. */
+    final DayOperators operators;
+
     private long jobIds;
-    private int changes;
     /** Sees every answer before its caller does. */
     AnswerObserver answers = (from, jobId, response) -> {};
 
@@ -56,6 +47,7 @@
         this.world = world;
         punctual = new Punctual(world, this);
         service = new Service(world);
+        operators = new DayOperators(world, this);
         world.at(1_000, this::roll);
         world.at(500, this::lookForReady);
     }
@@ -126,7 +118,7 @@
                     service.asked("listening", world.now(), s.listeningSince >= 0 && holds(s));
                 }
             }
-            for (int g = 0; g < world.groups && !confirmedAt.isEmpty(); g++) {
+            for (int g = 0; g < world.groups && operators.anyConfirmed(); g++) {
                 final long at = world.now();
                 final String topic = topicIn(g);
                 ask(
@@ -194,7 +186,7 @@
         }
     }
 
-    private long ask(final Proc p, final java.util.function.LongFunction<Job> job, final Consumer<Response> then) {
+    long ask(final Proc p, final java.util.function.LongFunction<Job> job, final Consumer<Response> then) {
         final long id = ++jobIds;
         if (!p.alive) {
             world.at(world.now() + 1, () -> then.accept(new Response(-1, 0, "{}")));
@@ -211,19 +203,25 @@
         return id;
     }
 
+    /** Nobody waits for the answer any more. */
+    void forget(final long jobId) {
+        waiting.remove(jobId);
+        jobAt.remove(jobId);
+    }
+
     /** One job by hand. */
     void asked(final Proc p, final java.util.function.LongFunction<Job> job, final Consumer<Response> then) {
         ask(p, job, then);
     }
 
     /** One of those that the platform holds for ready. */
-    private Proc anyFront() {
+    Proc anyFront() {
         final List<Integer> from = ready.isEmpty() ? world.fronts : ready;
         return world.procs.get(from.get(world.rnd.nextInt(from.size())));
     }
 
     /** One that takes connections at all. */
-    private Proc anyController() {
+    Proc anyController() {
         final List<Integer> from = world.controllers.stream()
                 .filter(id -> world.procs.get(id).alive)
                 .toList();
@@ -248,22 +246,12 @@
         });
     }
 
-    private static JsonObject json(final String text) {
+    static JsonObject json(final String text) {
         try (var rd = Json.createReader(new ByteArrayInputStream(text.getBytes(UTF_8)))) {
             return rd.readObject();
         }
     }
 
-    private void removed(final String key, final String did) {
-        final Long at = removedAt.get(key);
-        // why: a change under way may give the key back before its operator hears of it
-        if (at != null && grantsUnderWay.getOrDefault(key, 0) == 0 && world.now() > at + 5_000) {
-            world.history.violation(
-                    world.now(),
-                    "key " + key + " " + did + " " + (world.now() - at) + " ms after its removal was confirmed");
-        }
-    }
-
     // ---- publishers
 
     /** A sender with one message under way at a time; it sends again whatever was not answered for good. */
@@ -303,7 +291,7 @@
             }
             switch (r.status()) {
                 case 200 -> {
-                    removed(key, "published");
+                    operators.keyUsed(key, "published");
                     final boolean first = s.acceptedAt < 0;
                     world.history.accepted(now, s, json(r.json()).getInt("position"));
                     if (first) {
@@ -349,121 +337,8 @@
 
     // ---- subscribers
 
-    final class Subscriber {
-        final String name;
-        final String key;
-        final List<String> topics;
-        final Listener listener;
-        String cursor;
-        int front;
-        long sessionId;
-        long listeningSince = -1;
-        boolean naps;
-
-        Subscriber(final String name, final String key, final List<String> topics) {
-            this.name = name;
-            this.key = key;
-            this.topics = topics;
-            listener = world.history.listener(name, new LinkedHashSet<>(topics));
-        }
-
-        void connect() {
-            final Proc p = anyFront();
-            front = p.id;
-            listeningSince = -1;
-            naps = false;
-            final boolean resumes = cursor != null;
-            final long at = world.now();
-            final long[] mine = new long[1];
-            mine[0] = ask(p, i -> new Job.Subscribe(i, key, topics, cursor), r -> {
-                if (resumes && (r.status() < 400 || r.status() >= 500)) {
-                    service.asked("resume", at, r.status() == 200);
-                }
-                if (r.status() == 200) {
-                    world.count("subscribed");
-                    return;
-                }
-                if (!sessions.remove(mine[0], this)) {
-                    // why: the session was reset meanwhile, and its caller is coming back already
-                    return;
-                }
-                if (r.status() == 410) {
-                    world.history.refusedResume(world.now(), listener, KEEPING_MS);
-                    world.count("too old to resume");
-                    listener.entitled = false;
-                    return;
-                }
-                if (r.status() == 401) {
-                    listener.entitled = false;
-                    world.count("keys refused");
-                }
-                world.at(world.now() + 100 + r.retryAfterMs() + world.rnd.nextInt(300), this::connect);
-            });
-            sessionId = mine[0];
-            sessions.put(sessionId, this);
-        }
-
-        void line(final byte[] bytes) {
-            final JsonObject obj = json(new String(bytes, UTF_8));
-            removed(key, "received");
-            cursor = obj.getString("cursor");
-            if (obj.getString("type").equals("message")) {
-                if (!listener.topics().contains(obj.getString("topic"))) {
-                    world.history.violation(world.now(), name + " got an unasked topic");
-                }
-                world.history.begunIfNot(
-                        world.now(),
-                        listener,
-                        obj.getString("topic"),
-                        obj.getJsonNumber("position").longValue());
-                world.history.delivered(
-                        world.now(),
-                        listener,
-                        obj.getString("topic"),
-                        obj.getJsonNumber("position").longValue(),
-                        obj.getString("sender"),
-                        obj.getJsonNumber("sequence").longValue(),
-                        obj.getString("message"),
-                        oneOrder(obj.getString("topic")),
-                        listeningSince < 0 ? -1 : Math.max(listeningSince, world.procs.get(front).frozenUntil));
-            } else {
-                if (listeningSince < 0) {
-                    listeningSince = world.now();
-                }
-                final Map<String, Long> at = new HashMap<>();
-                for (final String part : new String(Base64.getUrlDecoder().decode(cursor), UTF_8).split(",")) {
-                    at.put(part.substring(0, part.indexOf('@')), Long.parseLong(part.substring(part.indexOf('@') + 1)));
-                }
-                world.history.begun(world.now(), listener, at);
-            }
-        }
-
-        void gone(final String why) {
-            world.count("sessions gone");
-            listeningSince = -1;
-            world.at(world.now() + 50 + world.rnd.nextInt(500), this::connect);
-        }
-
-        /** Drops off for a while and comes back, inside the keeping time. */
-        void nap(final long away, final long every) {
-            if (quiet) {
-                return;
-            }
-            if (sessions.remove(sessionId) == this) {
-                world.count("naps");
-                naps = true;
-                final Proc p = world.procs.get(front);
-                p.job(new Job.Unsubscribe(sessionId));
-                waiting.remove(sessionId);
-                jobAt.remove(sessionId);
-                world.at(world.now() + 100 + world.rnd.nextLong(away), this::connect);
-            }
-            world.at(world.now() + every / 2 + world.rnd.nextLong(every), () -> nap(away, every));
-        }
-    }
-
     void subscriber(final String name, final String key, final List<String> topics) {
-        final Subscriber s = new Subscriber(name, key, topics);
+        final Subscriber s = new Subscriber(world, this, name, key, topics);
         subscribers.add(s);
         s.connect();
         world.at(world.now() + 10_000 + world.rnd.nextLong(30_000), () -> s.nap(AWAY_MAX, 40_000));
@@ -471,179 +346,9 @@
 
     /** One that comes and goes all the time. */
     void restless(final String name, final String key, final List<String> topics) {
-        final Subscriber s = new Subscriber(name, key, topics);
+        final Subscriber s = new Subscriber(world, this, name, key, topics);
         subscribers.add(s);
         s.connect();
         world.at(world.now() + 1_000, () -> s.nap(500, 500));
     }
-
-    // ---- operators
-
-    /** The whole spec; the keys that may come and go are there where their tenant is in the list. */
-    String document(final long basedOn, final String changeId, final List<String> withKeys) {
-        final StringBuilder sb =
-                new StringBuilder("{\"basedOn\":" + basedOn + ",\"changeId\":\"" + changeId + "\",\"spaces\":[");
-        for (int i = 0; i < SPACES.length; i++) {
-            sb.append(i == 0 ? "" : ",")
-                    .append("{\"name\":\"")
-                    .append(SPACES[i])
-                    .append("\",\"keepingSeconds\":" + KEEPING_MS / 1_000 + ",\"order\":\"")
-                    .append(SPACES[i].equals("clues") ? "one" : "sender")
-                    .append("\"}");
-        }
-        sb.append("],\"tenants\":[");
-        for (final String t : tenants()) {
-            sb.append(t.equals("members") ? "" : ",")
-                    .append("{\"name\":\"")
-                    .append(t)
-                    .append("\",\"spaces\":[")
-                    .append(t.equals("guest") ? "\"permits\"" : "\"permits\",\"closures\",\"clues\"")
-                    .append("],\"keys\":[")
-                    .append(SHAKY.contains(t) && !withKeys.contains(t) ? "" : "\"key-" + t + "\"")
-                    .append("]}");
-        }
-        return sb.append("]}").toString();
-    }
-
-    String document(final long basedOn, final String changeId, final boolean withGuest) {
-        return document(basedOn, changeId, withGuest ? SHAKY : List.of("half"));
-    }
-
-    /** Hands a document to any controller, again and again under the same ID until it gets a final outcome. */
-    void change(final String doc, final String changeId, final Consumer<Response> then) {
-        final Proc p = anyController();
-        final long at = world.now();
-        ask(p, id -> new Job.Operate(id, "change", doc.getBytes(UTF_8)), r -> {
-            service.asked("change", at, r.status() == 200 || (r.status() >= 400 && r.status() < 500));
-            if (r.status() == 200) {
-                final long version = json(r.json()).getInt("version");
-                confirmed(version, changeId);
-                then.accept(r);
-            } else if (r.status() == 409 || r.status() == 422 || r.status() == 400) {
-                world.count("changes refused");
-                refused.add(changeId);
-                then.accept(r);
-            } else {
-                world.at(world.now() + 200 + world.rnd.nextInt(500), () -> change(doc, changeId, then));
-            }
-        });
-    }
-
-    /** A change was confirmed to an operator, and has to hold from now on. */
-    void confirmed(final long version, final String changeId) {
-        world.history.confirmed(world.now(), version, changeId);
-        confirmedAt.putIfAbsent(version, world.now());
-        world.count("changes confirmed");
-    }
-
-    private final Set<String> refused = new LinkedHashSet<>();
-
-    /** Two operators race on the newest version that one of them read, now and then with nonsense. */
-    void operators(final long every) {
-        if (quiet) {
-            return;
-        }
-        final Proc p = anyController();
-        ask(p, id -> new Job.Operate(id, "spec", new byte[0]), r -> {
-            if (r.status() == 200 && !quiet) {
-                final long version = json(r.json()).getInt("version");
-                final int racers = 1 + world.rnd.nextInt(2);
-                for (int i = 0; i < racers; i++) {
-                    turn(version, world.rnd.nextInt(5) == 0);
-                }
-            }
-            world.at(world.now() + every / 2 + world.rnd.nextLong(every), () -> operators(every));
-        });
-    }
-
-    /** Two operators hand over different documents made from the same version, at once. */
-    void race() {
-        readSpec(r -> {
-            if (r.status() == 200) {
-                world.count("staged races");
-                turn(json(r.json()).getInt("version"), false);
-                turn(json(r.json()).getInt("version"), false);
-            }
-        });
-    }
-
-    /** An operator's job that nobody waits for. */
-    void operate(final String kind, final byte[] body) {
-        ask(anyController(), id -> new Job.Operate(id, kind, body), r -> world.count(kind + " said " + r.status()));
-    }
-
-    /** One change that takes keys away or gives them back, by chance. */
-    void turn(final long basedOn, final boolean nonsense) {
-        final String changeId = "change-" + ++changes;
-        final List<String> keys =
-                SHAKY.stream().filter(t -> world.rnd.nextInt(3) != 0).toList();
-        final String doc = document(basedOn, changeId, keys);
-        keys.forEach(t -> grantsUnderWay.merge("key-" + t, 1, Integer::sum));
-        change(nonsense ? doc.replace("\"keepingSeconds\":30", "\"keepingSeconds\":-3") : doc, changeId, res -> {
-            keys.forEach(t -> grantsUnderWay.merge("key-" + t, -1, Integer::sum));
-            if (res.status() != 200) {
-                return;
-            }
-            if (nonsense) {
-                world.history.violation(world.now(), changeId + " is nonsense and was confirmed");
-            }
-            if (json(res.json()).getInt("version") == world.history.newestConfirmed()) {
-                for (final String t : SHAKY) {
-                    if (keys.contains(t)) {
-                        removedAt.remove("key-" + t);
-                    } else {
-                        removedAt.putIfAbsent("key-" + t, world.now());
-                    }
-                }
-            }
-        });
-    }
-
-    void readSpec(final Consumer<Response> then) {
-        final Proc p = anyController();
-        ask(p, id -> new Job.Operate(id, "spec", new byte[0]), then);
-    }
-
-    /** What every data-plane process shows, against what was confirmed. */
-    void watch() {
-        for (final Proc p : world.procs.values()) {
-            final SpecClient c = !p.alive || p.frozen()
-                    ? null
-                    : p.node instanceof FrontNode f ? f.client() : p.node instanceof StorageNode s ? s.client() : null;
-            if (c == null) {
-                continue;
-            }
-            final long version = c.spec().version();
-            final Map.Entry<Long, Long> missing = confirmedAt.higherEntry(version);
-            if (missing != null
-                    && world.now()
-                            > Math.max(missing.getValue(), world.wellness.specExcusedUntil(p.id))
-                                    + world.tempo.changeMs()) {
-                world.history.violation(
-                        world.now(),
-                        "node " + p.id + " has spec " + version + " still, " + (world.now() - missing.getValue())
-                                + " ms after " + missing.getKey() + " was confirmed, and is not cut off");
-            }
-            if (!c.leased(p.mono())) {
-                continue;
-            }
-            final Long was = shown.put(p.id, version);
-            if (was != null && version < was) {
-                world.history.violation(world.now(), "node " + p.id + " went back from spec " + was + " to " + version);
-            }
-            final Map.Entry<Long, Long> newest = confirmedAt.lastEntry();
-            if (newest != null && version < newest.getKey() && world.now() > newest.getValue()) {
-                world.history.violation(
-                        world.now(),
-                        "node " + p.id + " honours spec " + version + " while " + newest.getKey() + " was confirmed at "
-                                + newest.getValue());
-            }
-            if (version > 0 && refused.contains(c.spec().changeId())) {
-                world.history.violation(
-                        world.now(),
-                        "node " + p.id + " honours the refused change "
-                                + c.spec().changeId());
-            }
-        }
-    }
 }
--- a/trial/src/main/java/brookpath/trial/sim/Day.java
+++ b/trial/src/main/java/brookpath/trial/sim/Day.java
@@ -138,7 +138,7 @@
 
     private void begin() {
         world.run(4_000);
-        world.callers.change(world.callers.document(0, "first", true), "first", r -> {
+        world.callers.operators.change(world.callers.operators.document(0, "first", true), "first", r -> {
             if (r.status() != 200) {
                 world.history.violation(world.now(), "the first change was not confirmed: " + r);
             }
@@ -150,7 +150,7 @@
 
     private Outcome live() {
         begin();
-        world.callers.operators(2_000);
+        world.callers.operators.raceOnAndOn(2_000);
         long next = world.now() + plan.faultEveryMs;
         final List<Fault> faults = new ArrayList<>(plan.faults);
         final long end = world.now() + plan.lengthMs;
@@ -251,7 +251,7 @@
     private void readBack() {
         final long newest = world.history.newestConfirmed();
         final boolean[] read = new boolean[1];
-        world.callers.readSpec(r -> {
+        world.callers.operators.readSpec(r -> {
             read[0] = true;
             try (var rd = jakarta.json.Json.createReader(
                     new ByteArrayInputStream(r.json().getBytes(UTF_8)))) {
--- a/trial/src/main/java/brookpath/trial/sim/DayFaults.java
+++ b/trial/src/main/java/brookpath/trial/sim/DayFaults.java
@@ -228,15 +228,15 @@
 
     private void retireForAWhile(final long span) {
         final int node = any(world.storages).id;
-        world.callers.operate("retire", Pack.writer().num(node).num(1).done());
+        world.callers.operators.operate("retire", Pack.writer().num(node).num(1).done());
         world.at(
                 world.now() + 3 * span,
-                () -> world.callers.operate(
+                () -> world.callers.operators.operate(
                         "retire", Pack.writer().num(node).num(0).done()));
     }
 
     private void switchover() {
-        world.callers.operate(
+        world.callers.operators.operate(
                 "handover",
                 Pack.writer()
                         .num(world.rnd.nextInt(world.groups))
@@ -267,7 +267,7 @@
     }
 
     private void raceWhileTheMasterDies(final long span) {
-        world.callers.race();
+        world.callers.operators.race();
         world.at(
                 world.now() + 3 + world.rnd.nextInt(30),
                 () -> down(controlMaster(), world.rnd.nextBoolean(), span, () -> {}));
--- /dev/null
+++ b/trial/src/main/java/brookpath/trial/sim/DayOperators.java
@@ -0,0 +1,219 @@
+package brookpath.trial.sim;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import brookpath.coordination.message.Response;
+import brookpath.coordination.node.FrontNode;
+import brookpath.coordination.node.Job;
+import brookpath.coordination.node.StorageNode;
+import brookpath.coordination.spec.SpecClient;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+
+/** Stand-in operators of a day, who race each other, and what every process shows of what was confirmed to them. */
+final class DayOperators {
+    private static final long REMOVED_KEY_MS = 5_000;
+
+    private final World world;
+    private final Callers callers;
+    private final Map<Integer, Long> shown = new HashMap<>();
+    private final TreeMap<Long, Long> confirmedAt = new TreeMap<>();
+    private final Map<String, Long> removedAt = new HashMap<>();
+    private final Map<String, Integer> grantsUnderWay = new HashMap<>();
+    private final Set<String> refused = new LinkedHashSet<>();
+    private int changes;
+
+    DayOperators(final World world, final Callers callers) {
+        this.world = world;
+        this.callers = callers;
+    }
+
+    boolean anyConfirmed() {
+        return !confirmedAt.isEmpty();
+    }
+
+    /** A key was good for something, which it must not be once its removal has been confirmed for long enough. */
+    void keyUsed(final String key, final String did) {
+        final Long at = removedAt.get(key);
+        // why: a change under way may give the key back before its operator hears of it
+        if (at != null && grantsUnderWay.getOrDefault(key, 0) == 0 && world.now() > at + REMOVED_KEY_MS) {
+            world.history.violation(
+                    world.now(),
+                    "key " + key + " " + did + " " + (world.now() - at) + " ms after its removal was confirmed");
+        }
+    }
+
+    /** The whole spec; the keys that may come and go are there where their tenant is in the list. */
+    String document(final long basedOn, final String changeId, final List<String> withKeys) {
+        final StringBuilder sb =
+                new StringBuilder("{\"basedOn\":" + basedOn + ",\"changeId\":\"" + changeId + "\",\"spaces\":[");
+        for (int i = 0; i < Callers.SPACES.length; i++) {
+            sb.append(i == 0 ? "" : ",")
+                    .append("{\"name\":\"")
+                    .append(Callers.SPACES[i])
+                    .append("\",\"keepingSeconds\":" + Callers.KEEPING_MS / 1_000 + ",\"order\":\"")
+                    .append(Callers.SPACES[i].equals("clues") ? "one" : "sender")
+                    .append("\"}");
+        }
+        sb.append("],\"tenants\":[");
+        for (final String t : callers.tenants()) {
+            sb.append(t.equals("members") ? "" : ",")
+                    .append("{\"name\":\"")
+                    .append(t)
+                    .append("\",\"spaces\":[")
+                    .append(t.equals("guest") ? "\"permits\"" : "\"permits\",\"closures\",\"clues\"")
+                    .append("],\"keys\":[")
+                    .append(Callers.SHAKY.contains(t) && !withKeys.contains(t) ? "" : "\"key-" + t + "\"")
+                    .append("]}");
+        }
+        return sb.append("]}").toString();
+    }
+
+    String document(final long basedOn, final String changeId, final boolean withGuest) {
+        return document(basedOn, changeId, withGuest ? Callers.SHAKY : List.of("half"));
+    }
+
+    /** Hands a document to any controller, again and again under the same ID until it gets a final outcome. */
+    void change(final String doc, final String changeId, final Consumer<Response> then) {
+        final Proc p = callers.anyController();
+        final long at = world.now();
+        callers.ask(p, id -> new Job.Operate(id, "change", doc.getBytes(UTF_8)), r -> {
+            callers.service.asked("change", at, r.status() == 200 || (r.status() >= 400 && r.status() < 500));
+            if (r.status() == 200) {
+                final long version = Callers.json(r.json()).getInt("version");
+                confirmed(version, changeId);
+                then.accept(r);
+            } else if (r.status() == 409 || r.status() == 422 || r.status() == 400) {
+                world.count("changes refused");
+                refused.add(changeId);
+                then.accept(r);
+            } else {
+                world.at(world.now() + 200 + world.rnd.nextInt(500), () -> change(doc, changeId, then));
+            }
+        });
+    }
+
+    /** A change was confirmed to an operator, and has to hold from now on. */
+    void confirmed(final long version, final String changeId) {
+        world.history.confirmed(world.now(), version, changeId);
+        confirmedAt.putIfAbsent(version, world.now());
+        world.count("changes confirmed");
+    }
+
+    /** Two operators race on the newest version that one of them read, now and then with nonsense. */
+    void raceOnAndOn(final long every) {
+        if (callers.quiet) {
+            return;
+        }
+        final Proc p = callers.anyController();
+        callers.ask(p, id -> new Job.Operate(id, "spec", new byte[0]), r -> {
+            if (r.status() == 200 && !callers.quiet) {
+                final long version = Callers.json(r.json()).getInt("version");
+                final int racers = 1 + world.rnd.nextInt(2);
+                for (int i = 0; i < racers; i++) {
+                    turn(version, world.rnd.nextInt(5) == 0);
+                }
+            }
+            world.at(world.now() + every / 2 + world.rnd.nextLong(every), () -> raceOnAndOn(every));
+        });
+    }
+
+    /** Two operators hand over different documents made from the same version, at once. */
+    void race() {
+        readSpec(r -> {
+            if (r.status() == 200) {
+                world.count("staged races");
+                turn(Callers.json(r.json()).getInt("version"), false);
+                turn(Callers.json(r.json()).getInt("version"), false);
+            }
+        });
+    }
+
+    /** An operator's job that nobody waits for. */
+    void operate(final String kind, final byte[] body) {
+        callers.ask(
+                callers.anyController(),
+                id -> new Job.Operate(id, kind, body),
+                r -> world.count(kind + " said " + r.status()));
+    }
+
+    /** One change that takes keys away or gives them back, by chance. */
+    void turn(final long basedOn, final boolean nonsense) {
+        final String changeId = "change-" + ++changes;
+        final List<String> keys =
+                Callers.SHAKY.stream().filter(t -> world.rnd.nextInt(3) != 0).toList();
+        final String doc = document(basedOn, changeId, keys);
+        keys.forEach(t -> grantsUnderWay.merge("key-" + t, 1, Integer::sum));
+        change(nonsense ? doc.replace("\"keepingSeconds\":30", "\"keepingSeconds\":-3") : doc, changeId, res -> {
+            keys.forEach(t -> grantsUnderWay.merge("key-" + t, -1, Integer::sum));
+            if (res.status() != 200) {
+                return;
+            }
+            if (nonsense) {
+                world.history.violation(world.now(), changeId + " is nonsense and was confirmed");
+            }
+            if (Callers.json(res.json()).getInt("version") == world.history.newestConfirmed()) {
+                for (final String t : Callers.SHAKY) {
+                    if (keys.contains(t)) {
+                        removedAt.remove("key-" + t);
+                    } else {
+                        removedAt.putIfAbsent("key-" + t, world.now());
+                    }
+                }
+            }
+        });
+    }
+
+    void readSpec(final Consumer<Response> then) {
+        final Proc p = callers.anyController();
+        callers.ask(p, id -> new Job.Operate(id, "spec", new byte[0]), then);
+    }
+
+    /** What every data-plane process shows, against what was confirmed. */
+    void watch() {
+        for (final Proc p : world.procs.values()) {
+            final SpecClient c = !p.alive || p.frozen()
+                    ? null
+                    : p.node instanceof FrontNode f ? f.client() : p.node instanceof StorageNode s ? s.client() : null;
+            if (c == null) {
+                continue;
+            }
+            final long version = c.spec().version();
+            final Map.Entry<Long, Long> missing = confirmedAt.higherEntry(version);
+            if (missing != null
+                    && world.now()
+                            > Math.max(missing.getValue(), world.wellness.specExcusedUntil(p.id))
+                                    + world.tempo.changeMs()) {
+                world.history.violation(
+                        world.now(),
+                        "node " + p.id + " has spec " + version + " still, " + (world.now() - missing.getValue())
+                                + " ms after " + missing.getKey() + " was confirmed, and is not cut off");
+            }
+            if (!c.leased(p.mono())) {
+                continue;
+            }
+            final Long was = shown.put(p.id, version);
+            if (was != null && version < was) {
+                world.history.violation(world.now(), "node " + p.id + " went back from spec " + was + " to " + version);
+            }
+            final Map.Entry<Long, Long> newest = confirmedAt.lastEntry();
+            if (newest != null && version < newest.getKey() && world.now() > newest.getValue()) {
+                world.history.violation(
+                        world.now(),
+                        "node " + p.id + " honours spec " + version + " while " + newest.getKey() + " was confirmed at "
+                                + newest.getValue());
+            }
+            if (version > 0 && refused.contains(c.spec().changeId())) {
+                world.history.violation(
+                        world.now(),
+                        "node " + p.id + " honours the refused change "
+                                + c.spec().changeId());
+            }
+        }
+    }
+}
--- a/trial/src/main/java/brookpath/trial/sim/Operators.java
+++ b/trial/src/main/java/brookpath/trial/sim/Operators.java
@@ -124,7 +124,7 @@
             return;
         }
         final String changeId = "order-" + ++orders;
-        final String document = world.callers.document(newest, changeId, true);
+        final String document = world.callers.operators.document(newest, changeId, true);
         final String text = valid ? document : document.replace("\"keepingSeconds\":30", "\"keepingSeconds\":-3");
         final Change change = new Change(changeId, newest, text, valid, world.now());
         history.changes.sent(change);
@@ -191,7 +191,7 @@
 
     private void taken(final Change change, final long version) {
         history.changes.acknowledged(world.now(), change.changeId(), version);
-        world.callers.confirmed(version, change.changeId());
+        world.callers.operators.confirmed(version, change.changeId());
     }
 
     private void refused(final Change change, final Response response) {
--- a/trial/src/main/java/brookpath/trial/sim/Punctual.java
+++ b/trial/src/main/java/brookpath/trial/sim/Punctual.java
@@ -18,14 +18,13 @@
 
     void accepted(final Sent s) {
         final int group = callers.groupOf(s.topic);
-        for (final Callers.Subscriber sub : callers.listeningTo(s.topic)) {
+        for (final Subscriber sub : callers.listeningTo(s.topic)) {
             world.count("deliveries judged");
             look(s, sub, sub.sessionId, group, s.acceptedAt + world.tempo.deliverMs());
         }
     }
 
-    private void look(
-            final Sent s, final Callers.Subscriber sub, final long sessionId, final int group, final long horizon) {
+    private void look(final Sent s, final Subscriber sub, final long sessionId, final int group, final long horizon) {
         world.at(horizon + 1, () -> {
             if (sub.listener.has(s) || sub.sessionId != sessionId || !callers.holds(sub)) {
                 // why: a session that broke is judged by its resuming, not by this
--- /dev/null
+++ b/trial/src/main/java/brookpath/trial/sim/Subscriber.java
@@ -0,0 +1,130 @@
+package brookpath.trial.sim;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import brookpath.coordination.node.Job;
+import brookpath.trial.oracle.History.Listener;
+import jakarta.json.JsonObject;
+import java.util.Base64;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+
+/** A session of a day, on some topics: it comes back with its cursor whenever it was dropped or has been away. */
+final class Subscriber {
+    private final World world;
+    private final Callers callers;
+    final String name;
+    final String key;
+    final List<String> topics;
+    final Listener listener;
+    String cursor;
+    int front;
+    long sessionId;
+    long listeningSince = -1;
+    boolean naps;
+
+    Subscriber(
+            final World world, final Callers callers, final String name, final String key, final List<String> topics) {
+        this.world = world;
+        this.callers = callers;
+        this.name = name;
+        this.key = key;
+        this.topics = topics;
+        listener = world.history.listener(name, new LinkedHashSet<>(topics));
+    }
+
+    void connect() {
+        final Proc p = callers.anyFront();
+        front = p.id;
+        listeningSince = -1;
+        naps = false;
+        final boolean resumes = cursor != null;
+        final long at = world.now();
+        final long[] mine = new long[1];
+        mine[0] = callers.ask(p, i -> new Job.Subscribe(i, key, topics, cursor), r -> {
+            if (resumes && (r.status() < 400 || r.status() >= 500)) {
+                callers.service.asked("resume", at, r.status() == 200);
+            }
+            if (r.status() == 200) {
+                world.count("subscribed");
+                return;
+            }
+            if (!callers.sessions.remove(mine[0], this)) {
+                // why: the session was reset meanwhile, and its caller is coming back already
+                return;
+            }
+            if (r.status() == 410) {
+                world.history.refusedResume(world.now(), listener, Callers.KEEPING_MS);
+                world.count("too old to resume");
+                listener.entitled = false;
+                return;
+            }
+            if (r.status() == 401) {
+                listener.entitled = false;
+                world.count("keys refused");
+            }
+            world.at(world.now() + 100 + r.retryAfterMs() + world.rnd.nextInt(300), this::connect);
+        });
+        sessionId = mine[0];
+        callers.sessions.put(sessionId, this);
+    }
+
+    void line(final byte[] bytes) {
+        final JsonObject obj = Callers.json(new String(bytes, UTF_8));
+        callers.operators.keyUsed(key, "received");
+        cursor = obj.getString("cursor");
+        if (obj.getString("type").equals("message")) {
+            if (!listener.topics().contains(obj.getString("topic"))) {
+                world.history.violation(world.now(), name + " got an unasked topic");
+            }
+            world.history.begunIfNot(
+                    world.now(),
+                    listener,
+                    obj.getString("topic"),
+                    obj.getJsonNumber("position").longValue());
+            world.history.delivered(
+                    world.now(),
+                    listener,
+                    obj.getString("topic"),
+                    obj.getJsonNumber("position").longValue(),
+                    obj.getString("sender"),
+                    obj.getJsonNumber("sequence").longValue(),
+                    obj.getString("message"),
+                    Callers.oneOrder(obj.getString("topic")),
+                    listeningSince < 0 ? -1 : Math.max(listeningSince, world.procs.get(front).frozenUntil));
+        } else {
+            if (listeningSince < 0) {
+                listeningSince = world.now();
+            }
+            final Map<String, Long> at = new HashMap<>();
+            for (final String part : new String(Base64.getUrlDecoder().decode(cursor), UTF_8).split(",")) {
+                at.put(part.substring(0, part.indexOf('@')), Long.parseLong(part.substring(part.indexOf('@') + 1)));
+            }
+            world.history.begun(world.now(), listener, at);
+        }
+    }
+
+    void gone(final String why) {
+        world.count("sessions gone");
+        listeningSince = -1;
+        world.at(world.now() + 50 + world.rnd.nextInt(500), this::connect);
+    }
+
+    /** Drops off for a while and comes back, inside the keeping time. */
+    void nap(final long away, final long every) {
+        if (callers.quiet) {
+            return;
+        }
+        if (callers.sessions.remove(sessionId) == this) {
+            world.count("naps");
+            naps = true;
+            final Proc p = world.procs.get(front);
+            p.job(new Job.Unsubscribe(sessionId));
+            callers.forget(sessionId);
+            world.at(world.now() + 100 + world.rnd.nextLong(away), this::connect);
+        }
+        world.at(world.now() + every / 2 + world.rnd.nextLong(every), () -> nap(away, every));
+    }
+}
--- a/trial/src/main/java/brookpath/trial/sim/World.java
+++ b/trial/src/main/java/brookpath/trial/sim/World.java
@@ -165,7 +165,7 @@
     static World serving(final long seed, final Tempo tempo, final Tempo controlTempo) {
         final World world = new World(seed, Shape.SMALL, EnumSet.noneOf(Mutation.class), tempo, controlTempo);
         world.run(4_000);
-        world.callers.change(world.callers.document(0, "first", true), "first", r -> {
+        world.callers.operators.change(world.callers.operators.document(0, "first", true), "first", r -> {
             if (r.status() != 200) {
                 throw new IllegalStateException("the first change was not confirmed: " + r);
             }
@@ -279,7 +279,7 @@
             }
         });
         wellness.watch();
-        callers.watch();
+        callers.operators.watch();
         at(now + 5, this::watch);
     }
 
--- a/trial/src/test/java/brookpath/trial/sim/ControlMembershipTest.java
+++ b/trial/src/test/java/brookpath/trial/sim/ControlMembershipTest.java
@@ -87,7 +87,7 @@
     /** Sends a configuration through one controller after the other until it is acknowledged. */
     private void acknowledged(final String changeId) {
         final boolean[] done = new boolean[1];
-        send(world.callers.document(version, changeId, true), done, 0);
+        send(world.callers.operators.document(version, changeId, true), done, 0);
         until("the acknowledgement of " + changeId, ACKNOWLEDGED_WITHIN_MS, () -> done[0]);
         version++;
         newestChange = changeId;
--- a/trial/src/test/java/brookpath/trial/sim/ControlScene.java
+++ b/trial/src/test/java/brookpath/trial/sim/ControlScene.java
@@ -135,7 +135,7 @@
     /** Sends the same change to any node until it gets a final answer. */
     Response settled(final String document, final String changeId) {
         final Response[] got = new Response[1];
-        world.callers.change(document, changeId, r -> got[0] = r);
+        world.callers.operators.change(document, changeId, r -> got[0] = r);
         for (int i = 0; i < 6_000 && got[0] == null; i++) {
             world.run(world.now() + 5);
         }
@@ -144,7 +144,7 @@
     }
 
     String document(final long basedOn, final String changeId) {
-        return world.callers.document(basedOn, changeId, true);
+        return world.callers.operators.document(basedOn, changeId, true);
     }
 
     static long version(final Response response) {
--- a/trial/src/test/java/brookpath/trial/sim/ControlStateSizeTest.java
+++ b/trial/src/test/java/brookpath/trial/sim/ControlStateSizeTest.java
@@ -46,7 +46,7 @@
         }
         final List<Response> responses = new ArrayList<>();
         for (int i = 0; i < CHANGES_BEYOND_ANY_BOUND; i++) {
-            final String doc = world.callers.document(accepted + i, "waits-" + i, true);
+            final String doc = world.callers.operators.document(accepted + i, "waits-" + i, true);
             world.callers.asked(master, id -> new Job.Operate(id, "change", doc.getBytes(UTF_8)), responses::add);
             world.run(world.now() + 20);
             assertEquals(acceptedVersion(master), accepted, "after " + (i + 1) + " changes that are not accepted");
--- a/trial/src/test/java/brookpath/trial/sim/FullDiskTest.java
+++ b/trial/src/test/java/brookpath/trial/sim/FullDiskTest.java
@@ -134,7 +134,8 @@
 
     private void change(final long basedOn, final String changeId) {
         final Response[] got = new Response[1];
-        world.callers.change(world.callers.document(basedOn, changeId, true), changeId, r -> got[0] = r);
+        world.callers.operators.change(
+                world.callers.operators.document(basedOn, changeId, true), changeId, r -> got[0] = r);
         for (int i = 0; i < 1_000 && got[0] == null; i++) {
             world.run(world.now() + 10);
         }
--- a/trial/src/test/java/brookpath/trial/sim/FullSyncTest.java
+++ b/trial/src/test/java/brookpath/trial/sim/FullSyncTest.java
@@ -63,7 +63,8 @@
                 .filter(p -> group(p) == null)
                 .findFirst()
                 .orElseThrow();
-        world.callers.operate("retire", Pack.writer().num(spare.id).num(1).done());
+        world.callers.operators.operate(
+                "retire", Pack.writer().num(spare.id).num(1).done());
         world.run(world.now() + 8_000);
     }
 
--- a/trial/src/test/java/brookpath/trial/sim/JoinedSessionsTest.java
+++ b/trial/src/test/java/brookpath/trial/sim/JoinedSessionsTest.java
@@ -130,8 +130,10 @@
         final long session = open(31, "key-guest");
         assertEquals(join(31, session, TOPIC, null).status(), 200);
         assertEquals(publish(32, 1).status(), 200);
-        world.callers.change(
-                world.callers.document(1, "second", false), "second", r -> assertEquals(r.status(), 200, r.toString()));
+        world.callers.operators.change(
+                world.callers.operators.document(1, "second", false),
+                "second",
+                r -> assertEquals(r.status(), 200, r.toString()));
         world.run(world.now() + 3_000);
         assertTrue(
                 world.callers.told.stream()
@@ -244,7 +246,7 @@
     @Test
     public void aDocumentMayBringItsOwnVersionAndAnAnnotation() {
         begin(27);
-        final String doc = world.callers.document(1, "numbered", true);
+        final String doc = world.callers.operators.document(1, "numbered", true);
         final String numbered = "{\"version\":17,\"annotation\":\"as it was: {\\\"x\\\":35.0}\"," + doc.substring(1);
         final Response r =
                 ask(1, i -> new Job.Operate(i, "change", numbered.getBytes(java.nio.charset.StandardCharsets.UTF_8)));
--- a/trial/src/test/java/brookpath/trial/sim/OrderRepeatsTest.java
+++ b/trial/src/test/java/brookpath/trial/sim/OrderRepeatsTest.java
@@ -297,7 +297,7 @@
     public void twoChangesUnderOneIdNeverBothWin() {
         begin(140);
         final String one = document(1, "twice");
-        final String other = world.callers.document(1, "twice", false);
+        final String other = world.callers.operators.document(1, "twice", false);
         final Asked first = askChange(master(), one);
         final Asked second = askChange(others(master()).get(0), other);
         world.run(world.now() + 3_500);
--- a/trial/src/test/java/brookpath/trial/sim/RejoinAfterManyChangesTest.java
+++ b/trial/src/test/java/brookpath/trial/sim/RejoinAfterManyChangesTest.java
@@ -72,7 +72,7 @@
     }
 
     private void change(final Proc master, final String changeId) {
-        final String plain = world.callers.document(version, changeId, true);
+        final String plain = world.callers.operators.document(version, changeId, true);
         final String doc =
                 plain.substring(0, plain.length() - 1) + ",\"annotation\":\"" + "z".repeat(ANNOTATION_BYTES) + "\"}";
         world.callers.asked(master, id -> new Job.Operate(id, "change", doc.getBytes(UTF_8)), r -> {});
--- a/trial/src/test/java/brookpath/trial/sim/ScenesTest.java
+++ b/trial/src/test/java/brookpath/trial/sim/ScenesTest.java
@@ -204,7 +204,7 @@
         }
         final long asked = world.now();
         final long[] confirmedAt = new long[1];
-        world.callers.change(world.callers.document(1, "second", false), "second", r -> {
+        world.callers.operators.change(world.callers.operators.document(1, "second", false), "second", r -> {
             assertEquals(r.status(), 200, r.toString());
             confirmedAt[0] = world.now();
         });
@@ -227,7 +227,8 @@
             begin(seed);
             final List<Integer> statuses = new ArrayList<>();
             for (final String id : List.of("left", "right")) {
-                world.callers.change(world.callers.document(1, id, false), id, r -> statuses.add(r.status()));
+                world.callers.operators.change(
+                        world.callers.operators.document(1, id, false), id, r -> statuses.add(r.status()));
             }
             if (seed % 2 == 0) {
                 world.at(world.now() + 5, () -> world.kill(controlMaster(), true));
@@ -255,12 +256,12 @@
     public void sameChangeIdGetsTheSameOutcome() {
         begin(6);
         final List<String> got = new ArrayList<>();
-        final String stale = world.callers.document(0, "stale", true);
-        final String nonsense = world.callers.document(1, "odd", true).replace("\"sender\"", "\"sideways\"");
+        final String stale = world.callers.operators.document(0, "stale", true);
+        final String nonsense = world.callers.operators.document(1, "odd", true).replace("\"sender\"", "\"sideways\"");
         for (int i = 0; i < 2; i++) {
-            world.callers.change(stale, "stale", r -> got.add(r.status() + r.json()));
+            world.callers.operators.change(stale, "stale", r -> got.add(r.status() + r.json()));
             world.run(world.now() + 1_000);
-            world.callers.change(nonsense, "odd", r -> got.add(r.status() + r.json()));
+            world.callers.operators.change(nonsense, "odd", r -> got.add(r.status() + r.json()));
             world.run(world.now() + 1_000);
             world.kill(controlMaster(), true);
             world.run(world.now() + 500);
