--- a/trial/src/test/java/brookpath/trial/sim/ConfigurationUpdatesTest.java
+++ b/trial/src/test/java/brookpath/trial/sim/ConfigurationUpdatesTest.java
@@ -22,20 +22,22 @@
 import brookpath.state.record.Rec;
 import java.util.List;
 import java.util.Map;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /** Configurations reach the copies of the control log and the processes that follow as differences. */
 public final class ConfigurationUpdatesTest extends ControlScene {
     private static final int CHANGES = 300;
     private static final int FURTHER_SPACES = 120;
+    private static final int MANY_SPACES = 480;
     private static final List<String> CARRIERS = List.of("PullReply", "SpecReply");
     private static final Time NOW = new Time(10_000, 10_000);
 
     /** A document as the users' operators send it: many spaces, and the whole a second time as its annotation. */
-    private String large(final long basedOn, final String changeId, final int changed) {
+    private String large(final long basedOn, final String changeId, final int changed, final int spaces) {
         final StringBuilder further = new StringBuilder("\"spaces\":[");
-        for (int i = 0; i < FURTHER_SPACES; i++) {
-            final int keeping = i == changed % FURTHER_SPACES ? 36 : 35;
+        for (int i = 0; i < spaces; i++) {
+            final int keeping = i == changed % spaces ? 36 : 35;
             further.append("{\"name\":\"further-")
                     .append(i)
                     .append("\",\"keepingSeconds\":")
@@ -48,7 +50,11 @@
     }
 
     private long changed(final long basedOn, final String changeId, final int which) {
-        final Response response = settled(large(basedOn, changeId, which), changeId);
+        return changed(basedOn, changeId, which, FURTHER_SPACES);
+    }
+
+    private long changed(final long basedOn, final String changeId, final int which, final int spaces) {
+        final Response response = settled(large(basedOn, changeId, which, spaces), changeId);
         assertEquals(response.status(), 200, response.toString());
         return version(response);
     }
@@ -58,25 +64,36 @@
         return CARRIERS.stream().mapToLong(c -> bytes.getOrDefault(c, 0L)).sum();
     }
 
-    @Test
-    public void aStormOfChangesCarriesWhatChangedAndNotTheWhole() {
+    @DataProvider
+    public static Object[][] sizes() {
+        return new Object[][] {{FURTHER_SPACES}, {MANY_SPACES}};
+    }
+
+    @Test(dataProvider = "sizes")
+    public void aStormOfChangesCarriesWhatChangedAndNotTheWhole(final int spaces) {
         begin(61);
         long version = version(answered(askSpec(master())).response);
-        version = changed(version, "larger", 0);
+        version = changed(version, "larger", 0, spaces);
         final long before = carried();
+        final long from = world.now();
         for (int i = 1; i <= CHANGES; i++) {
-            version = changed(version, "storm-" + i, i);
+            version = changed(version, "storm-" + i, i, spaces);
         }
         final long bytes = carried() - before;
-        final long document = large(version, "storm-" + CHANGES, CHANGES).length();
+        final long lasted = world.now() - from;
+        world.run(world.now() + lasted);
+        final long usual = carried() - before - bytes;
+        final long document =
+                large(version, "storm-" + CHANGES, CHANGES, spaces).length();
         System.out.println("MEASURED " + CHANGES + " changes of a document of " + document + " bytes carried " + bytes
-                + " bytes between zones to copies and followers");
+                + " bytes between zones to copies and followers in " + lasted
+                + " ms, and as long a time without changes "
+                + usual);
         assertTrue(bytes < CHANGES * document, bytes + " bytes: more than one whole document a change");
-        final long last = version;
-        world.run(world.now() + 2_000);
-        world.procs.values().stream()
-                .filter(p -> p.node instanceof FrontNode)
-                .forEach(p -> assertEquals(((FrontNode) p.node).client().spec().version(), last));
+        for (final int id : world.fronts) {
+            final FrontNode front = (FrontNode) world.procs.get(id).node;
+            assertEquals(front.client().spec().version(), version);
+        }
     }
 
     @Test
