--- a/trial/src/main/java/brookpath/trial/mutate/Mutants.java
+++ b/trial/src/main/java/brookpath/trial/mutate/Mutants.java
@@ -43,6 +43,7 @@
             "brookpath.trial.sim.RejoinAfterManyChangesTest",
             "brookpath.trial.sim.AddressReuseTest",
             "brookpath.trial.sim.CallIdsTest",
+            "brookpath.trial.sim.ConfigurationUpdatesTest",
             "brookpath.trial.sim.UsageRepeatTest",
             "brookpath.trial.PublishForwarderTest");
 
--- a/trial/src/test/java/brookpath/platform/control/DocumentsTest.java
+++ b/trial/src/test/java/brookpath/platform/control/DocumentsTest.java
@@ -86,4 +86,17 @@
         assertNotEquals(judged(GOOD, 1, Spec.NONE).spec().changeId(), id);
         assertNotEquals(judged(GOOD + " ", 0, Spec.NONE).spec().changeId(), id);
     }
+
+    @Test
+    public void theLargestConfigurationThatIsReadFitsAChange() {
+        final StringBuilder routes = new StringBuilder(ROUTE);
+        for (int i = 2; routes.length() < HttpDesk.MOST_BODY - 1_000; i++) {
+            routes.append(',').append(ROUTE.replace("r-1", "r-" + i).replace("kafi810.", "kafa" + i + "."));
+        }
+        final String largest = GOOD.replace(ROUTE + "," + OTHER, routes);
+        assertTrue(largest.length() <= HttpDesk.MOST_BODY, largest.length() + " bytes");
+        final byte[] change = Documents.change(largest.getBytes(UTF_8), 0);
+        assertTrue(change.length <= SpecReader.MAX_BYTES, change.length + " bytes as a change");
+        assertTrue(judged(largest, 0, Spec.NONE).findings().isEmpty());
+    }
 }
