Linter: three findings in Delta and ControllerNode; a check of changed files had hidden them

The classes had been compiled without the lint profile just before, and the compiler looks only at what has changed since. Change: grouping parentheses, the array kept beside its buffer, the field gone. No behaviour. Ruled out: leaving the findings out in the pom.

--- a/coordination/src/main/java/brookpath/coordination/node/ControllerNode.java
+++ b/coordination/src/main/java/brookpath/coordination/node/ControllerNode.java
@@ -57,7 +57,6 @@
     /** Whom the settings name as the control group's founders; once the log tells of members, these count no more. */
     private final List<Member> founders;
 
-    private final NodeInfo info;
     /** How a controller that is not the control master hears of the roster, and the control master of it. */
     private final SpecClient client;
 
@@ -114,7 +113,6 @@
             final long firstId,
             final long rollBytes) {
         super(info.node(), tempo);
-        this.info = info;
         this.founding = founding;
         this.rollBytes = rollBytes;
         this.founders = founders;
--- a/state/src/main/java/brookpath/state/record/Delta.java
+++ b/state/src/main/java/brookpath/state/record/Delta.java
@@ -228,25 +228,26 @@
         }
 
         void copy(final int offset, final int length) {
-            number(length << 1 | 1);
+            number((length << 1) | 1);
             number(offset);
         }
 
         private void number(final int value) {
             int rest = value;
             while (rest > 0x7f) {
-                operations.write(rest & 0x7f | 0x80);
+                operations.write((rest & 0x7f) | 0x80);
                 rest >>>= 7;
             }
             operations.write(rest);
         }
 
         byte[] done(final byte[] base) {
-            final ByteBuffer out = little(new byte[HEADER + operations.size()]);
+            final byte[] delta = new byte[HEADER + operations.size()];
+            final ByteBuffer out = little(delta);
             out.putInt(base.length).putInt(checksum(base));
             out.putInt(result.length).putInt(checksum(result));
             out.put(operations.toByteArray());
-            return out.array();
+            return delta;
         }
     }
 }
