--- a/coordination/src/main/java/brookpath/coordination/spec/VersionUpdates.java
+++ b/coordination/src/main/java/brookpath/coordination/spec/VersionUpdates.java
@@ -14,6 +14,9 @@
     /** What a follower gets that has the newest version already. */
     public static final byte[] NO_NEWS = new byte[0];
 
+    /** The version of a document that does not exist yet: nobody has it, so nothing is a difference from it. */
+    private static final long NO_DOCUMENT = 0;
+
     private static final int KEPT_VERSIONS = 16;
     private static final int KEPT_BYTES = 4 << 20;
 
@@ -25,7 +28,7 @@
 
     /** The newest version, which is told from now on; one that is known already changes nothing. */
     public void newest(final long version, final byte[] document) {
-        if (documents.containsKey(version)) {
+        if (version == NO_DOCUMENT || documents.containsKey(version)) {
             return;
         }
         documents.put(version, document);
--- a/trial/src/test/java/brookpath/trial/sim/ConfigurationUpdatesTest.java
+++ b/trial/src/test/java/brookpath/trial/sim/ConfigurationUpdatesTest.java
@@ -169,6 +169,25 @@
         assertEquals(updates.since(1), VersionUpdates.NO_NEWS);
     }
 
+    @Test
+    public void nothingIsADifferenceFromADocumentThatDidNotExist() {
+        final VersionUpdates updates = new VersionUpdates();
+        updates.newest(0, text(0));
+        assertEquals(updates.since(-1), VersionUpdates.NO_NEWS);
+        updates.newest(1, text(1));
+        assertTrue(Delta.isWhole(updates.since(0)), "whoever has no document got a difference from one");
+    }
+
+    @Test
+    public void nobodyAsksForTheWholeOnACalmStart() {
+        begin(64);
+        assertEquals(
+                world.notes().stream()
+                        .filter(n -> n.contains("asks for the whole"))
+                        .toList(),
+                List.of());
+    }
+
     @Test
     public void largeVersionsAreFewButTheNewestStays() throws Delta.MismatchException {
         final VersionUpdates updates = new VersionUpdates();
