Sight: starts, recovered logs, elections and slow joins are printed as they happen

A process told nothing of its start, of the logs it recovered or of the topics its sessions joined; notes lay in a ring that only an error writes out.

--- a/coordination/src/main/java/brookpath/coordination/TimingBounds.java
+++ b/coordination/src/main/java/brookpath/coordination/TimingBounds.java
@@ -59,6 +59,11 @@
         return deliverMs / 2;
     }
 
+    /** A topic whose position is not known within this after the request to join it is refused. */
+    public long joinDeadline() {
+        return deliverMs / 2;
+    }
+
     /** How long a gateway tries to forward a publish to the leader of its group. */
     public long forwardDeadline() {
         return deliverMs * 5 / 8;
--- a/coordination/src/main/java/brookpath/coordination/action/Action.java
+++ b/coordination/src/main/java/brookpath/coordination/action/Action.java
@@ -48,7 +48,7 @@
     /** Posts a document to the platform under an idempotency key; the outcome comes back as a request. */
     record Post(long requestId, String key, String json) implements Action {}
 
-    /** A line for the log ring; an error has the ring written out. */
+    /** A line for the log ring; a milestone is also printed at once, and an error has the ring written out. */
     record Note(Severity severity, String text) implements Action {
         /** Whether the ring is to be written out. */
         public boolean isError() {
@@ -59,6 +59,8 @@
     /** How serious a note is. */
     enum Severity {
         INFO,
+        /** Rare, and needed to order what happened over all processes, such as a start or an election. */
+        MILESTONE,
         ERROR
     }
 }
--- a/coordination/src/main/java/brookpath/coordination/action/Actions.java
+++ b/coordination/src/main/java/brookpath/coordination/action/Actions.java
@@ -92,6 +92,11 @@
         collected.add(new Action.Note(Action.Severity.INFO, text));
     }
 
+    /** Adds a line to the log ring and prints it at once; for rare events that operators order by time. */
+    public void milestone(final String text) {
+        collected.add(new Action.Note(Action.Severity.MILESTONE, text));
+    }
+
     /** Adds a line to the log ring, and has the ring written out. */
     public void error(final String text) {
         collected.add(new Action.Note(Action.Severity.ERROR, text));
--- a/coordination/src/main/java/brookpath/coordination/group/GroupStateMachine.java
+++ b/coordination/src/main/java/brookpath/coordination/group/GroupStateMachine.java
@@ -295,7 +295,8 @@
         lease.reset();
         appender.dropPending();
         fetcher.cancel();
-        out.note("group " + group + ": " + roleState.reason());
+        out.milestone("group " + group + ": " + roleState.reason() + ", log to " + log.endIndex() + ", committed "
+                + log.committedIndex());
         out.heartbeatNow();
         // why: records of earlier terms count as committed only once a record of this one is
         append(LogRecord.OPEN, new byte[0], now, 0);
--- a/coordination/src/main/java/brookpath/coordination/node/GatewayNode.java
+++ b/coordination/src/main/java/brookpath/coordination/node/GatewayNode.java
@@ -60,6 +60,7 @@
 
     private long ids;
     private long nextListenerReport;
+    private boolean servedBefore;
 
     /**
      * @param info this process as peers see it; the address is where callers reach it, and may be empty
@@ -231,6 +232,10 @@
     }
 
     private void releaseWaiting(final long now) {
+        if (!servedBefore && serves(now)) {
+            servedBefore = true;
+            reportStartOf("serves configuration " + client.configuration().version(), now);
+        }
         leaseQueue.release(serves(now), now, nodeRequest -> handleLeased(nodeRequest, now));
     }
 
--- a/coordination/src/main/java/brookpath/coordination/node/Node.java
+++ b/coordination/src/main/java/brookpath/coordination/node/Node.java
@@ -99,6 +99,12 @@
         return out.drain();
     }
 
+    /** Reports something that happens once in the life of a process, with the time since its start. */
+    protected final void reportStartOf(final String what, final long now) {
+        final String since = bornAt == UNKNOWN ? "" : ", " + (now - bornAt) + " ms after the process started";
+        out.milestone(what + since);
+    }
+
     protected static Map<Integer, String> zonesOf(final ClusterMetadata metadata) {
         final Map<Integer, String> zones = new HashMap<>();
         metadata.nodes().forEach(n -> zones.put(n.node(), n.zone()));
--- a/coordination/src/main/java/brookpath/coordination/node/StorageNode.java
+++ b/coordination/src/main/java/brookpath/coordination/node/StorageNode.java
@@ -62,6 +62,7 @@
     private final GroupStateReporter groupReporter;
     private final UsageWindowReporter usageReporter;
     private final GracefulShutdown shutdown;
+    private boolean recoveryReported;
 
     /**
      * @param info this process's node number, zone and address as peers see them
@@ -145,6 +146,10 @@
     @Override
     protected void onTick(final Time time) {
         final long now = time.mono();
+        if (!recoveryReported) {
+            recoveryReported = true;
+            reportStartOf("recovered " + groups.describe(), now);
+        }
         client.tick(time);
         for (final GroupMachine group : groups.all()) {
             group.tick(now, table);
--- a/coordination/src/main/java/brookpath/coordination/node/gateway/CatchUpFetcher.java
+++ b/coordination/src/main/java/brookpath/coordination/node/gateway/CatchUpFetcher.java
@@ -17,6 +17,7 @@
     private final FeedFetcher feeds;
     private final SessionWriter writer;
     private final SessionTerminator terminator;
+    private final JoinReport joins;
     private final TimingBounds timing;
     private final LongSupplier ids;
     private final Actions out;
@@ -27,6 +28,7 @@
             final FeedFetcher feeds,
             final SessionWriter writer,
             final SessionTerminator terminator,
+            final JoinReport joins,
             final TimingBounds timing,
             final LongSupplier ids,
             final Actions out) {
@@ -35,6 +37,7 @@
         this.feeds = feeds;
         this.writer = writer;
         this.terminator = terminator;
+        this.joins = joins;
         this.timing = timing;
         this.ids = ids;
         this.out = out;
@@ -99,6 +102,7 @@
             final long now) {
         subscription.advanceAll(position);
         subscription.live = true;
+        joins.wentLive(subscription, now);
         subscription.topics().forEach(topic -> feed.addLive(topic, session.id));
         writer.confirmJoin(subscription);
         if (session.sharedCursor && session.isLive()) {
--- a/coordination/src/main/java/brookpath/coordination/node/gateway/SessionRequests.java
+++ b/coordination/src/main/java/brookpath/coordination/node/gateway/SessionRequests.java
@@ -86,7 +86,7 @@
             registry.unsubscribe(session, previous);
         }
         final GroupSubscription subscription =
-                new GroupSubscription(route.group(), request.requestId(), now + timing.deliverMs() / 2);
+                new GroupSubscription(route.group(), request.requestId(), now + timing.joinDeadline());
         subscription.include(request.topic(), start);
         registry.subscribe(session, subscription);
         catchUpFetcher.start(session, subscription, now);
--- a/coordination/src/main/java/brookpath/coordination/node/gateway/SessionTerminator.java
+++ b/coordination/src/main/java/brookpath/coordination/node/gateway/SessionTerminator.java
@@ -16,11 +16,14 @@
 
     private final SessionRegistry registry;
     private final TimingBounds timing;
+    private final JoinReport joins;
     private final Actions out;
 
-    SessionTerminator(final SessionRegistry registry, final TimingBounds timing, final Actions out) {
+    SessionTerminator(
+            final SessionRegistry registry, final TimingBounds timing, final JoinReport joins, final Actions out) {
         this.registry = registry;
         this.timing = timing;
+        this.joins = joins;
         this.out = out;
     }
 
@@ -60,6 +63,7 @@
 
     /** Ends a subscription whose unread records were trimmed. */
     void historyGone(final Session session, final GroupSubscription subscription, final List<String> topics) {
+        joins.historyGone();
         final String json = Json.createObjectBuilder()
                 .add("outcome", "gone")
                 .add("code", "gone")
@@ -78,6 +82,7 @@
 
     /** Ends the join of a topic that did not begin by its deadline. */
     void joinTimedOut(final Session session, final GroupSubscription subscription) {
+        joins.timedOut();
         registry.unsubscribe(session, subscription);
         out.respond(subscription.pendingJoin, Refusals.retryLater(timing, "history", NOT_READ_IN_TIME));
     }
--- a/coordination/src/main/java/brookpath/coordination/node/gateway/Subscriptions.java
+++ b/coordination/src/main/java/brookpath/coordination/node/gateway/Subscriptions.java
@@ -22,6 +22,7 @@
     private final FetchSources sources;
     private final SessionWriter writer;
     private final SessionTerminator terminator;
+    private final JoinReport joinReport;
     private final FeedFetcher feedFetcher;
     private final CatchUpFetcher catchUpFetcher;
     private final ListenerReporter listenerReporter;
@@ -47,9 +48,11 @@
         registry = new SessionRegistry(ids);
         sources = new FetchSources(timing, routes);
         writer = new SessionWriter(self, out);
-        terminator = new SessionTerminator(registry, timing, out);
+        joinReport = new JoinReport(timing, out);
+        terminator = new SessionTerminator(registry, timing, joinReport, out);
         feedFetcher = new FeedFetcher(registry, sources, writer, terminator, timing, ids, out);
-        catchUpFetcher = new CatchUpFetcher(registry, sources, feedFetcher, writer, terminator, timing, ids, out);
+        catchUpFetcher =
+                new CatchUpFetcher(registry, sources, feedFetcher, writer, terminator, joinReport, timing, ids, out);
         listenerReporter = new ListenerReporter(registry, timing, routes, ids, out);
         drain = new SessionDrain(registry, out);
         requests = new SessionRequests(registry, catchUpFetcher, maxTopics, timing, routes, out);
@@ -112,6 +115,7 @@
             tick(registry.get(id), now);
         }
         feedFetcher.tick(now);
+        joinReport.tick(now);
     }
 
     private void tick(final Session session, final long now) {
--- a/coordination/src/main/java/brookpath/coordination/node/storage/TopicGroups.java
+++ b/coordination/src/main/java/brookpath/coordination/node/storage/TopicGroups.java
@@ -123,6 +123,24 @@
         out.note("group " + info.id() + ": left, in group version " + info.version());
     }
 
+    /** The range of indexes that each replica holds, the commit index and the term. */
+    public String describe() {
+        final StringBuilder text = new StringBuilder(groups.size() + " groups");
+        for (final GroupMachine group : groups.values()) {
+            text.append("; ")
+                    .append(group.id())
+                    .append(": ")
+                    .append(group.baseIndex())
+                    .append("..")
+                    .append(group.endIndex())
+                    .append(" committed ")
+                    .append(group.committed())
+                    .append(" term ")
+                    .append(group.term());
+        }
+        return text.toString();
+    }
+
     /** Begins a new log segment with a snapshot of all groups. */
     public void rollLog() {
         final PackedBuffer buffer = PackedBuffer.writer();
--- a/transport/src/main/java/brookpath/transport/log/RingWriter.java
+++ b/transport/src/main/java/brookpath/transport/log/RingWriter.java
@@ -14,8 +14,14 @@
 import org.tinylog.core.LogEntryValue;
 import org.tinylog.writers.Writer;
 
-/** tinylog's writer: keeps the last lines in memory and writes them out when an error is logged. Thread-safe. */
+/**
+ * tinylog's writer: keeps the last lines in memory and writes them out when an error is logged. Lines with the tag
+ * {@link #PRINTED_AT_ONCE} are besides written to standard error as they come. Thread-safe.
+ */
 public final class RingWriter implements Writer {
+    /** The tag of rare lines by which an operator orders what happened over all processes. */
+    public static final String PRINTED_AT_ONCE = "milestone";
+
     private static final int LINES = 4096;
     /** For debugging: each line is also written to standard error at once. */
     private static final boolean ECHO = Boolean.getBoolean("brookpath.echo");
@@ -47,6 +53,7 @@
         return EnumSet.of(
                 LogEntryValue.DATE,
                 LogEntryValue.LEVEL,
+                LogEntryValue.TAG,
                 LogEntryValue.MESSAGE,
                 LogEntryValue.EXCEPTION,
                 LogEntryValue.THREAD);
@@ -68,7 +75,7 @@
                 line.append("\n    at ").append(el);
             }
         }
-        if (ECHO) {
+        if (ECHO || PRINTED_AT_ONCE.equals(entry.getTag())) {
             System.err.println(line);
         }
         synchronized (RingWriter.class) {
--- a/transport/src/main/java/brookpath/transport/loop/ActionExecutor.java
+++ b/transport/src/main/java/brookpath/transport/loop/ActionExecutor.java
@@ -3,6 +3,7 @@
 import brookpath.coordination.action.Action;
 import brookpath.coordination.node.NodeRequest;
 import brookpath.coordination.node.usage.PostOutcome;
+import brookpath.transport.log.RingWriter;
 import brookpath.transport.wire.Wire;
 import java.util.List;
 import org.tinylog.Logger;
@@ -87,10 +88,10 @@
     }
 
     private static void log(final Action.Note note) {
-        if (note.isError()) {
-            Logger.error(note.text());
-        } else {
-            Logger.info(note.text());
+        switch (note.severity()) {
+            case ERROR -> Logger.error(note.text());
+            case MILESTONE -> Logger.tag(RingWriter.PRINTED_AT_ONCE).info(note.text());
+            default -> Logger.info(note.text());
         }
     }
 }
