--- a/programs/src/main/java/brookpath/programs/boot/ProcessModule.java
+++ b/programs/src/main/java/brookpath/programs/boot/ProcessModule.java
@@ -10,7 +10,7 @@
 import brookpath.transport.http.PlatformPoster;
 import brookpath.transport.http.RequestDispatcher;
 import brookpath.transport.http.SettingsReport;
-import brookpath.transport.log.RingWriter;
+import brookpath.transport.log.LogRing;
 import brookpath.transport.loop.Host;
 import com.google.inject.AbstractModule;
 import com.google.inject.Provides;
@@ -64,7 +64,7 @@
     @Singleton
     ProcessAssembly assembly(final PlatformPoster poster) {
         if (settings.role() != Role.GATEWAY) {
-            RingWriter.to(Path.of(settings.dataFolder(), RING_LOG));
+            LogRing.to(Path.of(settings.dataFolder(), RING_LOG));
         }
         return ProcessAssembly.of(plan(), poster);
     }
--- a/transport/src/main/java/brookpath/transport/loop/ActionExecutor.java
+++ b/transport/src/main/java/brookpath/transport/loop/ActionExecutor.java
@@ -3,10 +3,9 @@
 import brookpath.coordination.action.Action;
 import brookpath.coordination.node.NodeRequest;
 import brookpath.coordination.node.usage.PostOutcome;
-import brookpath.transport.log.RingWriter;
+import brookpath.transport.log.LogRing;
 import brookpath.transport.wire.Wire;
 import java.util.List;
-import org.tinylog.Logger;
 
 /** Executes the actions that the node returned. On the state thread; nothing here waits for a disk or a socket. */
 final class ActionExecutor {
@@ -89,9 +88,9 @@
 
     private static void log(final Action.Note note) {
         switch (note.severity()) {
-            case ERROR -> Logger.error(note.text());
-            case MILESTONE -> Logger.tag(RingWriter.PRINTED_AT_ONCE).info(note.text());
-            default -> Logger.info(note.text());
+            case ERROR -> LogRing.error(note.text());
+            case MILESTONE -> LogRing.milestone(note.text());
+            default -> LogRing.info(note.text());
         }
     }
 }
--- a/transport/src/main/java/brookpath/transport/wire/Wire.java
+++ b/transport/src/main/java/brookpath/transport/wire/Wire.java
@@ -96,6 +96,7 @@
             final long redialMs,
             final long deadPeerMs,
             final int threads) {
+        NettyStart.prepare();
         this.self = self;
         this.deadPeerMs = deadPeerMs;
         loops = new MultiThreadIoEventLoopGroup(threads, NioIoHandler.newFactory());
