--- a/transport/src/main/java/brookpath/transport/loop/Host.java
+++ b/transport/src/main/java/brookpath/transport/loop/Host.java
@@ -113,6 +113,11 @@
         return state.mayDeliver();
     }
 
+    /** Completes once the node first holds the lease on the configuration, before which it serves no caller. */
+    public CompletableFuture<Void> firstLease() {
+        return state.firstLease();
+    }
+
     // ---- from the traffic threads
 
     /** An id that no other request of this process has, whatever its incarnation. */
--- a/transport/src/main/java/brookpath/transport/loop/StateLoop.java
+++ b/transport/src/main/java/brookpath/transport/loop/StateLoop.java
@@ -8,6 +8,7 @@
 import brookpath.transport.wire.Wire;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import java.util.function.Function;
 import java.util.function.LongSupplier;
 
@@ -25,6 +26,9 @@
     private final LoopThreads threads;
     private final Function<Node, Map<Integer, String>> addresses;
     private final LongSupplier leaseUntil;
+    /** Completed once the node first holds the lease that permits delivery. */
+    private final CompletableFuture<Void> firstLease = new CompletableFuture<>();
+
     private volatile long leaseUntilMs = Long.MAX_VALUE;
     private volatile Map<Integer, String> zones = Map.of();
     private Map<Integer, String> dialled = Map.of();
@@ -57,6 +61,11 @@
         return SystemClock.monotonicMs() < leaseUntilMs;
     }
 
+    /** Any thread: completes, on the state thread, once lines may be delivered for the first time. */
+    CompletableFuture<Void> firstLease() {
+        return firstLease;
+    }
+
     /** Any thread: the zones of the nodes that are known. */
     Map<Integer, String> zones() {
         return zones;
@@ -66,6 +75,9 @@
     void execute(final List<Action> actions) {
         heartbeats.publish(node.entries(SystemClock.now()));
         leaseUntilMs = leaseUntil.getAsLong();
+        if (!firstLease.isDone() && mayDeliver()) {
+            firstLease.complete(null);
+        }
         executor.execute(actions);
     }
 
