--- a/testing/src/test/java/brookpath/platform/GatewayStartTest.java
+++ b/testing/src/test/java/brookpath/platform/GatewayStartTest.java
@@ -6,11 +6,14 @@
 import static org.testng.Assert.assertTrue;
 
 import brookpath.coordination.node.GatewayNode;
+import brookpath.platform.settings.NodeFile;
 import brookpath.programs.Role;
 import brookpath.protocol.frame.FrameCodec;
 import brookpath.state.record.LogRecord;
 import brookpath.transport.loop.Host;
 import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
 import java.nio.file.FileSystem;
 import java.nio.file.FileSystems;
 import java.nio.file.Files;
@@ -37,6 +40,8 @@
     /** Far above what any start takes; a start that hangs fails the test rather than the build. */
     private static final int TIMEOUT_S = 120;
 
+    private static final String CLASSES = "classes.txt";
+    private static final String OUTPUT = "output.txt";
     private static final String LINKED_CONCATENATION = "java/lang/invoke/StringConcatFactory";
 
     private Path folder;
@@ -45,27 +50,17 @@
     @BeforeClass(groups = REAL_PROCESSES)
     public void runTrainingCluster() throws Exception {
         folder = Files.createTempDirectory("brookpath-start");
-        final Path classes = folder.resolve("classes.txt");
-        final Process process = new ProcessBuilder(
-                        Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                        "-Xlog:class+load:file=" + classes,
-                        "--add-opens",
-                        "java.base/jdk.internal.misc=ALL-UNNAMED",
-                        "-cp",
-                        System.getProperty("surefire.test.class.path", System.getProperty("java.class.path")),
-                        ClassArchiveTraining.class.getName())
-                .redirectErrorStream(true)
-                .redirectOutput(folder.resolve("output.txt").toFile())
+        final Process process = java("-Xlog:class+load:file=" + folder.resolve(CLASSES), ClassArchiveTraining.class)
                 .start();
         assertTrue(process.waitFor(TIMEOUT_S, TimeUnit.SECONDS), "the process does not end");
-        final String output = Files.readString(folder.resolve("output.txt"));
+        final String output = Files.readString(folder.resolve(OUTPUT));
         assertTrue(output.contains("open to clients") && !output.contains("cut short"), output);
-        loaded = Files.readAllLines(classes);
+        loaded = Files.readAllLines(folder.resolve(CLASSES));
     }
 
     @AfterClass(groups = REAL_PROCESSES, alwaysRun = true)
     public void removeFolder() throws IOException {
-        for (final String name : List.of("classes.txt", "output.txt")) {
+        for (final String name : List.of(CLASSES, OUTPUT, "node.json")) {
             Files.deleteIfExists(folder.resolve(name));
         }
         Files.deleteIfExists(folder);
@@ -90,6 +85,52 @@
         assertEquals(found, List.of(), "needless for a start");
     }
 
+    /** It has nothing to serve yet and no server of its own, but goes on until it finds a controller. */
+    @Test(groups = REAL_PROCESSES)
+    public void aGatewayWithoutAControlPlaneGoesOn() throws Exception {
+        try (ServerSocket controller = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.2"))) {
+            controller.setSoTimeout(TIMEOUT_S * 1_000);
+            final Path settings = folder.resolve("node.json");
+            Files.writeString(settings, settings(controller.getLocalPort()));
+            final ProcessBuilder builder = java("-Xlog:disable", Main.class, "gateway");
+            builder.environment().put(NodeFile.VARIABLE, settings.toString());
+            final Process process = builder.start();
+            try {
+                for (int i = 0; i < 2; i++) {
+                    controller.accept().close();
+                }
+                assertTrue(process.isAlive(), "the process ended by itself");
+            } finally {
+                process.destroyForcibly().waitFor();
+            }
+        }
+    }
+
+    /** @param controllerPort where the controllers of the settings listen for peers */
+    private static String settings(final int controllerPort) {
+        final int firstPort = controllerPort - 2;
+        return "{\"NodeName\":\"gateway-1\",\"IpAddress\":\"127.0.0.1\",\"Zone\":\"z\",\"ListenAddresses\":{"
+                + "\"Frontend\":\"127.0.0.1:1\",\"Readiness\":\"127.0.0.1:1\"},\"InternalPortRange\":[" + firstPort
+                + "],"
+                + "\"SeedNodes\":[\"127.0.0.2:1\"],\"FirstStart\":true,\"DataDirectory\":\"\","
+                + "\"ToleratedLosses\":{\"Machines\":2},\"Bounds\":{}}";
+    }
+
+    private ProcessBuilder java(final String classLog, final Class<?> program, final String... arguments) {
+        final List<String> command = new ArrayList<>(List.of(
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                classLog,
+                "--add-opens",
+                "java.base/jdk.internal.misc=ALL-UNNAMED",
+                "-cp",
+                System.getProperty("surefire.test.class.path", System.getProperty("java.class.path")),
+                program.getName()));
+        command.addAll(List.of(arguments));
+        return new ProcessBuilder(command)
+                .redirectErrorStream(true)
+                .redirectOutput(folder.resolve(OUTPUT).toFile());
+    }
+
     /** One class of each module that the programs consist of. */
     @DataProvider
     public Object[][] modules() {
