--- a/testing/src/main/java/brookpath/testing/sim/SimulatedNetwork.java
+++ b/testing/src/main/java/brookpath/testing/sim/SimulatedNetwork.java
@@ -27,6 +27,8 @@
     final Map<Long, Integer> linkLoss = new HashMap<>();
     /** Links that carry no more than so many bits a second, in one direction. */
     final Map<Long, Integer> linkBitsPerSecond = new HashMap<>();
+    /** How much later messages arrive on single links, in one direction, in milliseconds: a receiver that lags. */
+    final Map<Long, Long> linkDelayMs = new HashMap<>();
     /** Bytes between zones so far, by what they were for. */
     final java.util.TreeMap<String, Long> crossZoneBytes = new java.util.TreeMap<>();
 
@@ -88,7 +90,8 @@
         final int zones = from.zone.equals(target.zone)
                 ? 0
                 : (cluster.size.zoneDelayHalfMillis() + cluster.random.nextInt(2)) / 2;
-        long delay = zones + extraDelay + (cluster.random.nextInt(4) == 0 ? 1 : 0);
+        final long lag = linkDelayMs.isEmpty() ? 0 : linkDelayMs.getOrDefault(link, 0L);
+        long delay = zones + extraDelay + lag + (cluster.random.nextInt(4) == 0 ? 1 : 0);
         if (cluster.random.nextInt(1000)
                 < Math.max(lossPerThousand, linkLoss.isEmpty() ? 0 : linkLoss.getOrDefault(link, 0))) {
             // why: to those above, a lost packet is one that comes late, and everything behind it waits
