--- a/coordination/src/main/java/brookpath/coordination/node/gateway/CatchUpFetcher.java
+++ b/coordination/src/main/java/brookpath/coordination/node/gateway/CatchUpFetcher.java
@@ -51,23 +51,40 @@
 
     /** Retries fetches without a timely reply, and those that had no member to read from. */
     void retryIfOverdue(final Session session, final GroupSubscription subscription, final long now) {
-        final boolean underWay = subscription.fetchId != 0;
-        if (subscription.live || (underWay && now - subscription.fetchSentAt <= timing.down())) {
+        final boolean underWay = !subscription.fetches.isEmpty();
+        if (subscription.live
+                || (underWay && now - subscription.fetchSentAt <= subscription.fetches.timeoutMs(timing.down()))) {
             return;
         }
         if (underWay) {
             sources.avoid(subscription.source, now);
+            // why: the overdue fetch stays outstanding, since its reply is as good as that to the next one
+            if (!goLiveIfCovered(session, subscription, now)) {
+                send(session, subscription, now);
+            }
+        } else {
+            fetch(session, subscription, now);
         }
-        fetch(session, subscription, now);
     }
 
     private void fetch(final Session session, final GroupSubscription subscription, final long now) {
         registry.abandonCatchUp(subscription);
+        if (!goLiveIfCovered(session, subscription, now)) {
+            send(session, subscription, now);
+        }
+    }
+
+    private boolean goLiveIfCovered(final Session session, final GroupSubscription subscription, final long now) {
         final Feed feed = registry.feed(subscription.group);
-        if (!session.sharedCursor && isCoveredBy(feed, subscription)) {
-            goLive(session, subscription, feed, feed.position, now);
-            return;
+        if (session.sharedCursor || !isCoveredBy(feed, subscription)) {
+            return false;
         }
+        registry.abandonCatchUp(subscription);
+        goLive(session, subscription, feed, feed.position, now);
+        return true;
+    }
+
+    private void send(final Session session, final GroupSubscription subscription, final long now) {
         final int source = sources.select(subscription.group, now);
         subscription.resolvingEnd = !subscription.knowsPositions();
         // a shared cursor must contain every topic, so that no line is sent before all positions are known
@@ -75,14 +92,12 @@
         if (source == 0 || mustWait) {
             return;
         }
-        subscription.fetchId = ids.getAsLong();
+        final long fetchId = ids.getAsLong();
         subscription.source = source;
         subscription.fetchSentAt = now;
-        registry.catchUpSent(session, subscription);
+        registry.catchUpSent(fetchId, session, subscription);
         final List<TopicPosition> wanted = subscription.resolvingEnd ? List.of() : subscription.wanted();
-        out.send(
-                source,
-                new Fetch(subscription.fetchId, subscription.group, subscription.resolvingEnd, false, 0, 0, wanted));
+        out.send(source, new Fetch(fetchId, subscription.group, subscription.resolvingEnd, false, 0, 0, wanted));
     }
 
     /**
@@ -113,7 +128,7 @@
     /** Handles the reply to a session's own fetch. */
     void received(final int from, final FetchReply reply, final long now) {
         final SessionRegistry.CatchUpFetch fetch = registry.completeCatchUp(reply.requestId());
-        if (fetch == null || fetch.subscription().fetchId != reply.requestId()) {
+        if (fetch == null) {
             return;
         }
         final GroupSubscription subscription = fetch.subscription();
@@ -122,7 +137,7 @@
             retryAtNextTimer(subscription, now);
             return;
         }
-        subscription.fetchId = 0;
+        registry.abandonCatchUp(subscription);
         if (subscription.resolvingEnd) {
             endResolved(fetch.session(), subscription, reply, now);
         } else if (!reply.gone().isEmpty()) {
@@ -176,7 +191,7 @@
 
     /** A fetch was not sent. */
     void unsent(final Fetch message, final long now) {
-        final SessionRegistry.CatchUpFetch fetch = registry.catchUp(message.requestId());
+        final SessionRegistry.CatchUpFetch fetch = registry.completeCatchUp(message.requestId());
         if (fetch != null) {
             retryAtNextTimer(fetch.subscription(), now);
         }
--- a/coordination/src/main/java/brookpath/coordination/node/gateway/Feed.java
+++ b/coordination/src/main/java/brookpath/coordination/node/gateway/Feed.java
@@ -26,8 +26,8 @@
     long topicsVersion;
     /** The position up to which the group's log was read; -1 before the first listener has caught up. */
     long position = UNKNOWN_POSITION;
-    /** The request ID of the fetch in flight; 0 for none. */
-    long fetchId;
+    /** The fetches in flight, all for the present topics from the present position. */
+    final OutstandingFetches fetches = new OutstandingFetches();
     /** The node that was fetched from last, and since when its reply is outstanding. */
     int source;
 
--- a/coordination/src/main/java/brookpath/coordination/node/gateway/FeedFetcher.java
+++ b/coordination/src/main/java/brookpath/coordination/node/gateway/FeedFetcher.java
@@ -47,10 +47,11 @@
         if (!feed.hasPosition()) {
             return;
         }
-        final boolean underWay = feed.fetchId != 0;
+        final boolean underWay = !feed.fetches.isEmpty();
         // the source replies within the long-poll timeout, so that one that has not is avoided before its heartbeats
         // are missed
-        final boolean overdue = underWay && now - feed.fetchSentAt > timing.longPollTimeout() + timing.heartbeat();
+        final boolean overdue = underWay
+                && now - feed.fetchSentAt > feed.fetches.timeoutMs(timing.longPollTimeout() + timing.heartbeat());
         if (underWay && !overdue && feed.sentTopicsVersion == feed.topicsVersion) {
             return;
         }
@@ -59,7 +60,7 @@
         }
         final int source = sources.select(feed.group, now);
         if (source == 0) {
-            feed.fetchId = 0;
+            feed.fetches.clear();
             return;
         }
         // a source that gets a new fetch for other topics has been silent since the first one
@@ -68,7 +69,12 @@
     }
 
     private void send(final Feed feed, final int source, final long unansweredSince) {
-        feed.fetchId = ids.getAsLong();
+        if (feed.sentTopicsVersion != feed.topicsVersion) {
+            // why: those in flight do not request all topics
+            feed.fetches.clear();
+        }
+        final long fetchId = ids.getAsLong();
+        feed.fetches.add(fetchId);
         feed.source = source;
         feed.fetchSentAt = unansweredSince;
         final List<TopicPosition> topics = new ArrayList<>();
@@ -77,22 +83,23 @@
             feed.topicsKnownBy = source;
             feed.sentTopicsVersion = feed.topicsVersion;
         }
-        out.send(source, new Fetch(feed.fetchId, feed.group, false, true, feed.position, feed.topicsVersion, topics));
+        out.send(source, new Fetch(fetchId, feed.group, false, true, feed.position, feed.topicsVersion, topics));
     }
 
     /** Handles the reply to a feed's fetch. */
     void received(final Feed feed, final int from, final FetchReply reply, final long now) {
         if (reply.status() == FetchStatus.TOPICS_UNKNOWN) {
             feed.topicsKnownBy = 0;
-            feed.fetchId = 0;
-            fetch(feed, now);
+            if (feed.fetches.isEmpty()) {
+                fetch(feed, now);
+            }
             return;
         }
         if (reply.status() != FetchStatus.OK) {
             fetchElsewhere(feed, from, now);
             return;
         }
-        feed.fetchId = 0;
+        feed.fetches.clear();
         endWhereHistoryIsGone(feed, reply);
         for (final LogRecord logRecord : reply.records()) {
             deliver(feed, logRecord, now);
@@ -126,17 +133,16 @@
      */
     private void fetchElsewhere(final Feed feed, final int failed, final long now) {
         sources.avoid(failed, now);
-        feed.fetchId = 0;
         final int source = sources.select(feed.group, now);
         if (source != 0 && !sources.isAvoided(source)) {
-            fetch(feed, now);
+            send(feed, source, now);
         }
     }
 
     /** A fetch was not sent. */
     void unsent(final int to, final Fetch message, final long now) {
         registry.feeds().stream()
-                .filter(feed -> feed.fetchId == message.requestId())
+                .filter(feed -> feed.fetches.remove(message.requestId()))
                 .forEach(feed -> {
                     feed.topicsKnownBy = 0;
                     fetchElsewhere(feed, to, now);
@@ -146,7 +152,8 @@
     /** The connection to a node broke; what was sent on it may not have arrived. */
     void sessionLost(final int node, final long now) {
         for (final Feed feed : registry.feeds()) {
-            if (feed.source == node && feed.fetchId != 0) {
+            if (feed.source == node && !feed.fetches.isEmpty()) {
+                feed.fetches.clear();
                 fetchElsewhere(feed, node, now);
             }
             if (feed.topicsKnownBy == node) {
--- a/coordination/src/main/java/brookpath/coordination/node/gateway/GroupSubscription.java
+++ b/coordination/src/main/java/brookpath/coordination/node/gateway/GroupSubscription.java
@@ -23,8 +23,8 @@
     boolean live;
     /** Whether the fetch in flight requests only the end of the log. */
     boolean resolvingEnd;
-    /** The request ID of the fetch in flight; 0 for none. */
-    long fetchId;
+    /** The fetches in flight. */
+    final OutstandingFetches fetches = new OutstandingFetches();
     /** The node that was fetched from last, and when. */
     int source;
 
--- a/coordination/src/main/java/brookpath/coordination/node/gateway/SessionRegistry.java
+++ b/coordination/src/main/java/brookpath/coordination/node/gateway/SessionRegistry.java
@@ -69,7 +69,7 @@
 
     void unsubscribe(final Session session, final GroupSubscription subscription) {
         session.remove(subscription);
-        catchUpFetches.remove(subscription.fetchId);
+        abandonCatchUp(subscription);
         final Feed feed = feeds.get(subscription.group);
         for (final String topic : subscription.topics()) {
             if (feed.remove(topic, session.id)) {
@@ -97,22 +97,23 @@
     }
 
     boolean needsTimer() {
-        return !needingTimer.isEmpty() || feeds.values().stream().anyMatch(feed -> feed.fetchId == 0);
+        return !needingTimer.isEmpty() || feeds.values().stream().anyMatch(feed -> feed.fetches.isEmpty());
     }
 
     void needsNoTimer(final Session session) {
         needingTimer.remove(session.id);
     }
 
-    /** Records a session's own fetch; its request ID is the subscription's. */
-    void catchUpSent(final Session session, final GroupSubscription subscription) {
-        catchUpFetches.put(subscription.fetchId, new CatchUpFetch(session, subscription));
+    /** Records a session's own fetch. */
+    void catchUpSent(final long fetchId, final Session session, final GroupSubscription subscription) {
+        subscription.fetches.add(fetchId);
+        catchUpFetches.put(fetchId, new CatchUpFetch(session, subscription));
     }
 
-    /** Removes the subscription's fetch, whose reply is no longer awaited. */
+    /** Removes the subscription's fetches, whose replies are no longer awaited. */
     void abandonCatchUp(final GroupSubscription subscription) {
-        catchUpFetches.remove(subscription.fetchId);
-        subscription.fetchId = 0;
+        subscription.fetches.ids().forEach(catchUpFetches::remove);
+        subscription.fetches.clear();
     }
 
     /** The fetch in flight with this request ID; null for none, or where its session has ended. */
@@ -125,6 +126,9 @@
     CatchUpFetch completeCatchUp(final long fetchId) {
         final CatchUpFetch fetch = catchUp(fetchId);
         catchUpFetches.remove(fetchId);
+        if (fetch != null) {
+            fetch.subscription.fetches.remove(fetchId);
+        }
         return fetch;
     }
 }
--- a/coordination/src/main/java/brookpath/coordination/node/gateway/Subscriptions.java
+++ b/coordination/src/main/java/brookpath/coordination/node/gateway/Subscriptions.java
@@ -144,7 +144,7 @@
     public void fetched(final int from, final FetchReply reply, final long now) {
         sources.responded(from);
         final Feed feed = registry.feed(reply.group());
-        if (feed != null && feed.fetchId == reply.requestId()) {
+        if (feed != null && feed.fetches.remove(reply.requestId())) {
             feedFetcher.received(feed, from, reply, now);
         } else {
             catchUpFetcher.received(from, reply, now);
