--- a/testing/src/test/java/brookpath/testing/sim/LaggingGatewayTest.java
+++ b/testing/src/test/java/brookpath/testing/sim/LaggingGatewayTest.java
@@ -71,6 +71,20 @@
         assertEquals(heard(session), List.of(1L, 2L, 3L));
     }
 
+    /** A gateway that handles the replies of the control plane late renews its lease all the same. */
+    @Test(dataProvider = "lags")
+    public void theLeaseIsRenewedThoughRepliesToPollsComeLate(final long lagMs) {
+        final long session = open(LAGGING);
+        assertEquals(join(LAGGING, session, null).status(), 200);
+        final long pollLagMs = lagMs * 2;
+        cluster.controllers.forEach(
+                controller -> cluster.net.linkDelayMs.put(SimulatedNetwork.link(controller, LAGGING), pollLagMs));
+        cluster.run(cluster.now() + 4 * TimingBounds.DEFAULT.leaseMs());
+        publish(1);
+        cluster.run(cluster.now() + TimingBounds.DEFAULT.deliverMs());
+        assertEquals(heard(session), List.of(1L), "the lease has run out");
+    }
+
     private void lag(final long lagMs) {
         cluster.storages.forEach(
                 storage -> cluster.net.linkDelayMs.put(SimulatedNetwork.link(storage, LAGGING), lagMs));
