--- a/coordination/src/main/java/brookpath/coordination/configuration/ConfigurationClient.java
+++ b/coordination/src/main/java/brookpath/coordination/configuration/ConfigurationClient.java
@@ -8,6 +8,7 @@
 import brookpath.coordination.metadata.ClusterMetadata.NodeInfo;
 import brookpath.coordination.node.Node.Time;
 import brookpath.state.record.Delta;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
 
@@ -20,6 +21,11 @@
     private static final int NOTHING_KNOWN = -1;
 
     private static final int NO_LEADER = 0;
+    /** Polls beyond so many are no longer awaited, the oldest first; their lease would be over or nearly so. */
+    private static final int MAX_OUTSTANDING = 4;
+
+    /** A poll whose reply may still come, also after another controller was polled in its place. */
+    private record SentPoll(long id, long sentAt, int target, boolean relayed) {}
 
     private final NodeInfo info;
     private final int self;
@@ -43,6 +49,7 @@
     private boolean wantsWhole;
 
     private long leaseUntil = Long.MIN_VALUE;
+    private final ArrayDeque<SentPoll> outstanding = new ArrayDeque<>();
     private long pollId;
     private long sentAt;
     private long nextAt = Long.MIN_VALUE;
@@ -206,10 +213,15 @@
         polling = true;
         sentAt = now;
         relay &= now < relayUntil;
+        pollId++;
+        outstanding.add(new SentPoll(pollId, now, target, relay));
+        if (outstanding.size() > MAX_OUTSTANDING) {
+            outstanding.remove();
+        }
         out.send(
                 target,
                 new ConfigurationPoll(
-                        ++pollId,
+                        pollId,
                         self,
                         role,
                         info.zone(),
@@ -235,37 +247,72 @@
         }
     }
 
-    /** Handles the reply to a poll; true where it brought a newer configuration or cluster metadata. */
+    /**
+     * Handles the reply to a poll; true where it brought a newer configuration or cluster metadata. A reply that comes
+     * after another controller was polled in its place counts like any other: a process that handles replies late would
+     * otherwise lose its lease although the control plane grants it again and again.
+     */
     public boolean onReply(final ConfigurationReply reply, final Time time) {
-        if (!polling || reply.pollId() != pollId) {
+        final SentPoll answered = removeOutstanding(reply.pollId());
+        if (answered == null) {
             return false;
         }
-        polling = false;
+        final boolean late = !polling || answered.id != pollId;
+        polling &= late;
         if (!reply.leader()) {
-            followLeaderHint(reply.leaderHint(), time.mono());
+            if (!late) {
+                followLeaderHint(reply.leaderHint(), time.mono());
+            }
             return false;
         }
         if (reply.configurationVersion() < configuration.version()) {
             // A process that has served a version never returns to an older one
-            out.error("spec went back from " + configuration.version() + " to " + reply.configurationVersion());
+            if (!late) {
+                out.error("spec went back from " + configuration.version() + " to " + reply.configurationVersion());
+            }
             return false;
         }
         final boolean changed;
         try {
             changed = take(reply) || !known;
         } catch (final Delta.MismatchException ex) {
-            // No lease without the configuration that it covers; the complete document needs no base
-            out.note("asks for the whole configuration: " + ex.getMessage());
-            wantsWhole = true;
-            poll(time);
+            if (!late) {
+                // No lease without the configuration that it covers; the complete document needs no base
+                out.note("asks for the whole configuration: " + ex.getMessage());
+                wantsWhole = true;
+                poll(time);
+            }
             return false;
         }
+        adopt(reply, answered, late, time);
+        return changed;
+    }
+
+    /** The poll with this ID, which is no longer awaited from here on; null where it is not awaited. */
+    private SentPoll removeOutstanding(final long id) {
+        for (final SentPoll poll : outstanding) {
+            if (poll.id == id) {
+                outstanding.remove(poll);
+                return poll;
+            }
+        }
+        return null;
+    }
+
+    /** Renews the lease by a reply of the leader, and polls again unless a newer poll is in flight. */
+    private void adopt(final ConfigurationReply reply, final SentPoll answered, final boolean late, final Time time) {
         wantsWhole = false;
         known = true;
-        askDirectly(reply.leaderHint());
-        renewLease(reply, time.mono());
-        poll(time);
-        return changed;
+        if (!late) {
+            askDirectly(reply.leaderHint());
+        } else if (!answered.relayed) {
+            target = answered.target;
+            relay = false;
+        }
+        renewLease(reply, answered.sentAt, time.mono());
+        if (!polling) {
+            poll(time);
+        }
     }
 
     /** The polled controller does not lead: polls the leader that it names, else the next controller. */
@@ -287,9 +334,9 @@
         }
     }
 
-    private void renewLease(final ConfigurationReply reply, final long now) {
+    private void renewLease(final ConfigurationReply reply, final long polledAt, final long now) {
         // The lease runs from when the poll was sent, which is before it was granted
-        leaseUntil = Math.max(leaseUntil, sentAt + timing.configurationLease());
+        leaseUntil = Math.max(leaseUntil, polledAt + timing.configurationLease());
         if (reply.wall() != 0) {
             clockAhead = reply.wall() - now;
         }
