A late reply without records does not replace the newest fetch; no longer waits

Cause: a member that was frozen answers its long poll late and without records; that was adopted, and the newest fetch at a better member was given up for it.

--- a/coordination/src/main/java/brookpath/coordination/node/gateway/FeedFetcher.java
+++ b/coordination/src/main/java/brookpath/coordination/node/gateway/FeedFetcher.java
@@ -50,8 +50,7 @@
         final boolean underWay = !feed.fetches.isEmpty();
         // the source replies within the long-poll timeout, so that one that has not is avoided before its heartbeats
         // are missed
-        final boolean overdue = underWay
-                && now - feed.fetchSentAt > feed.fetches.timeoutMs(timing.longPollTimeout() + timing.heartbeat());
+        final boolean overdue = underWay && now - feed.fetchSentAt > timing.longPollTimeout() + timing.heartbeat();
         if (underWay && !overdue && feed.sentTopicsVersion == feed.topicsVersion) {
             return;
         }
@@ -86,11 +85,20 @@
         out.send(source, new Fetch(fetchId, feed.group, false, true, feed.position, feed.topicsVersion, topics));
     }
 
-    /** Handles the reply to a feed's fetch. */
-    void received(final Feed feed, final int from, final FetchReply reply, final long now) {
+    /**
+     * Handles the reply to a feed's fetch.
+     *
+     * @param newest whether no other fetch was sent after this one
+     */
+    void received(final Feed feed, final int from, final FetchReply reply, final boolean newest, final long now) {
+        if (!newest && reply.records().isEmpty() && reply.gone().isEmpty()) {
+            // why: no progress, often from a member that was frozen; the newest fetch waits at a better one
+            return;
+        }
         if (reply.status() == FetchStatus.TOPICS_UNKNOWN) {
-            feed.topicsKnownBy = 0;
-            if (feed.fetches.isEmpty()) {
+            if (from == feed.source) {
+                feed.topicsKnownBy = 0;
+                feed.fetches.clear();
                 fetch(feed, now);
             }
             return;
@@ -133,6 +141,11 @@
      */
     private void fetchElsewhere(final Feed feed, final int failed, final long now) {
         sources.avoid(failed, now);
+        if (failed != feed.source) {
+            // why: the newest fetch is at another member, and is still awaited
+            return;
+        }
+        feed.fetches.clear();
         final int source = sources.select(feed.group, now);
         if (source != 0 && !sources.isAvoided(source)) {
             send(feed, source, now);
@@ -153,7 +166,6 @@
     void sessionLost(final int node, final long now) {
         for (final Feed feed : registry.feeds()) {
             if (feed.source == node && !feed.fetches.isEmpty()) {
-                feed.fetches.clear();
                 fetchElsewhere(feed, node, now);
             }
             if (feed.topicsKnownBy == node) {
--- a/coordination/src/main/java/brookpath/coordination/node/gateway/OutstandingFetches.java
+++ b/coordination/src/main/java/brookpath/coordination/node/gateway/OutstandingFetches.java
@@ -12,13 +12,16 @@
  * clears them first.
  */
 final class OutstandingFetches {
-    /** The time-out is doubled for each repetition, up to this many times, so that a node that lags asks less. */
-    private static final int MAX_DOUBLINGS = 2;
+    /** Fetches beyond so many are no longer awaited, the oldest first. */
+    private static final int MAX_OUTSTANDING = 8;
 
     private final List<Long> ids = new ArrayList<>();
 
     void add(final long id) {
         ids.add(id);
+        if (ids.size() > MAX_OUTSTANDING) {
+            ids.remove(0);
+        }
     }
 
     /** Takes out one that is answered or was not sent; false where it is not awaited. */
@@ -26,6 +29,11 @@
         return ids.remove(Long.valueOf(id));
     }
 
+    /** Whether no fetch was sent after this one. */
+    boolean isNewest(final long id) {
+        return !ids.isEmpty() && ids.get(ids.size() - 1) == id;
+    }
+
     boolean isEmpty() {
         return ids.isEmpty();
     }
@@ -39,10 +47,4 @@
     List<Long> ids() {
         return List.copyOf(ids);
     }
-
-    /** How long the newest may go without a reply, where the first one may for {@code timeoutMs}. */
-    long timeoutMs(final long timeoutMs) {
-        final int repetitions = Math.max(0, ids.size() - 1);
-        return timeoutMs << Math.min(repetitions, MAX_DOUBLINGS);
-    }
 }
--- a/coordination/src/main/java/brookpath/coordination/node/gateway/Subscriptions.java
+++ b/coordination/src/main/java/brookpath/coordination/node/gateway/Subscriptions.java
@@ -144,8 +144,9 @@
     public void fetched(final int from, final FetchReply reply, final long now) {
         sources.responded(from);
         final Feed feed = registry.feed(reply.group());
+        final boolean newest = feed != null && feed.fetches.isNewest(reply.requestId());
         if (feed != null && feed.fetches.remove(reply.requestId())) {
-            feedFetcher.received(feed, from, reply, now);
+            feedFetcher.received(feed, from, reply, newest, now);
         } else {
             catchUpFetcher.received(from, reply, now);
         }
