Repeated fetches beyond the bound are forgotten whole; joins are timed from their start

OutstandingFetches dropped the oldest ID beyond eight, but the registry kept its entry, with the session, until a reply came. And the report of joins derived their start from the deadline of single topics, which is another one for sessions with a shared cursor (a wrong figure in a log line only).

--- a/coordination/src/main/java/brookpath/coordination/node/gateway/GroupSubscription.java
+++ b/coordination/src/main/java/brookpath/coordination/node/gateway/GroupSubscription.java
@@ -15,6 +15,8 @@
     private static final long UNKNOWN_POSITION = -1;
 
     final int group;
+    /** When the caller asked for it, in monotonic milliseconds. */
+    final long startedAt;
     /** The deadline for a topic to begin, in monotonic milliseconds. */
     final long deadline;
 
@@ -32,9 +34,10 @@
     /** The join request that waits for the topic's position; 0 for none. */
     long pendingJoin;
 
-    GroupSubscription(final int group, final long pendingJoin, final long deadline) {
+    GroupSubscription(final int group, final long pendingJoin, final long startedAt, final long deadline) {
         this.group = group;
         this.pendingJoin = pendingJoin;
+        this.startedAt = startedAt;
         this.deadline = deadline;
     }
 
--- a/coordination/src/main/java/brookpath/coordination/node/gateway/JoinReport.java
+++ b/coordination/src/main/java/brookpath/coordination/node/gateway/JoinReport.java
@@ -26,7 +26,7 @@
     /** A subscription has caught up and continues through its group's feed. */
     void wentLive(final GroupSubscription subscription, final long now) {
         live++;
-        longestMs = Math.max(longestMs, now - (subscription.deadline - timing.joinDeadline()));
+        longestMs = Math.max(longestMs, now - subscription.startedAt);
     }
 
     /** A join was refused, since no member could be read in time. */
--- a/coordination/src/main/java/brookpath/coordination/node/gateway/OutstandingFetches.java
+++ b/coordination/src/main/java/brookpath/coordination/node/gateway/OutstandingFetches.java
@@ -15,13 +15,15 @@
     /** Fetches beyond so many are no longer awaited, the oldest first. */
     private static final int MAX_OUTSTANDING = 8;
 
+    /** In place of the ID of a dropped fetch: none was dropped. */
+    private static final long NONE = 0;
+
     private final List<Long> ids = new ArrayList<>();
 
-    void add(final long id) {
+    /** Adds the newest fetch; returns the ID of one that is no longer awaited for it, 0 for none. */
+    long add(final long id) {
         ids.add(id);
-        if (ids.size() > MAX_OUTSTANDING) {
-            ids.remove(0);
-        }
+        return ids.size() > MAX_OUTSTANDING ? ids.remove(0) : NONE;
     }
 
     /** Takes out one that is answered or was not sent; false where it is not awaited. */
--- a/coordination/src/main/java/brookpath/coordination/node/gateway/SessionRegistry.java
+++ b/coordination/src/main/java/brookpath/coordination/node/gateway/SessionRegistry.java
@@ -106,7 +106,7 @@
 
     /** Records a session's own fetch. */
     void catchUpSent(final long fetchId, final Session session, final GroupSubscription subscription) {
-        subscription.fetches.add(fetchId);
+        catchUpFetches.remove(subscription.fetches.add(fetchId));
         catchUpFetches.put(fetchId, new CatchUpFetch(session, subscription));
     }
 
--- a/coordination/src/main/java/brookpath/coordination/node/gateway/SessionRequests.java
+++ b/coordination/src/main/java/brookpath/coordination/node/gateway/SessionRequests.java
@@ -86,7 +86,7 @@
             registry.unsubscribe(session, previous);
         }
         final GroupSubscription subscription =
-                new GroupSubscription(route.group(), request.requestId(), now + timing.joinDeadline());
+                new GroupSubscription(route.group(), request.requestId(), now, now + timing.joinDeadline());
         subscription.include(request.topic(), start);
         registry.subscribe(session, subscription);
         catchUpFetcher.start(session, subscription, now);
@@ -151,7 +151,7 @@
             if (route.isRefused()) {
                 return route.refusal();
             }
-            byGroup.computeIfAbsent(route.group(), group -> new GroupSubscription(group, 0, session.deadline))
+            byGroup.computeIfAbsent(route.group(), group -> new GroupSubscription(group, 0, now, session.deadline))
                     .include(topic, cursor.getOrDefault(topic, START_AT_END));
         }
         return null;
