Sight: how often a gateway polled until it first served a configuration

Tells waiting for the control plane (many polls) from slow work of the process itself (few polls and a long time).

--- a/coordination/src/main/java/brookpath/coordination/configuration/ConfigurationClient.java
+++ b/coordination/src/main/java/brookpath/coordination/configuration/ConfigurationClient.java
@@ -51,6 +51,7 @@
     private long leaseUntil = Long.MIN_VALUE;
     private final ArrayDeque<SentPoll> outstanding = new ArrayDeque<>();
     private long pollId;
+    private int pollsSent;
     private long sentAt;
     private long nextAt = Long.MIN_VALUE;
     private boolean polling;
@@ -131,6 +132,11 @@
         return known ? leaseUntil : Long.MIN_VALUE;
     }
 
+    /** How many polls this process has sent since its start, answered or not. */
+    public int pollsSent() {
+        return pollsSent;
+    }
+
     /** Whether the fleet's clock is known; records are never stamped by this node's own clock, which may be wrong. */
     public boolean clockKnown() {
         return clockAhead != Long.MIN_VALUE;
@@ -214,6 +220,7 @@
         sentAt = now;
         relay &= now < relayUntil;
         pollId++;
+        pollsSent++;
         outstanding.add(new SentPoll(pollId, now, target, relay));
         if (outstanding.size() > MAX_OUTSTANDING) {
             outstanding.remove();
--- a/coordination/src/main/java/brookpath/coordination/node/GatewayNode.java
+++ b/coordination/src/main/java/brookpath/coordination/node/GatewayNode.java
@@ -234,7 +234,10 @@
     private void releaseWaiting(final long now) {
         if (!servedBefore && serves(now)) {
             servedBefore = true;
-            reportStartOf("serves configuration " + client.configuration().version(), now);
+            reportStartOf(
+                    "serves configuration " + client.configuration().version() + " after " + client.pollsSent()
+                            + " polls",
+                    now);
         }
         leaseQueue.release(serves(now), now, nodeRequest -> handleLeased(nodeRequest, now));
     }
