--- a/transport/src/main/java/brookpath/transport/wire/Wire.java
+++ b/transport/src/main/java/brookpath/transport/wire/Wire.java
@@ -108,7 +108,7 @@
     public int listen(final String host, final int port) throws InterruptedException {
         server = new ServerBootstrap()
                 .group(loops)
-                .channel(NioServerSocketChannel.class)
+                .channelFactory(NioServerSocketChannel::new)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childOption(ChannelOption.SO_KEEPALIVE, true)
                 .childOption(KEEP_ALIVE_IDLE_S, 1)
@@ -172,7 +172,7 @@
         final int sep = address.lastIndexOf(':');
         new Bootstrap()
                 .group(loops)
-                .channel(NioSocketChannel.class)
+                .channelFactory(NioSocketChannel::new)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.SO_KEEPALIVE, true)
                 .option(KEEP_ALIVE_IDLE_S, 1)
