--- a/coordination/src/main/java/brookpath/coordination/configuration/ConfigurationClient.java
+++ b/coordination/src/main/java/brookpath/coordination/configuration/ConfigurationClient.java
@@ -10,6 +10,7 @@
 import brookpath.state.record.Delta;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Iterator;
 import java.util.List;
 
 /**
@@ -297,9 +298,11 @@
 
     /** The poll with this ID, which is no longer awaited from here on; null where it is not awaited. */
     private SentPoll removeOutstanding(final long id) {
-        for (final SentPoll poll : outstanding) {
+        // why: by the iterator, since a record's equals is linked at its first use, which delays the first lease
+        for (final Iterator<SentPoll> polls = outstanding.iterator(); polls.hasNext(); ) {
+            final SentPoll poll = polls.next();
             if (poll.id == id) {
-                outstanding.remove(poll);
+                polls.remove();
                 return poll;
             }
         }
@@ -360,7 +363,9 @@
                 newConfiguration ? Delta.apply(configurationBytes, m.configuration()) : configurationBytes;
         final byte[] nextMetadata = newMetadata ? Delta.apply(metadataBytes, m.metadata()) : metadataBytes;
         if (newConfiguration) {
-            configuration = ConfigurationReader.stored(nextConfiguration, m.configurationVersion());
+            // why: not the operator's text, which the control plane has parsed and checked; doing so again took a
+            // gateway on a small machine seconds before its first lease
+            configuration = PackedConfiguration.decode(nextConfiguration);
             configurationBytes = nextConfiguration;
         }
         if (newMetadata) {
--- a/coordination/src/main/java/brookpath/coordination/configuration/ConfigurationReader.java
+++ b/coordination/src/main/java/brookpath/coordination/configuration/ConfigurationReader.java
@@ -76,20 +76,6 @@
         return new Reading(true, configuration, rd.findings);
     }
 
-    /** The document without its annotation, which is for its readers and not for the processes that apply it. */
-    public static byte[] lean(final byte[] doc) {
-        try (JsonReader json = Json.createReader(new ByteArrayInputStream(doc))) {
-            final JsonObject obj = json.readObject();
-            return obj.containsKey("annotation")
-                    ? Json.createObjectBuilder(obj)
-                            .remove("annotation")
-                            .build()
-                            .toString()
-                            .getBytes(UTF_8)
-                    : doc;
-        }
-    }
-
     /** The configuration of a document that was accepted before. */
     public static Configuration stored(final byte[] doc, final long version) {
         return read(doc, version, new Limits(MAX_REPLICAS, 1), Configuration.NONE).configuration;
--- a/coordination/src/main/java/brookpath/coordination/configuration/StoredConfiguration.java
+++ b/coordination/src/main/java/brookpath/coordination/configuration/StoredConfiguration.java
@@ -6,30 +6,24 @@
  */
 public final class StoredConfiguration {
     /** The version before the first change. */
-    public static final StoredConfiguration NONE =
-            new StoredConfiguration(0, 0, new byte[0], new byte[0], Configuration.NONE);
+    public static final StoredConfiguration NONE = new StoredConfiguration(0, 0, new byte[0], Configuration.NONE);
 
     private final long index;
     private final long version;
     private final byte[] document;
-    private byte[] lean;
+    private byte[] packed;
     private Configuration configuration;
 
     /** The version whose document is held by the record at this index of the control log. */
     public StoredConfiguration(final long index, final long version, final byte[] document) {
-        this(index, version, document, null, null);
+        this(index, version, document, null);
     }
 
     private StoredConfiguration(
-            final long index,
-            final long version,
-            final byte[] document,
-            final byte[] lean,
-            final Configuration configuration) {
+            final long index, final long version, final byte[] document, final Configuration configuration) {
         this.index = index;
         this.version = version;
         this.document = document;
-        this.lean = lean;
         this.configuration = configuration;
     }
 
@@ -48,12 +42,12 @@
         return document;
     }
 
-    /** The document as it is sent to the data plane, without its annotation. */
-    public byte[] lean() {
-        if (lean == null) {
-            lean = ConfigurationReader.lean(document);
+    /** The configuration as it is sent to the processes that apply it, see {@link PackedConfiguration}. */
+    public byte[] packed() {
+        if (packed == null) {
+            packed = PackedConfiguration.encode(configuration());
         }
-        return lean;
+        return packed;
     }
 
     /** The parsed document. */
--- a/coordination/src/main/java/brookpath/coordination/node/control/ConfigurationLeaseGranter.java
+++ b/coordination/src/main/java/brookpath/coordination/node/control/ConfigurationLeaseGranter.java
@@ -186,7 +186,7 @@
 
     private void noteVersions(final StoredConfiguration configuration, final ClusterMetadata metadata) {
         if (!configurationUpdates.has(configuration.version())) {
-            configurationUpdates.newest(configuration.version(), configuration.lean());
+            configurationUpdates.newest(configuration.version(), configuration.packed());
         }
         if (!metadataUpdates.has(metadata.version())) {
             metadataUpdates.newest(metadata.version(), metadata.save());
--- a/testing/src/test/java/brookpath/platform/control/ConfigurationTranslatorTest.java
+++ b/testing/src/test/java/brookpath/platform/control/ConfigurationTranslatorTest.java
@@ -9,6 +9,7 @@
 
 import brookpath.coordination.configuration.Configuration;
 import brookpath.coordination.configuration.ConfigurationReader;
+import brookpath.coordination.configuration.PackedConfiguration;
 import org.testng.annotations.Test;
 
 /** Configurations of the platform as the product judges them. */
@@ -49,9 +50,9 @@
         final String readBack = "{\"version\":7,\"document\":"
                 + new String(ConfigurationTranslator.toChange(GOOD.getBytes(UTF_8), 0), UTF_8) + "}";
         assertEquals(new String(ConfigurationTranslator.toConfiguration(readBack), UTF_8), GOOD);
-        assertFalse(
-                new String(ConfigurationReader.lean(ConfigurationTranslator.toChange(GOOD.getBytes(UTF_8), 0)), UTF_8)
-                        .contains("TargetLatencyMs"));
+        final byte[] sent = PackedConfiguration.encode(configuration);
+        assertFalse(new String(sent, UTF_8).contains("TargetLatencyMs"));
+        assertEquals(PackedConfiguration.decode(sent).spaceOf("kafi810.2f").keepingMs(), 35_000);
     }
 
     @Test
--- a/testing/src/test/java/brookpath/testing/sim/ConfigurationUpdatesTest.java
+++ b/testing/src/test/java/brookpath/testing/sim/ConfigurationUpdatesTest.java
@@ -9,7 +9,9 @@
 import brookpath.coordination.TimingBounds;
 import brookpath.coordination.action.Action;
 import brookpath.coordination.action.Actions;
+import brookpath.coordination.configuration.Configuration;
 import brookpath.coordination.configuration.ConfigurationClient;
+import brookpath.coordination.configuration.PackedConfiguration;
 import brookpath.coordination.configuration.VersionUpdates;
 import brookpath.coordination.controllog.ControlState;
 import brookpath.coordination.message.PeerMessage.ConfigurationPoll;
@@ -157,13 +159,13 @@
         final VersionUpdates updates = new VersionUpdates();
         assertEquals(updates.since(0), VersionUpdates.NO_NEWS);
         for (int version = 1; version <= 40; version++) {
-            updates.newest(version, text(version));
+            updates.newest(version, encoded(version));
         }
         assertEquals(updates.since(40), VersionUpdates.NO_NEWS);
         assertEquals(updates.since(41), VersionUpdates.NO_NEWS);
         assertFalse(DeltaBase.isEmpty(updates.since(39)));
-        assertEquals(Delta.apply(text(39), updates.since(39)), text(40));
-        assertEquals(Delta.apply(text(25), updates.since(25)), text(40));
+        assertEquals(Delta.apply(encoded(39), updates.since(39)), encoded(40));
+        assertEquals(Delta.apply(encoded(25), updates.since(25)), encoded(40));
         assertTrue(DeltaBase.isEmpty(updates.since(24)), "a version that is told no more");
         assertTrue(DeltaBase.isEmpty(updates.since(-1)), "a follower that knows nothing");
         updates.clear();
@@ -173,9 +175,9 @@
     @Test
     public void nothingIsADifferenceFromADocumentThatDidNotExist() {
         final VersionUpdates updates = new VersionUpdates();
-        updates.newest(0, text(0));
+        updates.newest(0, encoded(0));
         assertEquals(updates.since(-1), VersionUpdates.NO_NEWS);
-        updates.newest(1, text(1));
+        updates.newest(1, encoded(1));
         assertTrue(DeltaBase.isEmpty(updates.since(0)), "whoever has no document got a difference from one");
     }
 
@@ -199,10 +201,9 @@
         assertEquals(Delta.apply(new byte[0], updates.since(2)), new byte[5_000_000]);
     }
 
-    private static byte[] text(final int version) {
-        return ("{\"version\":" + version + ",\"basedOn\":0,\"changeId\":\"change\",\"spaces\":[],\"tenants\":[]"
-                        + " ".repeat(100) + "}")
-                .getBytes(UTF_8);
+    private static byte[] encoded(final int version) {
+        return PackedConfiguration.encode(
+                new Configuration(version, 0, "change".repeat(20), Map.of(), Map.of(), Map.of(), 64));
     }
 
     @Test
@@ -216,15 +217,15 @@
                 TimingBounds.DEFAULT,
                 out);
         client.tick(NOW);
-        assertTrue(client.onReply(reply(poll(out), 1, Delta.whole(text(1))), NOW));
+        assertTrue(client.onReply(reply(poll(out), 1, Delta.whole(encoded(1))), NOW));
         assertEquals(client.configuration().version(), 1);
         final ConfigurationPoll second = poll(out);
         assertEquals(second.configurationVersion(), 1);
-        assertFalse(client.onReply(reply(second, 2, Delta.between(text(9), text(2))), NOW));
+        assertFalse(client.onReply(reply(second, 2, Delta.between(encoded(9), encoded(2))), NOW));
         assertEquals(client.configuration().version(), 1, "a difference from another document was taken");
         final ConfigurationPoll third = poll(out);
         assertEquals(third.configurationVersion(), -1, "the whole was not asked for");
-        assertTrue(client.onReply(reply(third, 2, Delta.whole(text(2))), NOW));
+        assertTrue(client.onReply(reply(third, 2, Delta.whole(encoded(2))), NOW));
         assertEquals(client.configuration().version(), 2);
         assertEquals(poll(out).configurationVersion(), 2);
     }
