--- a/coordination/src/main/java/brookpath/coordination/configuration/ConfigurationClient.java
+++ b/coordination/src/main/java/brookpath/coordination/configuration/ConfigurationClient.java
@@ -178,6 +178,16 @@
         }
     }
 
+    /**
+     * Adopts the cluster metadata that this process kept on its disk, at its start: who its peers are, until a control
+     * leader sends the newest. No lease comes with it.
+     */
+    public void restore(final ClusterMetadata kept) {
+        metadata = kept;
+        metadataBytes = kept.save();
+        suggest(kept.controllers());
+    }
+
     /** Adds controllers that may be polled, from a log that may be outdated. */
     public void suggest(final List<ClusterMetadata.NodeInfo> more) {
         final List<Integer> all = new ArrayList<>(controllers);
--- a/coordination/src/main/java/brookpath/coordination/node/ControllerNode.java
+++ b/coordination/src/main/java/brookpath/coordination/node/ControllerNode.java
@@ -58,6 +58,8 @@
     private long rollBytes;
 
     private long lastId;
+    /** Whether the newest configuration of the log was encoded for the processes that will poll. */
+    private boolean configurationPrepared;
     /** The request that is answered once the graceful shutdown is complete, {@link #NO_REQUEST} for none. */
     private long retreat = NO_REQUEST;
 
@@ -183,6 +185,12 @@
     @Override
     protected void onTick(final Time time) {
         final long now = time.mono();
+        if (!configurationPrepared) {
+            // why: parsing takes a while right after the start, and the first polls should not wait for it; before it
+            // may vote, a member that has just started has nothing else to do
+            configurationPrepared = true;
+            view.newestConfiguration().packed();
+        }
         group.tick(now, table);
         leader.watchMembers(table, now);
         leader.afterEvent(table, time);
--- a/coordination/src/main/java/brookpath/coordination/node/StorageNode.java
+++ b/coordination/src/main/java/brookpath/coordination/node/StorageNode.java
@@ -62,7 +62,7 @@
     private final GroupStateReporter groupReporter;
     private final UsageWindowReporter usageReporter;
     private final GracefulShutdown shutdown;
-    private boolean recoveryReported;
+    private boolean recovered;
 
     /**
      * @param info this process's node number, zone and address as peers see them
@@ -146,9 +146,10 @@
     @Override
     protected void onTick(final Time time) {
         final long now = time.mono();
-        if (!recoveryReported) {
-            recoveryReported = true;
+        if (!recovered) {
+            recovered = true;
             reportStartOf("recovered " + groups.describe(), now);
+            reconfigure(now);
         }
         client.tick(time);
         for (final GroupMachine group : groups.all()) {
--- a/coordination/src/main/java/brookpath/coordination/node/storage/TopicGroups.java
+++ b/coordination/src/main/java/brookpath/coordination/node/storage/TopicGroups.java
@@ -23,14 +23,30 @@
  * <p>Invariant: a group is dropped only after the group's own log has committed a membership without this node.
  */
 public final class TopicGroups {
-    /** Kind of the log entry that says that the group was dropped here. The other kinds are the group's own. */
-    public static final int DROPPED = 100;
+    /** Kind of the log entry that says that the group was dropped here. */
+    private static final long DROPPED = 100;
+    /** Kind of the log entry that holds cluster metadata, which belongs to no group. */
+    private static final long METADATA = 101;
+    /** In place of a group in entries that belong to none. */
+    private static final long NO_GROUP = -1;
+
+    /** What a log entry is about; the kinds of a group's own entries are {@link GroupMachine}'s. */
+    public enum EntryScope {
+        /** A group that this node holds a replica of. */
+        GROUP,
+        /** A group that this node has left. */
+        DROPPED_GROUP,
+        /** The node as a whole. */
+        NODE
+    }
 
     private final int self;
     private final IntFunction<GroupMachine> factory;
     private final ConfigurationClient client;
     private final Actions out;
     private final TreeMap<Integer, GroupMachine> groups = new TreeMap<>();
+    /** The newest cluster metadata that the log holds. */
+    private ClusterMetadata kept = ClusterMetadata.NONE;
 
     /**
      * @param self this node
@@ -48,9 +64,13 @@
         this.out = out;
     }
 
-    /** Whether the log entry, which begins with a group and a kind, says that the group was dropped. */
-    public static boolean isDropped(final byte[] entry) {
-        return PackedBuffer.reader(entry).skipBytes(Long.BYTES).getLong() == DROPPED;
+    /** What the log entry, which begins with a group and a kind, is about. */
+    public static EntryScope scopeOf(final byte[] entry) {
+        final long kind = PackedBuffer.reader(entry).skipBytes(Long.BYTES).getLong();
+        if (kind == METADATA) {
+            return EntryScope.NODE;
+        }
+        return kind == DROPPED ? EntryScope.DROPPED_GROUP : EntryScope.GROUP;
     }
 
     /** The state that follows from the group's log up to its newest record. */
@@ -82,19 +102,44 @@
     public void replay(final byte[] entry, final long now) {
         final PackedBuffer in = PackedBuffer.reader(entry);
         final int id = (int) in.getLong();
-        if (isDropped(entry)) {
-            groups.remove(id);
-        } else {
-            open(id).replay(in, now);
+        switch (scopeOf(entry)) {
+            case NODE -> {
+                kept = ClusterMetadata.load(in.skipBytes(Long.BYTES).getBytes());
+                client.restore(kept);
+            }
+            case DROPPED_GROUP -> groups.remove(id);
+            case GROUP -> open(id).replay(in, now);
         }
     }
 
+    /**
+     * Writes newer cluster metadata to the log. It precedes whatever follows from it there, so that a restart never
+     * finds the consequence without the cause.
+     */
+    private void keep(final ClusterMetadata metadata) {
+        // why: a restarted node needs the members of its groups and their addresses to elect leaders; waiting for the
+        // control plane's own election first would double the time without service after a loss of power
+        if (metadata.version() > kept.version()) {
+            kept = metadata;
+            out.write(keptEntry());
+        }
+    }
+
+    private byte[] keptEntry() {
+        return PackedBuffer.writer()
+                .putLong(NO_GROUP)
+                .putLong(METADATA)
+                .putBytes(kept.save())
+                .toByteArray();
+    }
+
     /**
      * Opens, reconfigures and drops groups according to newer cluster metadata.
      *
      * @return the IDs of the groups that were dropped
      */
     public List<Integer> reconfigure(final ClusterMetadata metadata, final long now) {
+        keep(metadata);
         final List<Integer> dropped = new ArrayList<>();
         for (final GroupInfo info : metadata.groups()) {
             final GroupMachine group = groups.get(info.id());
@@ -144,6 +189,9 @@
     /** Begins a new log segment with a snapshot of all groups. */
     public void rollLog() {
         final PackedBuffer buffer = PackedBuffer.writer();
+        if (kept.version() > 0) {
+            buffer.putBytes(keptEntry());
+        }
         groups.values().forEach(group -> group.checkpoint().forEach(buffer::putBytes));
         out.roll(buffer.toByteArray());
     }
--- a/tools/src/main/java/brookpath/tools/datafolder/StoredGroups.java
+++ b/tools/src/main/java/brookpath/tools/datafolder/StoredGroups.java
@@ -5,6 +5,7 @@
 import brookpath.coordination.controllog.ControlState;
 import brookpath.coordination.group.GroupMachine;
 import brookpath.coordination.heartbeat.HeartbeatPromises;
+import brookpath.coordination.metadata.ClusterMetadata;
 import brookpath.coordination.node.ControllerNode;
 import brookpath.coordination.node.storage.TopicGroups;
 import brookpath.coordination.topic.TopicState;
@@ -42,10 +43,10 @@
     private static void replayEntry(final byte[] entry, final TreeMap<Integer, GroupMachine> groups) {
         final PackedBuffer in = PackedBuffer.reader(entry);
         final int id = (int) in.getLong();
-        if (TopicGroups.isDropped(entry)) {
-            groups.remove(id);
-        } else {
-            groups.computeIfAbsent(id, StoredGroups::emptyGroup).replay(in, TIME_OF_REPLAY);
+        switch (TopicGroups.scopeOf(entry)) {
+            case NODE -> ClusterMetadata.load(in.skipBytes(Long.BYTES).getBytes());
+            case DROPPED_GROUP -> groups.remove(id);
+            case GROUP -> groups.computeIfAbsent(id, StoredGroups::emptyGroup).replay(in, TIME_OF_REPLAY);
         }
     }
 
