--- a/testing/src/test/java/brookpath/platform/GatewayStartTest.java
+++ b/testing/src/test/java/brookpath/platform/GatewayStartTest.java
@@ -72,7 +72,7 @@
         loaded = Files.readAllLines(folder.resolve(CLASSES));
     }
 
-    /** A gateway in a process of its own, beside a control plane that serves, until it is open to clients. */
+    /** A gateway in a process of its own, beside a control plane that serves, to the end of a client's session. */
     @BeforeClass(groups = REAL_PROCESSES, dependsOnMethods = "runTrainingCluster")
     public void runGateway() throws Exception {
         final LoopbackCluster cluster = new LoopbackCluster(folder);
@@ -90,6 +90,12 @@
                     builder.redirectOutput(ProcessBuilder.Redirect.PIPE).start();
             try (BufferedReader output = gateway.inputReader()) {
                 assertTrue(output.lines().anyMatch(line -> line.contains("open to clients")), "it never opens");
+                cluster.callUntilSuccessful(
+                        LoopbackCluster.GATEWAY, LoopbackCluster.READINESS_PORT, "GET /brookpath/readiness", "");
+                TrainingClient.runSession(
+                        cluster.address(LoopbackCluster.GATEWAY),
+                        LoopbackCluster.FRONTEND_PORT,
+                        ClassArchiveTraining.KEY);
             } finally {
                 gateway.destroyForcibly().waitFor();
             }
@@ -140,7 +146,7 @@
     }
 
     @Test(groups = REAL_PROCESSES, dataProvider = "needlessForAGateway")
-    public void aGatewayLoadsNothingNeedlessUntilItServes(final String prefix) {
+    public void aGatewayLoadsNothingNeedlessForItsFirstClients(final String prefix) {
         assertNotLoaded(loadedByGateway, prefix);
     }
 
