--- a/coordination/src/main/java/brookpath/coordination/node/Cursor.java
+++ b/coordination/src/main/java/brookpath/coordination/node/Cursor.java
@@ -2,12 +2,15 @@
 
 import static java.nio.charset.StandardCharsets.UTF_8;
 
+import brookpath.coordination.text.AsciiText;
 import java.util.Base64;
 import java.util.Map;
 import java.util.TreeMap;
 
 /** Encodes and decodes the read positions of a subscription, per topic. Callers treat the text as opaque. */
 public final class Cursor {
+    private static final int MAX_POSITION_DIGITS = 12;
+
     private Cursor() {}
 
     /** The cursor of a single topic, from which reading continues after the record at the position. */
@@ -17,7 +20,7 @@
 
     /** The position in the cursor of a single topic; -1 where the text is not such a cursor. */
     public static long readOne(final String text) {
-        if (!text.matches("c[0-9a-z]{1,12}")) {
+        if (!text.startsWith("c") || !AsciiText.endsInDigitsOrLetters(text, MAX_POSITION_DIGITS)) {
             return -1;
         }
         return Long.parseLong(text.substring(1), Character.MAX_RADIX);
--- a/coordination/src/main/java/brookpath/coordination/node/gateway/ListenerCountRequests.java
+++ b/coordination/src/main/java/brookpath/coordination/node/gateway/ListenerCountRequests.java
@@ -18,6 +18,9 @@
 public final class ListenerCountRequests {
     private static final int MAX_REQUESTS = 4_096;
 
+    private static final String JSON_START = "{\"listeners\":";
+    private static final String JSON_END = "}";
+
     private record PendingCount(long requestId, long deadline, boolean excludesCaller) {}
 
     private final TimingBounds timing;
@@ -59,7 +62,13 @@
             return;
         }
         final int listeners = Math.max(0, reply.count() - (count.excludesCaller ? 1 : 0));
-        out.respond(count.requestId, new Response(OK, 0, "{\"listeners\":" + listeners + "}"));
+        out.respond(count.requestId, new Response(OK, 0, JSON_START + listeners + JSON_END));
+    }
+
+    /** The number of listeners in a successful response to such a request. */
+    public static int listenersIn(final Response response) {
+        final String json = response.json();
+        return Integer.parseInt(json.substring(JSON_START.length(), json.length() - JSON_END.length()));
     }
 
     /** Ends a request that was not sent. */
--- a/coordination/src/main/java/brookpath/coordination/route/Refusals.java
+++ b/coordination/src/main/java/brookpath/coordination/route/Refusals.java
@@ -3,7 +3,7 @@
 import brookpath.coordination.TimingBounds;
 import brookpath.coordination.message.Response;
 import brookpath.coordination.message.ResponseStatus;
-import jakarta.json.Json;
+import brookpath.coordination.text.JsonText;
 
 /** Builds the responses to requests that are refused or whose outcome is unknown. */
 public final class Refusals {
@@ -38,11 +38,10 @@
             final String outcome,
             final String code,
             final String why) {
-        final String json = Json.createObjectBuilder()
-                .add("outcome", outcome)
-                .add("code", code)
-                .add("why", why)
-                .build()
+        final String json = new JsonText()
+                .field("outcome", outcome)
+                .field("code", code)
+                .field("why", why)
                 .toString();
         return new Response(status, retryAfterMs, json, code);
     }
--- a/coordination/src/main/java/brookpath/coordination/route/RouteFinder.java
+++ b/coordination/src/main/java/brookpath/coordination/route/RouteFinder.java
@@ -13,6 +13,7 @@
 import brookpath.coordination.metadata.ClusterMetadata;
 import brookpath.coordination.metadata.ClusterMetadata.GroupInfo;
 import brookpath.coordination.placement.Placement;
+import brookpath.coordination.text.AsciiText;
 import java.util.function.IntPredicate;
 
 /** Decides the destination of a request from immutable tables alone; sending it is up to the caller. Immutable. */
@@ -23,7 +24,7 @@
      */
     public static final String UNKNOWN_SPACE = "space";
 
-    private static final String TOPIC = "[!-~]{1,200}";
+    private static final int MAX_TOPIC_LENGTH = 200;
 
     /** The preferences among members to read from, the strongest first. */
     private static final int AVOIDED_PENALTY = 8;
@@ -62,7 +63,7 @@
 
     /** Checks whether the key may use the topic, and finds its group. The node remains undecided. */
     public Route admit(final String key, final String topic) {
-        if (!topic.matches(TOPIC)) {
+        if (!AsciiText.isPrintable(topic, MAX_TOPIC_LENGTH)) {
             return refused(
                     ResponseStatus.BAD_REQUEST, 0, "topic", "a topic is 1 to 200 printable characters without a space");
         }
