--- a/coordination/src/main/java/brookpath/coordination/text/JsonText.java
+++ b/coordination/src/main/java/brookpath/coordination/text/JsonText.java
@@ -40,7 +40,7 @@
     private void appendEscaped(final char character) {
         text.append("\\u");
         for (int digit = HEX_DIGITS_OF_A_CHARACTER - 1; digit >= 0; digit--) {
-            text.append(HEX_DIGITS.charAt(character >> digit * BITS_OF_A_HEX_DIGIT & 0xf));
+            text.append(HEX_DIGITS.charAt((character >> (digit * BITS_OF_A_HEX_DIGIT)) & 0xf));
         }
     }
 
