Prefix lengths are collected without streams

A first use of streams is a part of a gateway's time to its first lease: decoding 510 routes in a fresh process took 70 to 87 ms of processor time before and 58 to 77 after (four runs each, alternating, beside load).

--- a/coordination/src/main/java/brookpath/coordination/configuration/Prefixes.java
+++ b/coordination/src/main/java/brookpath/coordination/configuration/Prefixes.java
@@ -1,26 +1,31 @@
 package brookpath.coordination.configuration;
 
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.TreeSet;
 
 /** Looks up spaces by the prefixes of their topics' names; the longest match wins. Immutable. */
 final class Prefixes {
-    static final Prefixes NONE = new Prefixes(java.util.List.of());
+    static final Prefixes NONE = new Prefixes(List.of());
 
     private final Map<String, Configuration.Space> byPrefix = new HashMap<>();
     /** Longest first, so that the first match is the longest. */
     private final int[] lengths;
 
     Prefixes(final Collection<Configuration.Space> spaces) {
-        spaces.forEach(s -> byPrefix.put(s.prefix(), s));
-        lengths = spaces.stream()
-                .mapToInt(s -> s.prefix().length())
-                .distinct()
-                .map(n -> -n)
-                .sorted()
-                .map(n -> -n)
-                .toArray();
+        final TreeSet<Integer> distinctLengths = new TreeSet<>(Comparator.reverseOrder());
+        for (final Configuration.Space space : spaces) {
+            byPrefix.put(space.prefix(), space);
+            distinctLengths.add(space.prefix().length());
+        }
+        lengths = new int[distinctLengths.size()];
+        int next = 0;
+        for (final int length : distinctLengths) {
+            lengths[next++] = length;
+        }
     }
 
     Configuration.Space of(final String topic) {
