--- a/coordination/src/main/java/brookpath/coordination/heartbeat/HeartbeatMonitor.java
+++ b/coordination/src/main/java/brookpath/coordination/heartbeat/HeartbeatMonitor.java
@@ -99,6 +99,14 @@
         round(now, false, out);
     }
 
+    /** Sends a heartbeat to one peer without waiting for the period; it counts no miss. Other nodes get none. */
+    public void heartbeatTo(final int node, final long now, final Actions out) {
+        final Peer peer = peers.get(node);
+        if (peer != null) {
+            send(node, peer, ++nextId, now, out);
+        }
+    }
+
     private boolean round(final long now, final boolean periodic, final Actions out) {
         final long up = peers.values().stream()
                 .filter(peer -> peer.missed < MISSED_WHEN_DOWN)
@@ -113,11 +121,7 @@
                 peer.lastAnswered = false;
                 peer.lastId = id;
             }
-            peer.sent.put(id, new Sent(now, ownById));
-            if (peer.sent.size() > MAX_OUTSTANDING) {
-                peer.sent.remove(peer.sent.keySet().iterator().next());
-            }
-            out.send(node, new Heartbeat(false, id, now, peer.known, false, own));
+            send(node, peer, id, now, out);
         });
         if (!periodic) {
             visitors.values().removeIf(until -> now >= until);
@@ -130,6 +134,14 @@
                 != up;
     }
 
+    private void send(final int node, final Peer peer, final long id, final long now, final Actions out) {
+        peer.sent.put(id, new Sent(now, ownById));
+        if (peer.sent.size() > MAX_OUTSTANDING) {
+            peer.sent.remove(peer.sent.keySet().iterator().next());
+        }
+        out.send(node, new Heartbeat(false, id, now, peer.known, false, own));
+    }
+
     /**
      * Handles a heartbeat, which it answers, or a reply to one. True where the state thread should see the table at
      * once: a role, term or sync state has changed, a peer is up again, or a reply extends this leader's lease.
--- /dev/null
+++ b/testing/src/test/java/brookpath/testing/HeartbeatMonitorTest.java
@@ -0,0 +1,90 @@
+package brookpath.testing;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import brookpath.coordination.TimingBounds;
+import brookpath.coordination.action.Action;
+import brookpath.coordination.action.Actions;
+import brookpath.coordination.heartbeat.HeartbeatMonitor;
+import brookpath.coordination.heartbeat.HeartbeatPromises;
+import brookpath.coordination.message.PeerMessage.Heartbeat;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.stream.IntStream;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Heartbeats to a peer whose session has just begun. */
+public final class HeartbeatMonitorTest {
+    private static final TimingBounds TIMING = TimingBounds.DEFAULT;
+    private static final int PEERS = 14;
+    private static final int STRANGER = 99;
+    private static final long NOW = 1_000;
+
+    private Actions out;
+    private HeartbeatMonitor monitor;
+
+    @BeforeMethod
+    public void begin() {
+        out = new Actions();
+        monitor = new HeartbeatMonitor(TIMING, TIMING.heartbeat(), new HeartbeatPromises(TIMING.down()));
+    }
+
+    /**
+     * At a start the sessions with all peers begin one after another; a round to all of them for each would be as many
+     * heartbeats as there are pairs, just when clients come back.
+     */
+    @Test
+    public void eachSessionThatBeginsCostsOneHeartbeat() {
+        monitor.peers(peers());
+        for (final int node : peers()) {
+            monitor.heartbeatTo(node, NOW, out);
+            assertEquals(receivers(), List.of(node));
+        }
+        monitor.heartbeatTo(STRANGER, NOW, out);
+        assertEquals(receivers(), List.of());
+    }
+
+    @Test
+    public void itsReplyShowsThatThePeerIsUp() {
+        monitor.peers(Set.of(1));
+        assertFalse(monitor.table().up(1));
+        monitor.heartbeatTo(1, NOW, out);
+        final Heartbeat sent = sent(out.drain().get(0));
+        final Heartbeat reply = new Heartbeat(true, sent.id(), sent.stamp(), 0, false, List.of());
+        assertTrue(monitor.onHeartbeat(1, reply, NOW + 1, out));
+        assertTrue(monitor.table().up(1));
+        assertEquals(monitor.table().row(1).answeredSentAt(), NOW);
+    }
+
+    /** Only the periodic rounds tell whether a peer has missed replies. */
+    @Test
+    public void oneWithoutAReplyIsNoMiss() {
+        monitor.peers(Set.of(1));
+        monitor.tick(NOW, out);
+        final Heartbeat sent = sent(out.drain().get(0));
+        monitor.onHeartbeat(1, new Heartbeat(true, sent.id(), sent.stamp(), 0, false, List.of()), NOW, out);
+        for (int i = 1; i < 5; i++) {
+            monitor.heartbeatTo(1, NOW + i, out);
+        }
+        assertTrue(monitor.table().up(1));
+        assertEquals(monitor.nextRound(), NOW + TIMING.heartbeat(), "the period does not begin anew");
+    }
+
+    private static Set<Integer> peers() {
+        final Set<Integer> peers = new TreeSet<>();
+        IntStream.rangeClosed(1, PEERS).forEach(peers::add);
+        return peers;
+    }
+
+    private List<Integer> receivers() {
+        return out.drain().stream().map(action -> ((Action.Send) action).node()).toList();
+    }
+
+    private static Heartbeat sent(final Action action) {
+        return (Heartbeat) ((Action.Send) action).message();
+    }
+}
--- a/transport/src/main/java/brookpath/transport/loop/HeartbeatLoop.java
+++ b/transport/src/main/java/brookpath/transport/loop/HeartbeatLoop.java
@@ -23,6 +23,7 @@
 final class HeartbeatLoop implements Runnable {
     private static final int MAX_WAITING_HEARTBEATS = 1_024;
 
+    /** @param heartbeat null where the node has sent none, but a session with it has begun */
     private record ReceivedHeartbeat(int from, PeerMessage.Heartbeat heartbeat) {}
 
     /** Wakes the thread for a requested round though nothing was received. */
@@ -77,6 +78,11 @@
         }
     }
 
+    /** Requests a heartbeat to a node with which a session has just begun. */
+    void sessionUp(final int node) {
+        inbox.add(new ReceivedHeartbeat(node, null));
+    }
+
     void receive(final int from, final PeerMessage.Heartbeat heartbeat) {
         if (inbox.size() > MAX_WAITING_HEARTBEATS) {
             // why: a newer heartbeat supersedes an older one
@@ -115,6 +121,15 @@
         }
     }
 
+    private static boolean process(
+            final HeartbeatMonitor monitor, final ReceivedHeartbeat received, final long nowMs, final Actions out) {
+        if (received.heartbeat != null) {
+            return monitor.onHeartbeat(received.from, received.heartbeat, nowMs, out);
+        }
+        monitor.heartbeatTo(received.from, nowMs, out);
+        return false;
+    }
+
     /** Processes what was received and sends what is due; true where the state thread should read the table. */
     @SuppressWarnings("ReferenceEquality") // why: WAKE_UP is a sentinel, compared by identity
     private boolean round(
@@ -123,7 +138,7 @@
         monitor.own(status.entries());
         boolean changed = false;
         if (received != null && received != WAKE_UP) {
-            changed = monitor.onHeartbeat(received.from, received.heartbeat, nowMs, out);
+            changed = process(monitor, received, nowMs, out);
             // why: the state thread must see a heartbeat before its sender gets the acknowledgement
             table = monitor.table();
         }
--- a/transport/src/main/java/brookpath/transport/loop/Host.java
+++ b/transport/src/main/java/brookpath/transport/loop/Host.java
@@ -171,8 +171,10 @@
 
     @Override
     public void sessionUp(final int node) {
-        // why: a node that returns exchanges heartbeats at once rather than after the next period
-        heartbeats.requestHeartbeat();
+        // why: a node that returns exchanges heartbeats at once rather than after the next period; with this node
+        // alone,
+        // since at a start the sessions with all peers begin one after another
+        heartbeats.sessionUp(node);
     }
 
     @Override
