--- a/testing/src/test/java/brookpath/platform/GatewayStartTest.java
+++ b/testing/src/test/java/brookpath/platform/GatewayStartTest.java
@@ -75,27 +75,18 @@
     /** A gateway in a process of its own, beside a control plane that serves, to the end of a client's session. */
     @BeforeClass(groups = REAL_PROCESSES, dependsOnMethods = "runTrainingCluster")
     public void runGateway() throws Exception {
-        final LoopbackCluster cluster = new LoopbackCluster(folder);
+        final LoopbackCluster cluster = new LoopbackCluster(Files.createTempDirectory(folder, "cluster"));
         try {
             cluster.start();
             cluster.configure(ClassArchiveTraining.configuration());
-            final ProcessBuilder builder =
-                    java("-Xlog:class+load:file=" + folder.resolve(GATEWAY_CLASSES), Main.class, "gateway");
-            builder.environment()
-                    .put(
-                            NodeFile.VARIABLE,
-                            cluster.settingsFile(LoopbackCluster.GATEWAY, Role.GATEWAY)
-                                    .toString());
-            final Process gateway =
-                    builder.redirectOutput(ProcessBuilder.Redirect.PIPE).start();
+            final Process gateway = gatewayOf(cluster, "-Xlog:class+load:file=" + folder.resolve(GATEWAY_CLASSES))
+                    .redirectOutput(ProcessBuilder.Redirect.PIPE)
+                    .start();
             try (BufferedReader output = gateway.inputReader()) {
                 assertTrue(output.lines().anyMatch(line -> line.contains("open to clients")), "it never opens");
                 cluster.callUntilSuccessful(
                         LoopbackCluster.GATEWAY, LoopbackCluster.READINESS_PORT, "GET /brookpath/readiness", "");
-                TrainingClient.runSession(
-                        cluster.address(LoopbackCluster.GATEWAY),
-                        LoopbackCluster.FRONTEND_PORT,
-                        ClassArchiveTraining.KEY);
+                cluster.runSession(ClassArchiveTraining.KEY);
             } finally {
                 gateway.destroyForcibly().waitFor();
             }
@@ -165,6 +156,16 @@
         assertEquals(found, List.of(), "needless for a start");
     }
 
+    private ProcessBuilder gatewayOf(final LoopbackCluster cluster, final String classLog) throws IOException {
+        final ProcessBuilder builder = java(classLog, Main.class, "gateway");
+        builder.environment()
+                .put(
+                        NodeFile.VARIABLE,
+                        cluster.settingsFile(LoopbackCluster.GATEWAY, Role.GATEWAY)
+                                .toString());
+        return builder;
+    }
+
     /** It has nothing to serve yet and no server of its own, but goes on until it finds a controller. */
     @Test(groups = REAL_PROCESSES)
     public void aGatewayWithoutAControlPlaneGoesOn() throws Exception {
