--- a/testing/src/test/java/brookpath/platform/GatewayStartTest.java
+++ b/testing/src/test/java/brookpath/platform/GatewayStartTest.java
@@ -128,6 +128,8 @@
             {"java.util.logging."},
             // a search through every library on the class path
             {"java.util.ServiceLoader$LazyClassPathLookupIterator"},
+            // pools of memory outside the heap
+            {"io.netty.buffer.AdaptivePoolingAllocator"},
             // equals, hashCode and toString of a record, which are linked at their first use
             {"java.lang.runtime.ObjectMethods"},
             // the text of a configuration, which the control plane has parsed and checked before
