--- a/testing/src/test/java/brookpath/transport/wire/GoldenHelloTest.java
+++ b/testing/src/test/java/brookpath/transport/wire/GoldenHelloTest.java
@@ -13,12 +13,13 @@
 public final class GoldenHelloTest {
     private static final ProcessIdentity IDENTITY =
             new ProcessIdentity(0x01020304, 0x1112131415161718L, 0x2122232425262728L);
+    private static final String LENGTH = "00000018";
     private static final String FRAME = "01020304" + "62726b31" + "1112131415161718" + "2122232425262728";
 
     @Test
     public void theFirstFrameHasItsBytes() {
         final ByteBuf frame = Hello.encode(IDENTITY, UnpooledByteBufAllocator.DEFAULT);
-        assertEquals(ByteBufUtil.hexDump(frame), FRAME);
+        assertEquals(ByteBufUtil.hexDump(frame), LENGTH + FRAME);
     }
 
     @Test
--- a/transport/src/main/java/brookpath/transport/wire/Hello.java
+++ b/transport/src/main/java/brookpath/transport/wire/Hello.java
@@ -14,8 +14,10 @@
 
     private Hello() {}
 
+    /** The frame behind its length, as it goes on the wire. */
     static ByteBuf encode(final ProcessIdentity own, final ByteBufAllocator alloc) {
-        return alloc.buffer(BYTES)
+        return alloc.buffer(Integer.BYTES + BYTES)
+                .writeInt(BYTES)
                 .writeInt(own.node())
                 .writeInt(MAGIC)
                 .writeLong(own.incarnation())
--- a/transport/src/main/java/brookpath/transport/wire/NettyStart.java
+++ b/transport/src/main/java/brookpath/transport/wire/NettyStart.java
@@ -11,6 +11,7 @@
     private static final String MACHINE_ID = "io.netty.machineId";
     private static final String PROCESS_ID = "io.netty.processId";
     private static final String FLIGHT_RECORDER_EVENTS = "io.netty.jfr.enabled";
+    private static final String ALLOCATOR = "io.netty.allocator.type";
     private static final String SELECTOR_PROVIDER = "java.nio.channels.spi.SelectorProvider";
     private static final String EPOLL = "sun.nio.ch.EPollSelectorProvider";
 
@@ -22,6 +23,8 @@
         setDefault(PROCESS_ID, "1");
         // why: registering the allocator's events was a third of a gateway's start, with no recording to use them
         setDefault(FLIGHT_RECORDER_EVENTS, "false");
+        // why: all channels here are given HeapBufferAllocator; the default one would set up its pools all the same
+        setDefault(ALLOCATOR, "unpooled");
         if (isInRuntime(EPOLL)) {
             // why: without a name the runtime searches every library on the class path for a provider
             setDefault(SELECTOR_PROVIDER, EPOLL);
--- a/transport/src/main/java/brookpath/transport/wire/Wire.java
+++ b/transport/src/main/java/brookpath/transport/wire/Wire.java
@@ -19,7 +19,6 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
-import io.netty.handler.codec.LengthFieldPrepender;
 import java.net.InetSocketAddress;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
@@ -109,6 +108,7 @@
         server = new ServerBootstrap()
                 .group(loops)
                 .channelFactory(NioServerSocketChannel::new)
+                .childOption(ChannelOption.ALLOCATOR, HeapBufferAllocator.INSTANCE)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childOption(ChannelOption.SO_KEEPALIVE, true)
                 .childOption(KEEP_ALIVE_IDLE_S, 1)
@@ -173,6 +173,7 @@
         new Bootstrap()
                 .group(loops)
                 .channelFactory(NioSocketChannel::new)
+                .option(ChannelOption.ALLOCATOR, HeapBufferAllocator.INSTANCE)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.SO_KEEPALIVE, true)
                 .option(KEEP_ALIVE_IDLE_S, 1)
@@ -216,7 +217,13 @@
             return false;
         }
         final byte[] frame = codecs.get().encode(message);
-        final ByteBuf buffer = channel.alloc().buffer(frame.length).writeBytes(frame);
+        // why: the length goes into the same buffer rather than through a handler of its own, which would make two
+        // writes
+        // of one
+        final ByteBuf buffer = channel.alloc()
+                .buffer(LENGTH_BYTES + frame.length)
+                .writeInt(frame.length)
+                .writeBytes(frame);
         bytesOut.computeIfAbsent(node, k -> new LongAdder()).add(LENGTH_BYTES + frame.length);
         channel.writeAndFlush(buffer, channel.voidPromise());
         return true;
@@ -243,7 +250,6 @@
                         .addLast(
                                 new LengthFieldBasedFrameDecoder(
                                         FrameCodec.MAX_FRAME, 0, LENGTH_BYTES, 0, LENGTH_BYTES),
-                                new LengthFieldPrepender(LENGTH_BYTES),
                                 new SessionHandler(Wire.this, expectedNode, address));
             }
         };
