--- a/coordination/src/main/java/brookpath/coordination/group/LeaderElection.java
+++ b/coordination/src/main/java/brookpath/coordination/group/LeaderElection.java
@@ -45,6 +45,8 @@
     private int failedAttempts;
     private long deferUntil = NEVER / 2;
     private String obstacle = "";
+    /** What this member waited for before it stood last; empty where it stood at once. */
+    private String lastObstacle = "";
 
     LeaderElection(
             final int group,
@@ -102,6 +104,11 @@
         return obstacle;
     }
 
+    /** What this member waited for before it stood last, empty for nothing. */
+    String lastObstacle() {
+        return lastObstacle;
+    }
+
     // ---- standing
 
     /** Another member leads the group, so a later election begins afresh. */
@@ -166,8 +173,12 @@
 
     private boolean mayStand(final long now) {
         final String own = ownObstacle(now);
-        obstacle = own.isEmpty() ? peerObstacle(now) : own;
-        return obstacle.isEmpty();
+        final String found = own.isEmpty() ? peerObstacle(now) : own;
+        if (found.isEmpty() && !obstacle.isEmpty()) {
+            lastObstacle = obstacle;
+        }
+        obstacle = found;
+        return found.isEmpty();
     }
 
     /** The obstacle in this member's own state, empty for none. */
