--- a/coordination/src/main/java/brookpath/coordination/group/GroupStateMachine.java
+++ b/coordination/src/main/java/brookpath/coordination/group/GroupStateMachine.java
@@ -40,6 +40,7 @@
     private final Actions out;
     private final LogSweep sweep;
     private final LogAppender appender;
+    private final Voter voter;
     private final DeferredMessages deferredMessages = new DeferredMessages();
 
     GroupStateMachine(
@@ -83,6 +84,7 @@
                 promises,
                 deferredMessages,
                 new SplittableRandom(seed * 31 + group * 7919L + self));
+        voter = new Voter(group, timing, roleState, voteStore, election, this::stepDown, out);
         transfer = new LeadershipTransfer(
                 group, self, timing, roleState, membership, voteStore, log, peers, lease, progress, election, out);
         membershipChange = new MembershipChange(self, toleratedLosses, membership, log, lease, progress);
@@ -131,6 +133,7 @@
             return;
         }
         observeTerms(now);
+        voter.decidePending(now);
         if (roleState.isLeader()) {
             leadOn(now);
         }
@@ -233,7 +236,7 @@
         if (message instanceof PeerMessage.TimeoutNow order) {
             onTimeoutNow(from, order, now);
         } else if (message instanceof VoteRequest request) {
-            onVoteRequest(from, request, now);
+            voter.onRequest(from, request, now);
         } else if (message instanceof VoteReply reply) {
             onVoteReply(from, reply, now);
         } else if (message instanceof Pull pull) {
@@ -262,21 +265,6 @@
 
     // ---- election
 
-    private void onVoteRequest(final int from, final VoteRequest m, final long now) {
-        if (!roleState.isLeader()) {
-            voteStore.observe(m.term());
-        }
-        final String refusal = election.refusal(from, m, now);
-        if (refusal != null) {
-            out.send(from, new VoteReply(group, m.term(), false, voteStore.highestTermSeen(), refusal));
-            return;
-        }
-        if (roleState.isLeader()) {
-            stepDown("node " + from + " takes over");
-        }
-        election.grant(from, m.term(), now);
-    }
-
     private void onVoteReply(final int from, final VoteReply m, final long now) {
         if (roleState.isLeader()) {
             return;
--- a/coordination/src/main/java/brookpath/coordination/group/LeaderElection.java
+++ b/coordination/src/main/java/brookpath/coordination/group/LeaderElection.java
@@ -15,6 +15,9 @@
  * the group's state thread owns it.
  */
 final class LeaderElection {
+    /** The refusal of a member that may still be bound by a promise of its former incarnation. */
+    static final String JUST_STARTED = "just started";
+
     /** After so many failed attempts a member no longer defers to a higher rank. */
     private static final int DEFERRING_ATTEMPTS = 3;
 
@@ -189,7 +192,7 @@
         if (withdrawn) {
             return "it is about to leave";
         }
-        if (hasJustStarted(now)) {
+        if (mayHavePromised(self, now)) {
             return "it has just started";
         }
         if (diskLag(now) > timing.diskPatience()) {
@@ -249,8 +252,47 @@
         return index == log.syncedIndex() && term == log.syncedTerm();
     }
 
-    private boolean hasJustStarted(final long now) {
-        return now - startedAt <= timing.down();
+    /**
+     * Whether a leader may still act on a promise of this member's former incarnation: one that answered a heartbeat
+     * just before the restart. It may not once the detection time is over, or once all other voters have reported since
+     * the start that they lead nothing.
+     *
+     * @param reported a voter that has reported so by other means than its heartbeats
+     */
+    private boolean mayHavePromised(final int reported, final long now) {
+        return now - startedAt <= timing.down() && !allOthersLeadNothing(reported, now);
+    }
+
+    /**
+     * Whether each other voter has reported to this incarnation that it does not lead the group. A leader that held a
+     * promise of the former incarnation has then stepped down or been started again, for a later leadership counts only
+     * answers to its own heartbeats. Equal last terms and group versions mean equal memberships, so no leader is missing
+     * among the voters that are asked.
+     */
+    private boolean allOthersLeadNothing(final int reported, final long now) {
+        // why: after a restart of all members nobody is bound, and waiting for the detection time would only keep the
+        // callers out for as long
+        for (final Member voter : membership.voters()) {
+            final int node = voter.node();
+            if (node != self && node != reported && !leadsNothing(peers.entry(node, now))) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private boolean isOfEqualLog(final VoteRequest request) {
+        return request.groupVersion() == membership.version() && request.endTerm() == log.syncedTerm();
+    }
+
+    /** @param entry what a voter has reported to this incarnation, null for nothing */
+    private boolean leadsNothing(final HeartbeatEntry entry) {
+        return entry != null
+                && entry.role() != GroupRole.LEADER.code()
+                && entry.sync() != SyncState.LOST.code()
+                && entry.groupVersion() == membership.version()
+                && entry.endTerm() == log.syncedTerm()
+                && (entry.leaderHeard() == PeerView.NOBODY || entry.leaderHeard() == self);
     }
 
     /** How long the oldest write that this member waits for has been pending, in milliseconds. */
@@ -281,9 +323,10 @@
         if (recovery.isDiskLost() || !recovery.isInitialised()) {
             return "copy is being rebuilt";
         }
-        if (hasJustStarted(now)) {
-            // why: before the restart it may have answered a leader's heartbeat whose lease still runs
-            return "just started";
+        // why: the request itself reports that the candidate leads nothing
+        final int reported = isOfEqualLog(request) ? candidate : self;
+        if (mayHavePromised(reported, now)) {
+            return JUST_STARTED;
         }
         if (request.groupVersion() < membership.version() && request.endTerm() <= log.syncedTerm()) {
             return "older group version";
