--- a/coordination/src/main/java/brookpath/coordination/group/LeaderElection.java
+++ b/coordination/src/main/java/brookpath/coordination/group/LeaderElection.java
@@ -266,8 +266,8 @@
     /**
      * Whether each other voter has reported to this incarnation that it does not lead the group. A leader that held a
      * promise of the former incarnation has then stepped down or been started again, for a later leadership counts only
-     * answers to its own heartbeats. Equal last terms and group versions mean equal memberships, so no leader is missing
-     * among the voters that are asked.
+     * answers to its own heartbeats. Equal last terms and group versions mean equal memberships, so no leader is
+     * missing among the voters that are asked.
      */
     private boolean allOthersLeadNothing(final int reported, final long now) {
         // why: after a restart of all members nobody is bound, and waiting for the detection time would only keep the
--- a/coordination/src/main/java/brookpath/coordination/node/GatewayNode.java
+++ b/coordination/src/main/java/brookpath/coordination/node/GatewayNode.java
@@ -26,6 +26,7 @@
 import brookpath.coordination.node.gateway.ListenerCountRequests;
 import brookpath.coordination.node.gateway.PublishForwarder;
 import brookpath.coordination.node.gateway.SessionRequests;
+import brookpath.coordination.node.gateway.StartupRedirect;
 import brookpath.coordination.node.gateway.Subscriptions;
 import brookpath.coordination.route.Refusals;
 import brookpath.coordination.route.Route;
@@ -47,6 +48,9 @@
     /** A gateway only observes, so its heartbeats are rarer: it is notified of leader changes at once besides. */
     private static final int HEARTBEAT_PERIODS = 4;
 
+    /** The code of the response to a session that is opened elsewhere; the address follows. */
+    public static final String MOVED = "moved";
+
     private final String zone;
     private final ConfigurationClient client;
     private final PublishForwarder forwarder;
@@ -56,6 +60,7 @@
     private final LeaseQueue leaseQueue;
     private final GatewayAddresses otherGateways;
     private final GatewayDrain drain;
+    private final StartupRedirect startupRedirect;
     private final GatewayStatus status;
 
     private long ids;
@@ -65,11 +70,18 @@
     /**
      * @param info this process as peers see it; the address is where callers reach it, and may be empty
      * @param seeds the controllers that are polled first
+     * @param startupRedirect where callers are sent that come before the first lease
      * @param firstId request IDs begin after it; it differs in each incarnation, so that no reply to a former one
      *     matches
      */
-    public GatewayNode(final NodeInfo info, final List<Integer> seeds, final TimingBounds timing, final long firstId) {
+    public GatewayNode(
+            final NodeInfo info,
+            final List<Integer> seeds,
+            final TimingBounds timing,
+            final StartupRedirect startupRedirect,
+            final long firstId) {
         super(info.node(), timing);
+        this.startupRedirect = startupRedirect;
         zone = info.zone();
         ids = firstId;
         client = new ConfigurationClient(info, ConfigurationPoll.GATEWAY, seeds, firstId, timing, out);
@@ -196,7 +208,11 @@
     @Override
     protected void onRequest(final NodeRequest nodeRequest, final Time time) {
         final long now = time.mono();
-        if (needsLease(nodeRequest)) {
+        if (nodeRequest instanceof NodeRequest.Open request && startupRedirect.isActive() && !client.everLeased()) {
+            // why: a small machine needs seconds until it serves; its callers would find a closed port, and mostly the
+            // next one like it, until they give up
+            move(request, startupRedirect.nextAddress());
+        } else if (needsLease(nodeRequest)) {
             if (!leaseQueue.offer(nodeRequest, serves(now), now)) {
                 handleLeased(nodeRequest, now);
             }
@@ -236,7 +252,10 @@
             servedBefore = true;
             reportStartOf(
                     "serves configuration " + client.configuration().version() + " after " + client.pollsSent()
-                            + " polls",
+                            + " polls"
+                            + (startupRedirect.isActive()
+                                    ? ", " + startupRedirect.redirected() + " sessions redirected before"
+                                    : ""),
                     now);
         }
         leaseQueue.release(serves(now), now, nodeRequest -> handleLeased(nodeRequest, now));
@@ -300,6 +319,11 @@
         }
     }
 
+    private void move(final NodeRequest.Open request, final String address) {
+        refuse(request.requestId(), MOVED, "this node does not serve yet; another does");
+        out.moveSession(request.requestId(), address);
+    }
+
     private void count(final NodeRequest.Count request, final long now) {
         final Route route = routes(now).publish(request.key(), request.topic(), now);
         if (route.isRefused()) {
--- a/testing/src/main/java/brookpath/testing/sim/SimulatedCluster.java
+++ b/testing/src/main/java/brookpath/testing/sim/SimulatedCluster.java
@@ -6,6 +6,7 @@
 import brookpath.coordination.node.GatewayNode;
 import brookpath.coordination.node.StorageNode;
 import brookpath.coordination.node.control.GroupBootstrap;
+import brookpath.coordination.node.gateway.StartupRedirect;
 import brookpath.testing.oracle.History;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -127,8 +128,8 @@
                         id,
                         zone,
                         false,
-                        (process, entries) ->
-                                new GatewayNode(process.info(), SEEDS, timing, process.incarnation << 32)));
+                        (process, entries) -> new GatewayNode(
+                                process.info(), SEEDS, timing, StartupRedirect.NONE, process.incarnation << 32)));
     }
 
     /** One more controller that no founding names, as an operator would add it: empty, with these to ask first. */
--- a/testing/src/test/java/brookpath/testing/sim/RestartOfEverythingTest.java
+++ b/testing/src/test/java/brookpath/testing/sim/RestartOfEverythingTest.java
@@ -62,12 +62,16 @@
                 cluster.run(cluster.now() + STEP_MS);
                 assertAtMostOneActs(seed);
             }
-            assertTrue(group(candidate).mayAct(candidate.mono())
-                    || group(promising).mayAct(promising.mono()), "seed " + seed + ": the majority elects in the end");
+            assertTrue(
+                    group(candidate).mayAct(candidate.mono())
+                            || group(promising).mayAct(promising.mono()),
+                    "seed " + seed + ": the majority elects in the end");
         }
     }
 
-    /** A member that lost its disk may have had a newer membership; the others wait as before, and elect all the same. */
+    /**
+     * A member that lost its disk may have had a newer membership; the others wait as before, and elect all the same.
+     */
     @Test
     public void aMemberWithoutItsDiskDoesNotShortenTheWait() {
         for (int seed = 140; seed < 140 + SEEDS; seed++) {
