--- a/testing/src/test/java/brookpath/platform/GatewayStartTest.java
+++ b/testing/src/test/java/brookpath/platform/GatewayStartTest.java
@@ -199,6 +199,29 @@
                 + "\"ToleratedLosses\":{\"Machines\":2},\"Bounds\":{}}";
     }
 
+    /**
+     * Opening a package of the runtime to a library takes two lambdas of the launcher, which are spun at each start: of
+     * 138 ms of processor time until the program has read its arguments, 23 were for that.
+     */
+    @Test(groups = REAL_PROCESSES)
+    public void theStateNeedsNoOpenedPackageOfTheRuntime() throws Exception {
+        final Path output = folder.resolve("buffer.txt");
+        final Process process = new ProcessBuilder(
+                        Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                        "-cp",
+                        classPath(),
+                        BufferProbe.class.getName())
+                .redirectErrorStream(true)
+                .redirectOutput(output.toFile())
+                .start();
+        assertTrue(process.waitFor(TIMEOUT_S, TimeUnit.SECONDS), "the process does not end");
+        assertEquals(process.exitValue(), 0, Files.readString(output));
+    }
+
+    private static String classPath() {
+        return System.getProperty("surefire.test.class.path", System.getProperty("java.class.path"));
+    }
+
     private ProcessBuilder java(final String classLog, final Class<?> program, final String... arguments) {
         final List<String> command = new ArrayList<>(List.of(
                 Path.of(System.getProperty("java.home"), "bin", "java").toString(),
@@ -206,7 +229,7 @@
                 "--add-opens",
                 "java.base/jdk.internal.misc=ALL-UNNAMED",
                 "-cp",
-                System.getProperty("surefire.test.class.path", System.getProperty("java.class.path")),
+                classPath(),
                 program.getName()));
         command.addAll(List.of(arguments));
         return new ProcessBuilder(command)
