--- a/testing/src/main/java/brookpath/testing/fleet/Fleet.java
+++ b/testing/src/main/java/brookpath/testing/fleet/Fleet.java
@@ -132,8 +132,6 @@
                     "-XX:+UseSerialGC",
                     "-XX:TieredStopAtLevel=1",
                     "-Dslf4j.internal.verbosity=WARN",
-                    "--add-opens",
-                    "java.base/jdk.internal.misc=ALL-UNNAMED",
                     "-cp",
                     System.getProperty("surefire.test.class.path", System.getProperty("java.class.path")),
                     controller ? "brookpath.programs.Controller" : "brookpath.programs.DataNode",
--- a/testing/src/main/java/brookpath/testing/mutate/Mutants.java
+++ b/testing/src/main/java/brookpath/testing/mutate/Mutants.java
@@ -206,8 +206,6 @@
         final List<String> all = new ArrayList<>(List.of(
                 Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                 "-Djava.util.concurrent.ForkJoinPool.common.parallelism=2",
-                "--add-opens",
-                "java.base/jdk.internal.misc=ALL-UNNAMED",
                 "-cp",
                 cp));
         all.addAll(List.of(cmd));
--- a/testing/src/test/java/brookpath/platform/GatewayStartTest.java
+++ b/testing/src/test/java/brookpath/platform/GatewayStartTest.java
@@ -226,8 +226,6 @@
         final List<String> command = new ArrayList<>(List.of(
                 Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                 classLog,
-                "--add-opens",
-                "java.base/jdk.internal.misc=ALL-UNNAMED",
                 "-cp",
                 classPath(),
                 program.getName()));
