--- a/coordination/src/main/java/brookpath/coordination/TimingBounds.java
+++ b/coordination/src/main/java/brookpath/coordination/TimingBounds.java
@@ -165,6 +165,11 @@
         return deliverMs * 3 / 4;
     }
 
+    /** How long a caller waits for its session and topics before that counts as late. */
+    public long callerPatience() {
+        return deliverMs / 5;
+    }
+
     /** The delay that a refusal suggests to the caller before it retries. */
     public int retryAfterMs() {
         return (int) (2 * heartbeat());
--- a/coordination/src/main/java/brookpath/coordination/configuration/ConfigurationClient.java
+++ b/coordination/src/main/java/brookpath/coordination/configuration/ConfigurationClient.java
@@ -128,11 +128,6 @@
         return known && now < leaseUntil;
     }
 
-    /** Whether this process has held the lease since its start, now or before. */
-    public boolean everLeased() {
-        return known;
-    }
-
     /** The end of the lease, in monotonic milliseconds of this process. */
     public long leaseUntil() {
         return known ? leaseUntil : Long.MIN_VALUE;
--- a/coordination/src/main/java/brookpath/coordination/group/GroupStateMachine.java
+++ b/coordination/src/main/java/brookpath/coordination/group/GroupStateMachine.java
@@ -284,7 +284,7 @@
         appender.dropPending();
         fetcher.cancel();
         out.milestone("group " + group + ": " + roleState.reason() + ", log to " + log.endIndex() + ", committed "
-                + log.committedIndex() + "; waited before: " + election.lastObstacle());
+                + log.committedIndex() + election.waitedFor());
         out.heartbeatNow();
         // why: records of earlier terms count as committed only once a record of this one is
         append(LogRecord.OPEN, new byte[0], now, 0);
--- a/coordination/src/main/java/brookpath/coordination/group/LeaderElection.java
+++ b/coordination/src/main/java/brookpath/coordination/group/LeaderElection.java
@@ -107,9 +107,9 @@
         return obstacle;
     }
 
-    /** What this member waited for before it stood last, empty for nothing. */
-    String lastObstacle() {
-        return lastObstacle;
+    /** What this member waited for before it stood last, for a log line; empty for nothing. */
+    String waitedFor() {
+        return lastObstacle.isEmpty() ? "" : "; waited before: " + lastObstacle;
     }
 
     // ---- standing
--- a/coordination/src/main/java/brookpath/coordination/node/GatewayNode.java
+++ b/coordination/src/main/java/brookpath/coordination/node/GatewayNode.java
@@ -25,8 +25,8 @@
 import brookpath.coordination.node.gateway.LeaseQueue;
 import brookpath.coordination.node.gateway.ListenerCountRequests;
 import brookpath.coordination.node.gateway.PublishForwarder;
+import brookpath.coordination.node.gateway.SessionOverflow;
 import brookpath.coordination.node.gateway.SessionRequests;
-import brookpath.coordination.node.gateway.StartupRedirect;
 import brookpath.coordination.node.gateway.Subscriptions;
 import brookpath.coordination.route.Refusals;
 import brookpath.coordination.route.Route;
@@ -60,7 +60,7 @@
     private final LeaseQueue leaseQueue;
     private final GatewayAddresses otherGateways;
     private final GatewayDrain drain;
-    private final StartupRedirect startupRedirect;
+    private final SessionOverflow overflow;
     private final GatewayStatus status;
 
     private long ids;
@@ -70,7 +70,7 @@
     /**
      * @param info this process as peers see it; the address is where callers reach it, and may be empty
      * @param seeds the controllers that are polled first
-     * @param startupRedirect where callers are sent that come before the first lease
+     * @param overflow which sessions are passed on to other gateways
      * @param firstId request IDs begin after it; it differs in each incarnation, so that no reply to a former one
      *     matches
      */
@@ -78,10 +78,10 @@
             final NodeInfo info,
             final List<Integer> seeds,
             final TimingBounds timing,
-            final StartupRedirect startupRedirect,
+            final SessionOverflow overflow,
             final long firstId) {
         super(info.node(), timing);
-        this.startupRedirect = startupRedirect;
+        this.overflow = overflow;
         zone = info.zone();
         ids = firstId;
         client = new ConfigurationClient(info, ConfigurationPoll.GATEWAY, seeds, firstId, timing, out);
@@ -91,8 +91,8 @@
         sessionRequests = subscriptions.requests();
         counts = new ListenerCountRequests(timing, this::nextId, out);
         leaseQueue = new LeaseQueue(timing);
-        otherGateways = new GatewayAddresses(self, zone, this::nextId);
-        drain = new GatewayDrain(client, subscriptions, otherGateways, timing, this::nextId, out);
+        otherGateways = new GatewayAddresses(self, zone, this::nextId, timing, out);
+        drain = new GatewayDrain(client, subscriptions, otherGateways, timing, out);
         status = new GatewayStatus(self, zone, client);
     }
 
@@ -208,11 +208,7 @@
     @Override
     protected void onRequest(final NodeRequest nodeRequest, final Time time) {
         final long now = time.mono();
-        if (nodeRequest instanceof NodeRequest.Open request && startupRedirect.isActive() && !client.everLeased()) {
-            // why: a small machine needs seconds until it serves; its callers would find a closed port, and mostly the
-            // next one like it, until they give up
-            move(request, startupRedirect.nextAddress());
-        } else if (needsLease(nodeRequest)) {
+        if (needsLease(nodeRequest)) {
             if (!leaseQueue.offer(nodeRequest, serves(now), now)) {
                 handleLeased(nodeRequest, now);
             }
@@ -252,10 +248,7 @@
             servedBefore = true;
             reportStartOf(
                     "serves configuration " + client.configuration().version() + " after " + client.pollsSent()
-                            + " polls"
-                            + (startupRedirect.isActive()
-                                    ? ", " + startupRedirect.redirected() + " sessions redirected before"
-                                    : ""),
+                            + " polls",
                     now);
         }
         leaseQueue.release(serves(now), now, nodeRequest -> handleLeased(nodeRequest, now));
@@ -314,14 +307,26 @@
         } else if (client.draining()) {
             refuseDraining(request.requestId());
             out.moveSession(request.requestId(), otherGateways.next());
-        } else {
+        } else if (!passOn(request, now)) {
+            overflow.tookIn();
             sessionRequests.open(request);
         }
     }
 
-    private void move(final NodeRequest.Open request, final String address) {
-        refuse(request.requestId(), MOVED, "this node does not serve yet; another does");
+    /** Sends a caller on that would wait too long here; false where it is to be served here. */
+    private boolean passOn(final NodeRequest.Open request, final long now) {
+        if (!overflow.isDue(now)) {
+            return false;
+        }
+        otherGateways.askOnce(client.controlLeader(), now);
+        final String address = otherGateways.next();
+        if (address.isEmpty()) {
+            return false;
+        }
+        overflow.passedOn();
+        refuse(request.requestId(), MOVED, "this node has more sessions to set up than it can in time");
         out.moveSession(request.requestId(), address);
+        return true;
     }
 
     private void count(final NodeRequest.Count request, final long now) {
--- a/coordination/src/main/java/brookpath/coordination/node/gateway/GatewayAddresses.java
+++ b/coordination/src/main/java/brookpath/coordination/node/gateway/GatewayAddresses.java
@@ -1,5 +1,8 @@
 package brookpath.coordination.node.gateway;
 
+import brookpath.coordination.TimingBounds;
+import brookpath.coordination.action.Actions;
+import brookpath.coordination.message.ControlRequestKind;
 import brookpath.state.record.PackedBuffer;
 import java.util.ArrayList;
 import java.util.List;
@@ -10,6 +13,8 @@
     private final int self;
     private final String zone;
     private final LongSupplier ids;
+    private final TimingBounds timing;
+    private final Actions out;
     private List<String> addresses = List.of();
     private boolean awaited;
     /** The ID of the pending request for the addresses. */
@@ -17,24 +22,37 @@
 
     private long awaitedUntil;
 
-    /** @param ids gives the numbers by which callers are spread over the gateways */
-    public GatewayAddresses(final int self, final String zone, final LongSupplier ids) {
+    private long askedAt = Long.MIN_VALUE / 2;
+
+    /** @param ids gives request IDs, and the numbers by which callers are spread over the gateways */
+    public GatewayAddresses(
+            final int self, final String zone, final LongSupplier ids, final TimingBounds timing, final Actions out) {
         this.self = self;
         this.zone = zone;
         this.ids = ids;
+        this.timing = timing;
+        this.out = out;
     }
 
     /**
-     * Records that the control plane was asked for the addresses, and that its reply is pending.
+     * Asks the control leader for the addresses; those that are known are used until its reply.
      *
-     * @param requestId the ID of the request, by which its reply is recognized
-     * @param until the deadline of the reply, in monotonic milliseconds
+     * @param controlLeader its node number
+     * @param now in monotonic milliseconds
      */
-    public void await(final long requestId, final long until) {
-        request = requestId;
-        addresses = List.of();
+    public void ask(final int controlLeader, final long now) {
+        request = ids.getAsLong();
         awaited = true;
-        awaitedUntil = until;
+        askedAt = now;
+        awaitedUntil = now + timing.down();
+        out.send(controlLeader, ControlRequestKind.GATEWAYS.request(request, new byte[0]));
+    }
+
+    /** The same, unless it was asked within the recovery bound. */
+    public void askOnce(final int controlLeader, final long now) {
+        if (now - askedAt > timing.recoverMs()) {
+            ask(controlLeader, now);
+        }
     }
 
     /** Whether callers need not wait for the addresses: they are known, or the deadline has passed. */
--- a/coordination/src/main/java/brookpath/coordination/node/gateway/GatewayDrain.java
+++ b/coordination/src/main/java/brookpath/coordination/node/gateway/GatewayDrain.java
@@ -5,11 +5,9 @@
 import brookpath.coordination.TimingBounds;
 import brookpath.coordination.action.Actions;
 import brookpath.coordination.configuration.ConfigurationClient;
-import brookpath.coordination.message.ControlRequestKind;
 import brookpath.coordination.message.PeerMessage.ControlReply;
 import brookpath.coordination.message.PeerMessage.ControlRequest;
 import brookpath.coordination.message.Response;
-import java.util.function.LongSupplier;
 
 /**
  * Drains this gateway: new sessions are redirected to other gateways at once, and the existing ones are moved there one
@@ -26,27 +24,23 @@
     private final Subscriptions subscriptions;
     private final GatewayAddresses otherGateways;
     private final TimingBounds timing;
-    private final LongSupplier ids;
     private final Actions out;
     private long shutdownRequest = NOT_REQUESTED;
 
     /**
      * @param client notifies the control plane that this node drains
      * @param otherGateways where the sessions are moved to
-     * @param ids gives request IDs, ascending
      */
     public GatewayDrain(
             final ConfigurationClient client,
             final Subscriptions subscriptions,
             final GatewayAddresses otherGateways,
             final TimingBounds timing,
-            final LongSupplier ids,
             final Actions out) {
         this.client = client;
         this.subscriptions = subscriptions;
         this.otherGateways = otherGateways;
         this.timing = timing;
-        this.ids = ids;
         this.out = out;
     }
 
@@ -64,9 +58,7 @@
     private void start(final long spreadOverMs, final long now) {
         if (!client.draining()) {
             // a moved caller gets the address of its next gateway, and only the control plane knows all gateways
-            final long request = ids.getAsLong();
-            otherGateways.await(request, now + timing.down());
-            out.send(client.controlLeader(), ControlRequestKind.GATEWAYS.request(request, new byte[0]));
+            otherGateways.ask(client.controlLeader(), now);
         }
         client.drain(true);
         subscriptions.scheduleMoves(spreadOverMs, now);
--- a/coordination/src/main/java/brookpath/coordination/node/gateway/StartupRedirect.java
+++ b/coordination/src/main/java/brookpath/coordination/node/gateway/StartupRedirect.java
@@ -6,21 +6,17 @@
 /**
  * Names another gateway to callers that come before this one has its first lease on the configuration. Only a gateway
  * whose start takes longer than a caller waits does so, and only to gateways beside the controllers of its settings,
- * which are the first to get a lease. These redirect nobody themselves, so a caller is redirected at most once. Not
- * thread-safe: the state thread owns it, but for {@link #isActive}.
+ * which are the first to get a lease. These redirect nobody before theirs, so there is no ring. Not thread-safe.
  */
 public final class StartupRedirect {
     /** The processor time of a start, from the process to its first lease, as measured; in milliseconds. */
     private static final int START_PROCESSOR_MS = 150;
 
-    /** The part of the delivery bound that a caller waits for its session. */
-    private static final int CALLER_PATIENCE_DIVISOR = 5;
-
     /** A gateway that redirects nobody. */
     public static final StartupRedirect NONE = new StartupRedirect(List.of());
 
     private final List<String> addresses;
-    private int redirected;
+    private int next;
 
     private StartupRedirect(final List<String> addresses) {
         this.addresses = List.copyOf(addresses);
@@ -36,23 +32,17 @@
     public static StartupRedirect of(
             final double processors, final List<String> seedGateways, final String self, final TimingBounds timing) {
         final boolean besideController = seedGateways.contains(self);
-        final boolean startsInTime =
-                processors == 0 || START_PROCESSOR_MS / processors <= timing.deliverMs() / CALLER_PATIENCE_DIVISOR;
+        final boolean startsInTime = processors == 0 || START_PROCESSOR_MS / processors <= timing.callerPatience();
         return besideController || startsInTime ? NONE : new StartupRedirect(seedGateways);
     }
 
-    /** Whether callers are redirected before the first lease. Any thread. */
+    /** Whether callers are redirected before the first lease. */
     public boolean isActive() {
         return !addresses.isEmpty();
     }
 
     /** The address for the next caller, in rotation. */
     public String nextAddress() {
-        return addresses.get(Math.floorMod(redirected++, addresses.size()));
-    }
-
-    /** How many callers were redirected so far. */
-    public int redirected() {
-        return redirected;
+        return addresses.get(Math.floorMod(next++, addresses.size()));
     }
 }
--- a/programs/src/main/java/brookpath/programs/boot/ProcessAssembly.java
+++ b/programs/src/main/java/brookpath/programs/boot/ProcessAssembly.java
@@ -72,7 +72,7 @@
         final long firstRequestId = RandomNumbers.firstId();
         final long randomSeed = System.nanoTime();
         return switch (plan.role()) {
-            case GATEWAY -> new GatewayNode(self, seeds, plan.timing(), plan.startupRedirect(), firstRequestId);
+            case GATEWAY -> new GatewayNode(self, seeds, plan.timing(), plan.sessionOverflow(), firstRequestId);
             case STORAGE ->
                 new StorageNode(
                         self,
--- a/programs/src/main/java/brookpath/programs/boot/ProcessModule.java
+++ b/programs/src/main/java/brookpath/programs/boot/ProcessModule.java
@@ -3,7 +3,7 @@
 import brookpath.coordination.group.Member;
 import brookpath.coordination.metadata.ClusterMetadata.NodeInfo;
 import brookpath.coordination.node.NodeRequest;
-import brookpath.coordination.node.gateway.StartupRedirect;
+import brookpath.coordination.node.gateway.SessionOverflow;
 import brookpath.programs.Program;
 import brookpath.programs.Role;
 import brookpath.programs.settings.Settings;
@@ -83,7 +83,7 @@
                 settings.foundsControlGroup(),
                 gateway ? "" : settings.dataFolder(),
                 settings.segmentBytes(),
-                StartupRedirect.NONE,
+                SessionOverflow.NONE,
                 TRAFFIC_THREADS,
                 startedAtMs);
     }
--- a/programs/src/main/java/brookpath/programs/boot/ProcessPlan.java
+++ b/programs/src/main/java/brookpath/programs/boot/ProcessPlan.java
@@ -4,7 +4,7 @@
 import brookpath.coordination.group.Member;
 import brookpath.coordination.metadata.ClusterMetadata.NodeInfo;
 import brookpath.coordination.node.control.GroupBootstrap;
-import brookpath.coordination.node.gateway.StartupRedirect;
+import brookpath.coordination.node.gateway.SessionOverflow;
 import brookpath.programs.Role;
 import java.util.List;
 import java.util.Map;
@@ -18,7 +18,7 @@
  * @param foundsControlGroup whether this controller founds the control group, on an empty data folder
  * @param dataFolder the data folder; empty where the machine has no disk
  * @param segmentBytes a new log segment begins, with a snapshot, after this much
- * @param startupRedirect where a gateway sends callers that come before its first lease
+ * @param sessionOverflow which sessions a gateway passes on to others
  * @param trafficThreads how many event loop threads carry traffic
  * @param startedAtMs when the process began, in milliseconds of its monotonic clock
  */
@@ -32,7 +32,7 @@
         boolean foundsControlGroup,
         String dataFolder,
         long segmentBytes,
-        StartupRedirect startupRedirect,
+        SessionOverflow sessionOverflow,
         int trafficThreads,
         long startedAtMs) {
     /** Whether the process keeps anything on disk. */
--- a/testing/src/main/java/brookpath/testing/sim/SimulatedCluster.java
+++ b/testing/src/main/java/brookpath/testing/sim/SimulatedCluster.java
@@ -6,7 +6,7 @@
 import brookpath.coordination.node.GatewayNode;
 import brookpath.coordination.node.StorageNode;
 import brookpath.coordination.node.control.GroupBootstrap;
-import brookpath.coordination.node.gateway.StartupRedirect;
+import brookpath.coordination.node.gateway.SessionOverflow;
 import brookpath.testing.oracle.History;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -129,7 +129,7 @@
                         zone,
                         false,
                         (process, entries) -> new GatewayNode(
-                                process.info(), SEEDS, timing, StartupRedirect.NONE, process.incarnation << 32)));
+                                process.info(), SEEDS, timing, SessionOverflow.NONE, process.incarnation << 32)));
     }
 
     /** One more controller that no founding names, as an operator would add it: empty, with these to ask first. */
