--- a/coordination/src/main/java/brookpath/coordination/node/GatewayStatus.java
+++ b/coordination/src/main/java/brookpath/coordination/node/GatewayStatus.java
@@ -45,7 +45,7 @@
                     .get(group)
                     .members()
                     .forEach(member -> members.add(GroupStatus.row(member, table, group, now, false)));
-            page.add("readsFrom", routes.nearest(group, node -> false, now));
+            page.add("readsFrom", routes.nearest(group, node -> RouteFinder.NOT_FAILED, now));
             page.add("table", members);
         }
         return page.build().toString();
@@ -85,7 +85,7 @@
                 .add("group", group.id())
                 .add("master", route.node())
                 .add("why", route.because())
-                .add("readsFrom", routes.nearest(group.id(), node -> false, now))
+                .add("readsFrom", routes.nearest(group.id(), node -> RouteFinder.NOT_FAILED, now))
                 .add("founded", group.founded());
     }
 
--- a/coordination/src/main/java/brookpath/coordination/node/gateway/FetchSources.java
+++ b/coordination/src/main/java/brookpath/coordination/node/gateway/FetchSources.java
@@ -19,7 +19,7 @@
 
     /** The best member to read the group from; 0 for none. */
     int select(final int group, final long now) {
-        return routes.apply(now).nearest(group, avoidedUntil::containsKey, now);
+        return routes.apply(now).nearest(group, node -> avoidedUntil.getOrDefault(node, RouteFinder.NOT_FAILED), now);
     }
 
     void avoid(final int node, final long now) {
--- a/coordination/src/main/java/brookpath/coordination/route/RouteFinder.java
+++ b/coordination/src/main/java/brookpath/coordination/route/RouteFinder.java
@@ -14,7 +14,7 @@
 import brookpath.coordination.metadata.ClusterMetadata.GroupInfo;
 import brookpath.coordination.placement.Placement;
 import brookpath.coordination.text.AsciiText;
-import java.util.function.IntPredicate;
+import java.util.function.IntToLongFunction;
 
 /** Decides the destination of a request from immutable tables alone; sending it is up to the caller. Immutable. */
 public final class RouteFinder {
@@ -26,9 +26,10 @@
 
     private static final int MAX_TOPIC_LENGTH = 200;
 
-    /** The preferences among members to read from, the strongest first. */
-    private static final int AVOIDED_PENALTY = 8;
+    /** The time of failure of a node that has not failed lately. */
+    public static final long NOT_FAILED = Long.MIN_VALUE;
 
+    /** The preferences among members to read from, the strongest first. */
     private static final int OTHER_ZONE_PENALTY = 4;
     private static final int LEADER_PENALTY = 1;
 
@@ -142,20 +143,24 @@
     /**
      * Selects the member to read history from: in sync, same zone first, followers before the leader. 0 for none.
      *
-     * @param avoided nodes that have not responded lately, which are selected last
+     * @param failedAt when a node failed lately, {@link #NOT_FAILED} where it did not; those that failed are selected
+     *     last, the one that failed longest ago before the others
      */
-    public int nearest(final int group, final IntPredicate avoided, final long now) {
+    public int nearest(final int group, final IntToLongFunction failedAt, final long now) {
         int best = 0;
         int bestScore = Integer.MAX_VALUE;
+        long bestFailedAt = Long.MAX_VALUE;
         for (final Member m : groupOf(group).members()) {
             final HeartbeatEntry e = table.fresh(m.node(), group, now);
             if (e == null || !table.up(m.node()) || e.sync() != GroupMachine.SYNC_PEER) {
                 continue;
             }
-            final int score = (avoided.test(m.node()) ? AVOIDED_PENALTY : 0)
-                    + (m.zone().equals(zone) ? 0 : OTHER_ZONE_PENALTY)
+            final int score = (m.zone().equals(zone) ? 0 : OTHER_ZONE_PENALTY)
                     + (e.role() == GroupMachine.LEADER ? LEADER_PENALTY : 0);
-            if (score < bestScore) {
+            // why: by score alone, one that is gone would be tried over and over although the others serve again
+            final long memberFailedAt = failedAt.applyAsLong(m.node());
+            if (memberFailedAt < bestFailedAt || memberFailedAt == bestFailedAt && score < bestScore) {
+                bestFailedAt = memberFailedAt;
                 bestScore = score;
                 best = m.node();
             }
