--- a/coordination/src/main/java/brookpath/coordination/route/RouteFinder.java
+++ b/coordination/src/main/java/brookpath/coordination/route/RouteFinder.java
@@ -31,6 +31,7 @@
 
     /** The preferences among members to read from, the strongest first. */
     private static final int OTHER_ZONE_PENALTY = 4;
+
     private static final int LEADER_PENALTY = 1;
 
     private final Configuration configuration;
@@ -159,7 +160,7 @@
                     + (e.role() == GroupMachine.LEADER ? LEADER_PENALTY : 0);
             // why: by score alone, one that is gone would be tried over and over although the others serve again
             final long memberFailedAt = failedAt.applyAsLong(m.node());
-            if (memberFailedAt < bestFailedAt || memberFailedAt == bestFailedAt && score < bestScore) {
+            if (memberFailedAt < bestFailedAt || (memberFailedAt == bestFailedAt && score < bestScore)) {
                 bestFailedAt = memberFailedAt;
                 bestScore = score;
                 best = m.node();
