--- a/coordination/src/main/java/brookpath/coordination/node/GatewayNode.java
+++ b/coordination/src/main/java/brookpath/coordination/node/GatewayNode.java
@@ -48,9 +48,6 @@
     /** A gateway only observes, so its heartbeats are rarer: it is notified of leader changes at once besides. */
     private static final int HEARTBEAT_PERIODS = 4;
 
-    /** The code of the response to a session that is opened elsewhere; the address follows. */
-    public static final String MOVED = "moved";
-
     private final String zone;
     private final ConfigurationClient client;
     private final PublishForwarder forwarder;
@@ -324,7 +321,7 @@
             return false;
         }
         overflow.passedOn();
-        refuse(request.requestId(), MOVED, "this node has more sessions to set up than it can in time");
+        refuse(request.requestId(), Refusals.MOVED, "this node has more sessions to set up than it can in time");
         out.moveSession(request.requestId(), address);
         return true;
     }
--- a/coordination/src/main/java/brookpath/coordination/route/Refusals.java
+++ b/coordination/src/main/java/brookpath/coordination/route/Refusals.java
@@ -7,6 +7,9 @@
 
 /** Builds the responses to requests that are refused or whose outcome is unknown. */
 public final class Refusals {
+    /** The code of the refusal of a session that is served elsewhere; the address follows. */
+    public static final String MOVED = "moved";
+
     private Refusals() {}
 
     /** Refuses a request that was certainly not executed. */
--- a/testing/src/test/java/brookpath/testing/sim/FeedSourceTest.java
+++ b/testing/src/test/java/brookpath/testing/sim/FeedSourceTest.java
@@ -24,7 +24,7 @@
     private static final int SEEDS = 6;
     private static final int MEMBERS = 3;
     /** By one gateway after the member's end: its groups, and the topics that are just joined. */
-    private static final int MAX_FETCHES = 12;
+    private static final long MAX_FETCHES = 12;
 
     private static final long BETWEEN_RESETS_AND_LOSS_MS = 400;
 
