--- a/review/standins/Rig.java
+++ b/review/standins/Rig.java
@@ -80,8 +80,10 @@
             process.destroyForcibly().waitFor();
         }
 
-        void signal(final String signal) throws IOException, InterruptedException {
-            new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid())).start().waitFor();
+        /** SIGTERM. */
+        void terminate() {
+            endedByRig = true;
+            process.destroy();
         }
 
         boolean isAlive() {
