--- a/coordination/src/main/java/brookpath/coordination/node/GatewayNode.java
+++ b/coordination/src/main/java/brookpath/coordination/node/GatewayNode.java
@@ -216,9 +216,11 @@
                 sessionRequests.subscribe(request, Cursor.decode(request.cursor()), now);
             }
         } else if (nodeRequest instanceof NodeRequest.Leave request) {
+            // Executed later, they would subscribe the session again
+            leaseQueue.removeJoins(request.sessionId(), request.topic()).forEach(sessionRequests::refuseCancelledJoin);
             sessionRequests.leave(request);
         } else if (nodeRequest instanceof NodeRequest.Unsubscribe request) {
-            leaseQueue.removeIf(waiting -> belongsTo(waiting, request.sessionId()));
+            leaseQueue.removeRequestsOf(request.sessionId());
             sessionRequests.end(request.sessionId());
         } else {
             handleOperator(nodeRequest, time);
@@ -233,13 +235,6 @@
                 || nodeRequest instanceof NodeRequest.Count;
     }
 
-    private static boolean belongsTo(final NodeRequest nodeRequest, final long sessionId) {
-        if (nodeRequest instanceof NodeRequest.Open open) {
-            return open.requestId() == sessionId;
-        }
-        return nodeRequest instanceof NodeRequest.Join join && join.sessionId() == sessionId;
-    }
-
     private void releaseWaiting(final long now) {
         if (!servedBefore && serves(now)) {
             servedBefore = true;
--- a/coordination/src/main/java/brookpath/coordination/node/gateway/LeaseQueue.java
+++ b/coordination/src/main/java/brookpath/coordination/node/gateway/LeaseQueue.java
@@ -3,8 +3,9 @@
 import brookpath.coordination.TimingBounds;
 import brookpath.coordination.node.NodeRequest;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.function.Consumer;
-import java.util.function.Predicate;
 
 /** Requests that cannot be decided without the lease on the configuration, and wait briefly for it in FIFO order. */
 public final class LeaseQueue {
@@ -46,9 +47,30 @@
         }
     }
 
-    /** Removes requests whose callers no longer wait for a response. */
-    public void removeIf(final Predicate<NodeRequest> abandoned) {
-        waiting.removeIf(entry -> abandoned.test(entry.request));
+    /**
+     * Removes the waiting joins of a topic by a session, which are not to be executed any more.
+     *
+     * @return the removed joins in FIFO order, none of which has been answered
+     */
+    public List<NodeRequest.Join> removeJoins(final long sessionId, final String topic) {
+        final List<NodeRequest.Join> removed = new ArrayList<>();
+        waiting.removeIf(entry -> entry.request instanceof NodeRequest.Join join
+                && join.sessionId() == sessionId
+                && join.topic().equals(topic)
+                && removed.add(join));
+        return removed;
+    }
+
+    /** Removes the requests of a session whose caller no longer waits for responses. */
+    public void removeRequestsOf(final long sessionId) {
+        waiting.removeIf(entry -> belongsTo(entry.request, sessionId));
+    }
+
+    private static boolean belongsTo(final NodeRequest nodeRequest, final long sessionId) {
+        if (nodeRequest instanceof NodeRequest.Open open) {
+            return open.requestId() == sessionId;
+        }
+        return nodeRequest instanceof NodeRequest.Join join && join.sessionId() == sessionId;
     }
 
     private boolean isLeaseOverdue(final long now) {
--- a/coordination/src/main/java/brookpath/coordination/node/gateway/SessionRequests.java
+++ b/coordination/src/main/java/brookpath/coordination/node/gateway/SessionRequests.java
@@ -102,6 +102,13 @@
         out.respond(request.requestId(), new Response(OK, 0, "{}"));
     }
 
+    /** Refuses a join that was not completed before its session left the topic. */
+    public void refuseCancelledJoin(final NodeRequest.Join request) {
+        out.respond(
+                request.requestId(),
+                Refusals.retryLater(timing, "left", "the session left the topic before it was joined"));
+    }
+
     /**
      * Opens a session on all its topics at once, with one cursor over them.
      *
