--- a/coordination/src/main/java/brookpath/coordination/controllog/ControlState.java
+++ b/coordination/src/main/java/brookpath/coordination/controllog/ControlState.java
@@ -269,6 +269,11 @@
         // The control log is not read by position, so trimmed records need no bookkeeping
     }
 
+    @Override
+    public boolean keepsByAge() {
+        return false;
+    }
+
     @Override
     public boolean keeps(final LogRecord logRecord, final long now, final int newerRecords, final long newerBytes) {
         // Bounded by count and size, not by age, so that a series of large changes cannot exhaust the memory. Followers
--- a/coordination/src/main/java/brookpath/coordination/group/GroupStateMachine.java
+++ b/coordination/src/main/java/brookpath/coordination/group/GroupStateMachine.java
@@ -67,7 +67,7 @@
         sweep = new LogSweep(log);
         progress = new ReplicaProgress(self, membership, log);
         appender = new LogAppender(
-                group, timing, roleState, membership, voteStore, log, lease, progress, this::isIntact, out);
+                group, timing, roleState, membership, voteStore, log, lease, progress, peers, this::isIntact, out);
         fetcher = new LogFetcher(
                 group, self, timing, roleState, membership, voteStore, log, recovery, peers, appender, sweep, out);
         election = new LeaderElection(
--- a/coordination/src/main/java/brookpath/coordination/group/LogAppender.java
+++ b/coordination/src/main/java/brookpath/coordination/group/LogAppender.java
@@ -32,6 +32,7 @@
     private final RaftLog log;
     private final LeaderLease lease;
     private final ReplicaProgress progress;
+    private final PeerView peers;
     private final LongPredicate intact;
     private final Actions out;
     private final SnapshotSender snapshotSender;
@@ -48,6 +49,7 @@
             final RaftLog log,
             final LeaderLease lease,
             final ReplicaProgress progress,
+            final PeerView peers,
             final LongPredicate intact,
             final Actions out) {
         this.group = group;
@@ -58,6 +60,7 @@
         this.log = log;
         this.lease = lease;
         this.progress = progress;
+        this.peers = peers;
         this.intact = intact;
         this.out = out;
         snapshotSender = new SnapshotSender(timing.recoverMs());
@@ -269,7 +272,8 @@
 
     /**
      * Trims the log once per heartbeat period, but not beyond the end of the cached snapshot: its receivers continue
-     * from there.
+     * from there. A record that another member has trimmed has been kept long enough by that member's clock: a member
+     * that was restarted or caught up, and has held it for a shorter time, need not keep it any longer.
      */
     void trimIfDue(final long now) {
         if (now < nextTrim) {
@@ -277,6 +281,6 @@
         }
         nextTrim = now + timing.heartbeat();
         snapshotSender.expire(now);
-        log.trim(snapshotSender.trimLimit(), now);
+        log.trim(snapshotSender.trimLimit(), peers.trimmedIndex(membership.voters(), now), now);
     }
 }
--- a/coordination/src/main/java/brookpath/coordination/group/LogState.java
+++ b/coordination/src/main/java/brookpath/coordination/group/LogState.java
@@ -24,6 +24,12 @@
         // most states keep no data per index
     }
 
+    /**
+     * Whether records are kept for a time after a replica has learned them. What one member has trimmed is then old
+     * enough for all members to trim, also for one that has learned it later, or again after a restart.
+     */
+    boolean keepsByAge();
+
     /**
      * Whether a replica still keeps a committed record in memory, for followers that lag.
      *
--- a/coordination/src/main/java/brookpath/coordination/group/PeerView.java
+++ b/coordination/src/main/java/brookpath/coordination/group/PeerView.java
@@ -56,6 +56,21 @@
         return active;
     }
 
+    /**
+     * The highest index up to which one of the members has trimmed its replica, 0 where none is known. A lost replica
+     * does not count.
+     */
+    long trimmedIndex(final List<Member> members, final long now) {
+        long trimmed = 0;
+        for (final Member member : members) {
+            final HeartbeatEntry entry = entry(member.node(), now);
+            if (entry != null && entry.sync() != SyncState.LOST.code()) {
+                trimmed = Math.max(trimmed, entry.startIndex() - 1);
+            }
+        }
+        return trimmed;
+    }
+
     /**
      * The node that reports itself as the leader of the group in the highest term, but none below the given one; else
      * {@link #NO_NODE}.
--- a/coordination/src/main/java/brookpath/coordination/group/RaftLog.java
+++ b/coordination/src/main/java/brookpath/coordination/group/RaftLog.java
@@ -240,17 +240,22 @@
     }
 
     /**
-     * Moves the base over the records that the state no longer keeps, where there are enough of them.
+     * Moves the base over the records that this state, or that of another member, no longer keeps, where there are
+     * enough of them.
      *
      * @param limit records after this index are kept, as are all that are not both synced and committed
+     * @param trimmedElsewhere the index up to which another member has trimmed its replica of this log, 0 for none
      */
-    void trim(final long limit, final long now) {
+    void trim(final long limit, final long trimmedElsewhere, final long now) {
         final long last = Math.min(limit, Math.min(committedIndex, syncedIndex));
+        final long oldEnough = live.keepsByAge() ? trimmedElsewhere : 0;
         int count = 0;
         long trimmedBytes = 0;
         while (count < records.size() && records.get(count).index() <= last) {
-            final long withThis = trimmedBytes + records.get(count).bytes().length;
-            if (live.keeps(records.get(count), now, records.size() - count - 1, bytes - withThis)) {
+            final LogRecord logRecord = records.get(count);
+            final long withThis = trimmedBytes + logRecord.bytes().length;
+            if (logRecord.index() > oldEnough
+                    && live.keeps(logRecord, now, records.size() - count - 1, bytes - withThis)) {
                 break;
             }
             trimmedBytes = withThis;
--- a/coordination/src/main/java/brookpath/coordination/node/StorageNode.java
+++ b/coordination/src/main/java/brookpath/coordination/node/StorageNode.java
@@ -104,7 +104,7 @@
                 timing,
                 toleratedLosses,
                 seed,
-                () -> new TopicState(retention::retentionMs, timing.windowMs()),
+                () -> new TopicState(retention, timing.windowMs()),
                 promises,
                 out);
         group.startedAt(startedAt);
--- a/coordination/src/main/java/brookpath/coordination/node/storage/HistoryRetention.java
+++ b/coordination/src/main/java/brookpath/coordination/node/storage/HistoryRetention.java
@@ -3,9 +3,10 @@
 import brookpath.coordination.TimingBounds;
 import brookpath.coordination.configuration.Configuration;
 import brookpath.coordination.configuration.ConfigurationClient;
+import brookpath.coordination.topic.TopicState;
 
 /** How long the history of a topic is kept, according to the newest configuration that this node has. */
-public final class HistoryRetention {
+public final class HistoryRetention implements TopicState.Retention {
     private final ConfigurationClient client;
     private final TimingBounds timing;
 
@@ -18,19 +19,17 @@
         this.timing = timing;
     }
 
-    /**
-     * How long a record is kept after this node has learned it, in milliseconds.
-     *
-     * @param topic empty for a record that belongs to no topic, which need not be kept at all
-     */
-    public long retentionMs(final String topic) {
+    @Override
+    public long retentionMs(final String topic, final long now) {
         if (topic.isEmpty()) {
             return 0;
         }
+        // Without the lease the configuration may be outdated, and so be too short: what this node trims, the other
+        // members of the group trim as well
+        if (!client.leased(now)) {
+            return Long.MAX_VALUE;
+        }
         final Configuration.Space space = client.configuration().spaceOf(topic);
-        // Before the first configuration the retention of the spaces is unknown, so nothing is trimmed
-        return client.configuration().version() == 0
-                ? Long.MAX_VALUE
-                : space == null ? timing.retentionMargin() : space.retentionMs() + timing.retentionMargin();
+        return space == null ? timing.retentionMargin() : space.retentionMs() + timing.retentionMargin();
     }
 }
--- a/coordination/src/main/java/brookpath/coordination/topic/TopicState.java
+++ b/coordination/src/main/java/brookpath/coordination/topic/TopicState.java
@@ -6,7 +6,6 @@
 import brookpath.state.record.LogRecord;
 import brookpath.state.record.PackedBuffer;
 import java.util.List;
-import java.util.function.ToLongFunction;
 
 /**
  * The state derived from a topic group's log: the senders' sequences, the position up to which each topic was trimmed,
@@ -28,16 +27,28 @@
     /** What a tenant has published in a window: messages and bytes. */
     public record Count(long window, String tenant, long publishes, long bytes) {}
 
-    private final ToLongFunction<String> retentionMs;
+    /** How long the records of a topic are kept. */
+    @FunctionalInterface
+    public interface Retention {
+        /**
+         * How long a record is kept after this replica has learned it, in milliseconds.
+         *
+         * @param topic empty for a record that belongs to no topic
+         * @param now of the steady clock, in milliseconds
+         */
+        long retentionMs(String topic, long now);
+    }
+
+    private final Retention retention;
     private final SenderSequences senders = new SenderSequences();
     private final UsageWindows usage;
 
     /**
-     * @param retentionMs gives how long a topic's history is kept, in milliseconds
+     * @param retention gives how long a topic's history is kept
      * @param windowMs the length of a usage window, in milliseconds
      */
-    public TopicState(final ToLongFunction<String> retentionMs, final long windowMs) {
-        this.retentionMs = retentionMs;
+    public TopicState(final Retention retention, final long windowMs) {
+        this.retention = retention;
         usage = new UsageWindows(windowMs);
     }
 
@@ -87,10 +98,15 @@
         }
     }
 
+    @Override
+    public boolean keepsByAge() {
+        return true;
+    }
+
     @Override
     public boolean keeps(final LogRecord logRecord, final long now, final int newerRecords, final long newerBytes) {
         return now - logRecord.learnedAt()
-                <= retentionMs.applyAsLong(logRecord.kind() == LogRecord.PUBLISH ? logRecord.topic() : "");
+                <= retention.retentionMs(logRecord.kind() == LogRecord.PUBLISH ? logRecord.topic() : "", now);
     }
 
     @Override
--- a/testing/src/main/java/brookpath/testing/fuzz/FuzzMember.java
+++ b/testing/src/main/java/brookpath/testing/fuzz/FuzzMember.java
@@ -83,7 +83,7 @@
                 context.timing,
                 1,
                 context.seed,
-                () -> new TopicState(topic -> TOPIC_RETENTION_MS, USAGE_WINDOW_MS),
+                () -> new TopicState((topic, now) -> TOPIC_RETENTION_MS, USAGE_WINDOW_MS),
                 promises,
                 out);
         disk.dropUnsynced();
--- a/testing/src/main/java/brookpath/testing/model/DigestState.java
+++ b/testing/src/main/java/brookpath/testing/model/DigestState.java
@@ -33,6 +33,11 @@
         digest = PackedBuffer.reader(saved).getLong();
     }
 
+    @Override
+    public boolean keepsByAge() {
+        return true;
+    }
+
     @Override
     public boolean keeps(final LogRecord logRecord, final long now, final int newerRecords, final long newerBytes) {
         return now - logRecord.learnedAt() <= retentionMs;
--- a/testing/src/test/java/brookpath/coordination/group/CountingState.java
+++ b/testing/src/test/java/brookpath/coordination/group/CountingState.java
@@ -3,7 +3,10 @@
 import brookpath.state.record.LogRecord;
 import brookpath.state.record.PackedBuffer;
 
-/** A log state that counts the applied records, and keeps the newest {@code keptRecords} in memory. */
+/**
+ * A log state that counts the applied records, and keeps the newest {@code keptRecords} in memory. With the maximum of
+ * an int it stands for a state that keeps records by age, none of which is old enough yet.
+ */
 final class CountingState implements LogState {
     private final int keptRecords;
     private long applied;
@@ -46,6 +49,11 @@
         committed = index;
     }
 
+    @Override
+    public boolean keepsByAge() {
+        return keptRecords == Integer.MAX_VALUE;
+    }
+
     @Override
     public boolean keeps(final LogRecord logRecord, final long now, final int newerRecords, final long newerBytes) {
         return newerRecords < keptRecords;
--- a/testing/src/test/java/brookpath/coordination/group/RaftLogTest.java
+++ b/testing/src/test/java/brookpath/coordination/group/RaftLogTest.java
@@ -105,14 +105,14 @@
         final RaftLog log = log();
         append(log, 1, 200);
         syncAll(log);
-        log.trim(Long.MAX_VALUE, 0);
+        log.trim(Long.MAX_VALUE, 0, 0);
         assertEquals(log.baseIndex(), 0, "uncommitted records were trimmed");
         log.commit(150);
-        log.trim(120, 0);
+        log.trim(120, 0, 0);
         assertEquals(log.baseIndex(), 120, "not trimmed exactly up to the limit");
         log.commit(200);
         final long digest = log.digestAt(200);
-        log.trim(Long.MAX_VALUE, 0);
+        log.trim(Long.MAX_VALUE, 0, 0);
         assertEquals(log.baseIndex(), 200 - KEPT_RECORDS);
         assertEquals(log.size(), KEPT_RECORDS);
         assertEquals(applied(log.base()), 200 - KEPT_RECORDS);
@@ -121,13 +121,28 @@
         assertEquals(log.termAt(log.baseIndex()), 1);
     }
 
+    /** Guards against a restarted replica that keeps records which another member has kept long enough. */
+    @Test
+    public void committedRecordsThatAnotherMemberHasTrimmedAreTrimmedAlthoughTheStateKeepsThem() {
+        final RaftLog log = new RaftLog(GROUP, () -> new CountingState(Integer.MAX_VALUE), () -> {}, out);
+        append(log, 1, 200);
+        syncAll(log);
+        log.commit(170);
+        log.trim(Long.MAX_VALUE, 0, 0);
+        assertEquals(log.baseIndex(), 0);
+        log.trim(Long.MAX_VALUE, 100, 0);
+        assertEquals(log.baseIndex(), 100);
+        log.trim(Long.MAX_VALUE, 200, 0);
+        assertEquals(log.baseIndex(), 170, "uncommitted records were trimmed");
+    }
+
     @Test
     public void anInstalledSnapshotCountsAsSyncedOnlyOnceItsWriteIs() {
         final RaftLog source = log();
         append(source, 1, 200);
         syncAll(source);
         source.commit(200);
-        source.trim(Long.MAX_VALUE, 0);
+        source.trim(Long.MAX_VALUE, 0, 0);
         final RaftLog target = log();
         append(target, 1, 3);
         target.install(source.snapshot(), 0);
@@ -150,7 +165,7 @@
         append(log, 1, 100);
         syncAll(log);
         log.commit(101);
-        log.trim(Long.MAX_VALUE, 0);
+        log.trim(Long.MAX_VALUE, 0, 0);
         assertEquals(log.newestMembershipRecord(), null);
         assertEquals(log.baseMembership(), membership);
         final RaftLog target = log();
--- a/testing/src/test/java/brookpath/testing/sim/TopicStateTest.java
+++ b/testing/src/test/java/brookpath/testing/sim/TopicStateTest.java
@@ -12,7 +12,7 @@
 public final class TopicStateTest {
     @Test
     public void recordStampedInAClosedWindowCountsInTheNextWindow() {
-        final TopicState state = new TopicState(t -> 1_000, 10_000);
+        final TopicState state = new TopicState((topic, now) -> 1_000, 10_000);
         state.apply(LogRecord.of(
                 1, 1, 51_000, LogRecord.PUBLISH, LogRecord.publishBody(1, 2, "t", "s/a", "ana", "12345"), 0));
         state.apply(LogRecord.of(
@@ -31,8 +31,8 @@
 
     @Test
     public void senderExpiresAnHourAfterItsLastMessageOnEveryReplica() {
-        final TopicState state = new TopicState(t -> 1_000, 10_000);
-        final TopicState other = new TopicState(t -> 1_000, 10_000);
+        final TopicState state = new TopicState((topic, now) -> 1_000, 10_000);
+        final TopicState other = new TopicState((topic, now) -> 1_000, 10_000);
         state.apply(
                 LogRecord.of(1, 1, 1_000, LogRecord.PUBLISH, LogRecord.publishBody(7, 2, "t", "s/a", "ana", "x"), 0));
         state.apply(LogRecord.of(
--- a/tools/src/main/java/brookpath/tools/datafolder/StoredGroups.java
+++ b/tools/src/main/java/brookpath/tools/datafolder/StoredGroups.java
@@ -63,6 +63,6 @@
     }
 
     private static TopicState emptyTopics() {
-        return new TopicState(tenant -> Long.MAX_VALUE, TimingBounds.DEFAULT.windowMs());
+        return new TopicState((topic, now) -> Long.MAX_VALUE, TimingBounds.DEFAULT.windowMs());
     }
 }
