--- a/coordination/src/main/java/brookpath/coordination/action/Action.java
+++ b/coordination/src/main/java/brookpath/coordination/action/Action.java
@@ -2,6 +2,7 @@
 
 import brookpath.coordination.message.PeerMessage;
 import brookpath.coordination.message.Response;
+import brookpath.state.record.ChunkedBuffer;
 import brookpath.state.record.LogRecord;
 
 /** An effect of a decision, which the executor of the process carries out. */
@@ -15,7 +16,7 @@
     record Write(long number, byte[] entry) implements Action {}
 
     /** Begins a new log segment with this snapshot, which replaces everything written before it. */
-    record Roll(long number, byte[] snapshot) implements Action {}
+    record Roll(long number, ChunkedBuffer snapshot) implements Action {}
 
     /** Sends a full round of heartbeats without waiting for the period. */
     record HeartbeatNow() implements Action {}
--- a/coordination/src/main/java/brookpath/coordination/action/Actions.java
+++ b/coordination/src/main/java/brookpath/coordination/action/Actions.java
@@ -2,6 +2,7 @@
 
 import brookpath.coordination.message.PeerMessage;
 import brookpath.coordination.message.Response;
+import brookpath.state.record.ChunkedBuffer;
 import brookpath.state.record.LogRecord;
 import java.util.ArrayList;
 import java.util.List;
@@ -32,7 +33,7 @@
     }
 
     /** Begins a new log segment with a snapshot that replaces everything written before it. */
-    public void roll(final byte[] snapshot) {
+    public void roll(final ChunkedBuffer snapshot) {
         bytesSinceRoll = 0;
         collected.add(new Action.Roll(++writes, snapshot));
     }
--- a/coordination/src/main/java/brookpath/coordination/group/GroupEntryKind.java
+++ b/coordination/src/main/java/brookpath/coordination/group/GroupEntryKind.java
@@ -1,5 +1,6 @@
 package brookpath.coordination.group;
 
+import brookpath.state.record.ChunkedBuffer;
 import brookpath.state.record.PackedBuffer;
 
 /**
@@ -40,4 +41,9 @@
     PackedBuffer entry(final int group) {
         return PackedBuffer.writer().putLong(group).putLong(code);
     }
+
+    /** As {@link #entry}, for an entry with large fields. */
+    ChunkedBuffer chunkedEntry(final int group) {
+        return new ChunkedBuffer().putLong(group).putLong(code);
+    }
 }
--- a/coordination/src/main/java/brookpath/coordination/group/GroupMachine.java
+++ b/coordination/src/main/java/brookpath/coordination/group/GroupMachine.java
@@ -6,6 +6,7 @@
 import brookpath.coordination.heartbeat.HeartbeatTable;
 import brookpath.coordination.message.PeerMessage;
 import brookpath.coordination.message.PeerMessage.HeartbeatEntry;
+import brookpath.state.record.ChunkedBuffer;
 import brookpath.state.record.LogRecord;
 import brookpath.state.record.PackedBuffer;
 import java.util.ArrayList;
@@ -286,16 +287,13 @@
     }
 
     /** The complete state of this group as entries to replay, for the snapshot at the start of a segment. */
-    public List<byte[]> checkpoint() {
-        final List<byte[]> entries = new ArrayList<>();
-        entries.add(machine.voteStore.entry());
+    public List<ChunkedBuffer> checkpoint() {
+        final List<ChunkedBuffer> entries = new ArrayList<>();
+        entries.add(ChunkedBuffer.of(machine.voteStore.entry()));
         if (machine.recovery.isInitialised()) {
-            entries.add(machine.recovery.entry());
+            entries.add(ChunkedBuffer.of(machine.recovery.entry()));
         }
-        entries.add(GroupEntryKind.SNAPSHOT
-                .entry(id)
-                .putBytes(machine.log.snapshot())
-                .toByteArray());
+        entries.add(GroupEntryKind.SNAPSHOT.chunkedEntry(id).putBytes(machine.log.snapshot()));
         return entries;
     }
 
--- a/coordination/src/main/java/brookpath/coordination/group/RaftLog.java
+++ b/coordination/src/main/java/brookpath/coordination/group/RaftLog.java
@@ -1,6 +1,7 @@
 package brookpath.coordination.group;
 
 import brookpath.coordination.action.Actions;
+import brookpath.state.record.ChunkedBuffer;
 import brookpath.state.record.LogRecord;
 import brookpath.state.record.PackedBuffer;
 import java.util.ArrayDeque;
@@ -305,8 +306,8 @@
     // ---- snapshots
 
     /** Serializes the complete log: the state at the base, and the records after it. */
-    byte[] snapshot() {
-        final PackedBuffer buffer = PackedBuffer.writer()
+    ChunkedBuffer snapshot() {
+        final ChunkedBuffer buffer = new ChunkedBuffer()
                 .putLong(baseIndex)
                 .putLong(baseTerm)
                 .putLong(baseDigest)
@@ -316,7 +317,7 @@
         if (baseMembership != null) {
             buffer.putBytes(baseMembership.save());
         }
-        return buffer.toByteArray();
+        return buffer;
     }
 
     /** Replaces the complete log by a snapshot and writes that to disk; only its base counts as synced until then. */
--- a/coordination/src/main/java/brookpath/coordination/node/ControllerNode.java
+++ b/coordination/src/main/java/brookpath/coordination/node/ControllerNode.java
@@ -24,6 +24,7 @@
 import brookpath.coordination.node.control.ForwardedPolls;
 import brookpath.coordination.node.control.ForwardedRequests;
 import brookpath.coordination.node.control.GroupBootstrap;
+import brookpath.state.record.ChunkedBuffer;
 import brookpath.state.record.PackedBuffer;
 import java.util.HashSet;
 import java.util.List;
@@ -212,9 +213,9 @@
 
     @Override
     protected void rollLog(final Time time) {
-        final PackedBuffer buffer = PackedBuffer.writer();
+        final ChunkedBuffer buffer = new ChunkedBuffer();
         group.checkpoint().forEach(buffer::putBytes);
-        out.roll(buffer.toByteArray());
+        out.roll(buffer);
     }
 
     @Override
--- a/coordination/src/main/java/brookpath/coordination/node/storage/TopicGroups.java
+++ b/coordination/src/main/java/brookpath/coordination/node/storage/TopicGroups.java
@@ -7,6 +7,7 @@
 import brookpath.coordination.metadata.ClusterMetadata;
 import brookpath.coordination.metadata.ClusterMetadata.GroupInfo;
 import brookpath.coordination.topic.TopicState;
+import brookpath.state.record.ChunkedBuffer;
 import brookpath.state.record.PackedBuffer;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -189,12 +190,12 @@
 
     /** Begins a new log segment with a snapshot of all groups. */
     public void rollLog() {
-        final PackedBuffer buffer = PackedBuffer.writer();
+        final ChunkedBuffer buffer = new ChunkedBuffer();
         if (loggedMetadata.version() > 0) {
             buffer.putBytes(metadataEntry());
         }
         groups.values().forEach(group -> group.checkpoint().forEach(buffer::putBytes));
-        out.roll(buffer.toByteArray());
+        out.roll(buffer);
     }
 
     /** The state of each group, for the heartbeats. */
--- a/state/src/main/java/brookpath/state/record/PackedBuffer.java
+++ b/state/src/main/java/brookpath/state/record/PackedBuffer.java
@@ -59,6 +59,11 @@
         return bytes;
     }
 
+    /** The number of bytes written so far. */
+    public int sizeBytes() {
+        return position;
+    }
+
     /** Reads what {@link #putLong} wrote; throws {@link IndexOutOfBoundsException} if fewer than 8 bytes are left. */
     public long getLong() {
         final long value = in.getLong(position);
@@ -79,6 +84,21 @@
         return new String(getBytes(), UTF_8);
     }
 
+    /** The offset of the next field to read. */
+    public int position() {
+        return position;
+    }
+
+    /** Skips what {@link #putBytes} wrote. A negative length throws {@link NegativeArraySizeException}. */
+    public PackedBuffer skipField() {
+        final int length = in.getInt(position);
+        if (length < 0) {
+            throw new NegativeArraySizeException(String.valueOf(length));
+        }
+        in.boundsCheck(position + Integer.BYTES, length);
+        return skipBytes(Integer.BYTES + length);
+    }
+
     /** Skips this many bytes. */
     public PackedBuffer skipBytes(final int count) {
         position += count;
--- a/state/src/main/java/brookpath/state/wal/EntryFormat.java
+++ b/state/src/main/java/brookpath/state/wal/EntryFormat.java
@@ -2,6 +2,7 @@
 
 import static java.nio.ByteOrder.LITTLE_ENDIAN;
 
+import brookpath.state.record.ChunkedBuffer;
 import java.nio.ByteBuffer;
 import java.util.zip.CRC32C;
 
@@ -36,6 +37,18 @@
         return buffer.array();
     }
 
+    /** Encodes the header of an entry whose payload follows in parts; in all, the same bytes as {@link #encode}. */
+    static byte[] encodeHeader(final ChunkedBuffer entry, final long synced) {
+        final ByteBuffer header = ByteBuffer.allocate(HEADER_BYTES).order(LITTLE_ENDIAN);
+        header.putInt(LENGTH_OFFSET, Math.toIntExact(entry.sizeBytes()));
+        header.putLong(SYNCED_OFFSET, synced);
+        final CRC32C crc = new CRC32C();
+        updateHeader(crc, header.array(), 0);
+        entry.chunks().forEach(crc::update);
+        header.putInt(CHECKSUM_OFFSET, checksum(crc));
+        return header.array();
+    }
+
     /** Returns the payload length of the valid entry at a position of the file, {@link #NO_ENTRY} if there is none. */
     @SuppressWarnings("ByteBufferBackingArray") // the buffer wraps a complete file from its first byte
     static int lengthAt(final ByteBuffer file, final int position) {
@@ -63,8 +76,17 @@
     /** Covers length, synced length and payload; the length, so that a run of zeros does not pass for a sync mark. */
     private static int checksum(final byte[] file, final int position, final int length) {
         final CRC32C crc = new CRC32C();
+        updateHeader(crc, file, position);
+        crc.update(file, position + HEADER_BYTES, length);
+        return checksum(crc);
+    }
+
+    private static void updateHeader(final CRC32C crc, final byte[] file, final int position) {
         crc.update(file, position + LENGTH_OFFSET, Integer.BYTES);
-        crc.update(file, position + SYNCED_OFFSET, Long.BYTES + length);
+        crc.update(file, position + SYNCED_OFFSET, Long.BYTES);
+    }
+
+    private static int checksum(final CRC32C crc) {
         return (int) crc.getValue() ^ CHECKSUM_MASK;
     }
 }
--- a/state/src/main/java/brookpath/state/wal/LogRecovery.java
+++ b/state/src/main/java/brookpath/state/wal/LogRecovery.java
@@ -2,7 +2,6 @@
 
 import brookpath.state.disk.Disk;
 import brookpath.state.disk.DiskFile;
-import brookpath.state.record.PackedBuffer;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.TreeSet;
@@ -150,14 +149,6 @@
 
     /** Returns the entries packed in the snapshot, then those of its segment, in the order of replay. */
     static List<byte[]> allEntries(final byte[] snapshot, final List<byte[]> entries) {
-        final List<byte[]> allEntries = new ArrayList<>();
-        if (snapshot != null) {
-            final PackedBuffer packedEntries = PackedBuffer.reader(snapshot);
-            while (packedEntries.hasRemaining()) {
-                allEntries.add(packedEntries.getBytes());
-            }
-        }
-        allEntries.addAll(entries);
-        return allEntries;
+        return new PackedEntries(snapshot, entries);
     }
 }
--- a/state/src/main/java/brookpath/state/wal/WriteAheadLog.java
+++ b/state/src/main/java/brookpath/state/wal/WriteAheadLog.java
@@ -3,6 +3,8 @@
 import brookpath.state.disk.Disk;
 import brookpath.state.disk.DiskFile;
 import brookpath.state.disk.DiskFullException;
+import brookpath.state.record.ChunkedBuffer;
+import java.nio.ByteBuffer;
 import java.util.List;
 
 /**
@@ -14,6 +16,8 @@
     /** The largest entry or snapshot in bytes, without the header that precedes it in a file. */
     public static final int MAX_ENTRY_BYTES = 64 << 20;
 
+    private static final int BLOCK_BYTES = 128 << 10;
+
     private static final byte[] SYNC_MARK = new byte[0];
 
     /**
@@ -139,7 +143,7 @@
      * {@link DiskFullException} if the disk has no space for the snapshot in addition to them; the current segment then
      * stays in use.
      */
-    public void roll(final byte[] snapshot) {
+    public void roll(final ChunkedBuffer snapshot) {
         final long next = segment + 1;
         final DiskFile nextFile = prepareSegment(next, snapshot);
         disk.syncFolder();
@@ -155,15 +159,14 @@
      * Writes the snapshot, creates the empty segment that follows it and then gives the snapshot its final name. These
      * are all the steps that need space.
      */
-    private DiskFile prepareSegment(final long next, final byte[] snapshot) {
+    private DiskFile prepareSegment(final long next, final ChunkedBuffer snapshot) {
         final String temporaryName = LogFiles.temporarySnapshot(next);
         DiskFile snapshotFile = null;
         DiskFile nextFile = null;
         try {
             snapshotFile = disk.open(temporaryName);
             snapshotFile.truncate(0);
-            final byte[] encoded = EntryFormat.encode(snapshot, 0);
-            snapshotFile.append(encoded, 0, encoded.length);
+            writeSnapshot(snapshotFile, snapshot);
             snapshotFile.sync();
             // The segment must exist before the rename: recovery uses a snapshot as soon as it has its final name.
             nextFile = disk.open(LogFiles.segment(next));
@@ -184,6 +187,25 @@
         }
     }
 
+    /** Writes the snapshot as one entry, in blocks of {@link #BLOCK_BYTES}. */
+    private static void writeSnapshot(final DiskFile snapshotFile, final ChunkedBuffer snapshot) {
+        final ByteBuffer block = ByteBuffer.allocate(BLOCK_BYTES);
+        block.put(EntryFormat.encodeHeader(snapshot, 0));
+        for (final byte[] chunk : snapshot.chunks()) {
+            int written = 0;
+            while (written < chunk.length) {
+                final int length = Math.min(block.remaining(), chunk.length - written);
+                block.put(chunk, written, length);
+                written += length;
+                if (!block.hasRemaining()) {
+                    snapshotFile.append(block.array(), 0, block.position());
+                    block.clear();
+                }
+            }
+        }
+        snapshotFile.append(block.array(), 0, block.position());
+    }
+
     /** Deletes the segments and snapshots with a number smaller than this. */
     void deleteOlderThan(final long number) {
         for (final String name : disk.list()) {
--- a/testing/src/test/java/brookpath/testing/StoredDataTest.java
+++ b/testing/src/test/java/brookpath/testing/StoredDataTest.java
@@ -19,6 +19,7 @@
 import brookpath.coordination.node.control.GroupBootstrap;
 import brookpath.state.disk.FolderDisk;
 import brookpath.state.disk.MachineIdentity;
+import brookpath.state.record.ChunkedBuffer;
 import brookpath.state.record.PackedBuffer;
 import brookpath.state.wal.WriteAheadLog;
 import java.io.IOException;
@@ -163,7 +164,8 @@
     }
 
     private void checkGroup(final String name, final GroupMachine group) {
-        final List<byte[]> checkpoint = group.checkpoint();
+        final List<byte[]> checkpoint =
+                group.checkpoint().stream().map(ChunkedBuffer::toByteArray).toList();
         golden.assertHolds(
                 name + ", group " + group.id(),
                 "term " + group.term() + ", " + vote(checkpoint) + ", entries after " + group.baseIndex() + " up to "
--- a/testing/src/test/java/brookpath/testing/TraceDigest.java
+++ b/testing/src/test/java/brookpath/testing/TraceDigest.java
@@ -70,7 +70,7 @@
         } else if (action instanceof Action.Roll a) {
             beginAction(ROLL, nowMs, node);
             add(a.number());
-            add(a.snapshot());
+            add(a.snapshot().toByteArray());
         } else if (action instanceof Action.Respond a) {
             beginAction(RESPOND, nowMs, node);
             add(a.requestId());
--- a/testing/src/test/java/brookpath/testing/WriteAheadLogSpaceTest.java
+++ b/testing/src/test/java/brookpath/testing/WriteAheadLogSpaceTest.java
@@ -8,6 +8,7 @@
 import brookpath.state.disk.Disk;
 import brookpath.state.disk.DiskFile;
 import brookpath.state.disk.DiskFullException;
+import brookpath.state.record.ChunkedBuffer;
 import brookpath.state.wal.WriteAheadLog;
 import brookpath.state.wal.WriteAheadLog.Recovery;
 import brookpath.testing.disk.FaultyDisk;
@@ -67,11 +68,11 @@
     public void aRollWithoutSpaceForItsSnapshotLeavesTheSegmentInUse() {
         final FaultyDisk disk = new FaultyDisk();
         final WriteAheadLog writeAheadLog = WriteAheadLog.recover(disk).writeAheadLog();
-        writeAheadLog.roll(filled(9, 400));
+        writeAheadLog.roll(ChunkedBuffer.of(filled(9, 400)));
         writeAheadLog.append(FIRST);
         writeAheadLog.sync();
         disk.capacity(900);
-        assertThrows(DiskFullException.class, () -> writeAheadLog.roll(filled(10, 600)));
+        assertThrows(DiskFullException.class, () -> writeAheadLog.roll(ChunkedBuffer.of(filled(10, 600))));
         writeAheadLog.append(THIRD);
         writeAheadLog.sync();
         disk.powerLoss(new SplittableRandom(3));
@@ -80,7 +81,7 @@
         assertEquals(text(after.snapshot()), text(filled(9, 400)));
         assertEquals(texts(after), List.of(text(FIRST), text(THIRD)));
         disk.capacity(Long.MAX_VALUE);
-        after.writeAheadLog().roll(filled(10, 600));
+        after.writeAheadLog().roll(ChunkedBuffer.of(filled(10, 600)));
         assertEquals(text(WriteAheadLog.recover(disk).snapshot()), text(filled(10, 600)));
     }
 
@@ -92,12 +93,12 @@
             for (int seed = 0; seed < SEEDS; seed++) {
                 final StoppingDisk disk = new StoppingDisk();
                 final WriteAheadLog writeAheadLog = WriteAheadLog.recover(disk).writeAheadLog();
-                writeAheadLog.roll(filled(7, 200));
+                writeAheadLog.roll(ChunkedBuffer.of(filled(7, 200)));
                 writeAheadLog.append(FIRST);
                 writeAheadLog.sync();
                 disk.stepsLeft = step;
                 try {
-                    writeAheadLog.roll(filled(8, 200));
+                    writeAheadLog.roll(ChunkedBuffer.of(filled(8, 200)));
                 } catch (final StoppedException ex) {
                     interrupted++;
                 }
@@ -124,7 +125,7 @@
     private static void assertNextRollIsComplete(final StoppingDisk disk, final WriteAheadLog log) {
         log.append(THIRD);
         log.sync();
-        log.roll(filled(11, 100));
+        log.roll(ChunkedBuffer.of(filled(11, 100)));
         log.append(SECOND);
         log.sync();
         final Recovery again = WriteAheadLog.recover(disk);
--- a/testing/src/test/java/brookpath/testing/WriteAheadLogTest.java
+++ b/testing/src/test/java/brookpath/testing/WriteAheadLogTest.java
@@ -4,6 +4,7 @@
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
+import brookpath.state.record.ChunkedBuffer;
 import brookpath.state.wal.WriteAheadLog;
 import brookpath.state.wal.WriteAheadLog.Recovery;
 import brookpath.testing.disk.FaultyDisk;
@@ -56,7 +57,7 @@
 
         private void roll() {
             snapshot = bytes(random);
-            log.roll(snapshot);
+            log.roll(ChunkedBuffer.of(snapshot));
             written = new ArrayList<>();
             synced = 0;
         }
--- a/testing/src/test/java/brookpath/testing/sim/ControlStateSizeTest.java
+++ b/testing/src/test/java/brookpath/testing/sim/ControlStateSizeTest.java
@@ -88,8 +88,9 @@
         final ControlState state = (ControlState) node.group().live();
         assertEquals(state.configurationAt(node.group().committed()).version(), MANY_CHANGES);
         assertTrue(largest <= MAX_LOG_BYTES, "the log in memory grew to " + largest + " bytes");
-        final int snapshot =
-                node.group().checkpoint().stream().mapToInt(e -> e.length).sum();
+        final int snapshot = node.group().checkpoint().stream()
+                .mapToInt(e -> (int) e.sizeBytes())
+                .sum();
         assertTrue(snapshot <= MAX_SNAPSHOT_BYTES, "the snapshot has " + snapshot + " bytes");
         System.out.println(
                 "after " + MANY_CHANGES + " changes: log at most " + largest + " bytes, snapshot " + snapshot);
