--- a/testing/src/test/java/brookpath/platform/line/ServerMessagesTest.java
+++ b/testing/src/test/java/brookpath/platform/line/ServerMessagesTest.java
@@ -19,7 +19,7 @@
         assertEquals(ServerMessages.PONG, "PONG\r\n");
         assertEquals(ServerMessages.HELLO_ACCEPTED, "OK HELLO\r\n");
         assertEquals(ServerMessages.subscribed("t.a", "c7"), "OK SUBSCRIBE t.a c7\r\n");
-        assertEquals(ServerMessages.detached("t.a"), "OK DETACH t.a\r\n");
+        assertEquals(ServerMessages.detached("t.a", new Response(200, 0, "{}")), "OK DETACH t.a\r\n");
         assertEquals(ServerMessages.audience("t.a", 3), "COUNT t.a 3\r\n");
         assertEquals(ServerMessages.accepted("t.a", "17"), "ACCEPTED t.a 17\r\n");
         assertEquals(ServerMessages.move("10.0.0.1:8022"), "MOVE 10.0.0.1:8022\r\n");
@@ -34,6 +34,13 @@
                 ServerMessages.refused("HELLO", "", "", RefusalReason.MALFORMED), "REFUSED HELLO - - MALFORMED\r\n");
     }
 
+    /** Guards against OK to a DETACH that was refused, after which messages of the topic still arrive. */
+    @Test
+    public void detachThatAnOverloadedNodeHasRefusedIsNotAcknowledged() {
+        assertEquals(
+                ServerMessages.detached("t.a", new Response(503, 250, "{}", "busy")), "REFUSED DETACH t.a - BUSY\r\n");
+    }
+
     @Test
     public void deliveryConsistsOfALineAndABody() {
         final LogRecord logRecord = LogRecord.of(
