--- a/coordination/src/main/java/brookpath/coordination/group/GroupEntryKind.java
+++ b/coordination/src/main/java/brookpath/coordination/group/GroupEntryKind.java
@@ -17,7 +17,9 @@
     /** The replica is initialised; the value is 1 where it has lost its log and has to be rebuilt, else 0. */
     INITIALISED(4),
     /** A complete snapshot of the group's log, which replaces everything before it. */
-    SNAPSHOT(5);
+    SNAPSHOT(5),
+    /** For how long the replica had held the records of the snapshot before this entry ({@link RecordAges}). */
+    AGES(6);
 
     private static final GroupEntryKind[] KINDS = values();
 
--- a/coordination/src/main/java/brookpath/coordination/group/GroupMachine.java
+++ b/coordination/src/main/java/brookpath/coordination/group/GroupMachine.java
@@ -282,18 +282,29 @@
             case VOTE -> machine.voteStore.replay(in.getLong(), (int) in.getLong());
             case INITIALISED -> machine.recovery.replay(in.getLong() == 1);
             case SNAPSHOT -> machine.log.replaySnapshot(in.getBytes(), now);
+            case AGES -> machine.log.replayAges(RecordAges.load(in), now);
         }
         machine.log.recovered();
     }
 
-    /** The complete state of this group as entries to replay, for the snapshot at the start of a segment. */
-    public List<ChunkedBuffer> checkpoint() {
+    /**
+     * The complete state of this group as entries to replay, for the snapshot at the start of a segment.
+     *
+     * @param now of the steady clock, in milliseconds
+     */
+    public List<ChunkedBuffer> checkpoint(final long now) {
         final List<ChunkedBuffer> entries = new ArrayList<>();
         entries.add(ChunkedBuffer.of(machine.voteStore.entry()));
         if (machine.recovery.isInitialised()) {
             entries.add(ChunkedBuffer.of(machine.recovery.entry()));
         }
         entries.add(GroupEntryKind.SNAPSHOT.chunkedEntry(id).putBytes(machine.log.snapshot()));
+        final RecordAges ages = machine.log.ages(now);
+        if (!ages.isEmpty()) {
+            final PackedBuffer entry = GroupEntryKind.AGES.entry(id);
+            ages.save(entry);
+            entries.add(ChunkedBuffer.of(entry.toByteArray()));
+        }
         return entries;
     }
 
--- a/coordination/src/main/java/brookpath/coordination/group/RaftLog.java
+++ b/coordination/src/main/java/brookpath/coordination/group/RaftLog.java
@@ -6,6 +6,7 @@
 import brookpath.state.record.PackedBuffer;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.List;
 import java.util.function.Supplier;
 
 /**
@@ -320,6 +321,16 @@
         return buffer;
     }
 
+    /** For how long the records have been held, where the state keeps them by age; else without contents. */
+    RecordAges ages(final long now) {
+        return RecordAges.of(live.keepsByAge() ? records : List.of(), now);
+    }
+
+    /** Restores for how long the records had been held before the process started. */
+    void replayAges(final RecordAges ages, final long now) {
+        ages.restore(records, now);
+    }
+
     /** Replaces the complete log by a snapshot and writes that to disk; only its base counts as synced until then. */
     void install(final byte[] snapshot, final long now) {
         replaySnapshot(snapshot, now);
--- a/coordination/src/main/java/brookpath/coordination/node/ControllerNode.java
+++ b/coordination/src/main/java/brookpath/coordination/node/ControllerNode.java
@@ -214,7 +214,7 @@
     @Override
     protected void rollLog(final Time time) {
         final ChunkedBuffer buffer = new ChunkedBuffer();
-        group.checkpoint().forEach(buffer::putBytes);
+        group.checkpoint(time.mono()).forEach(buffer::putBytes);
         out.roll(buffer);
     }
 
--- a/coordination/src/main/java/brookpath/coordination/node/StorageNode.java
+++ b/coordination/src/main/java/brookpath/coordination/node/StorageNode.java
@@ -138,7 +138,7 @@
 
     @Override
     protected void rollLog(final Time time) {
-        groups.rollLog();
+        groups.rollLog(time.mono());
     }
 
     // ---- timers
@@ -161,7 +161,7 @@
         }
         shutdown.tick(groups.all(), now);
         if (out.bytesSinceRoll() > rollBytes) {
-            groups.rollLog();
+            rollLog(time);
         }
     }
 
--- a/coordination/src/main/java/brookpath/coordination/node/storage/TopicGroups.java
+++ b/coordination/src/main/java/brookpath/coordination/node/storage/TopicGroups.java
@@ -188,13 +188,17 @@
         return text.toString();
     }
 
-    /** Begins a new log segment with a snapshot of all groups. */
-    public void rollLog() {
+    /**
+     * Begins a new log segment with a snapshot of all groups.
+     *
+     * @param now of the steady clock, in milliseconds
+     */
+    public void rollLog(final long now) {
         final ChunkedBuffer buffer = new ChunkedBuffer();
         if (loggedMetadata.version() > 0) {
             buffer.putBytes(metadataEntry());
         }
-        groups.values().forEach(group -> group.checkpoint().forEach(buffer::putBytes));
+        groups.values().forEach(group -> group.checkpoint(now).forEach(buffer::putBytes));
         out.roll(buffer);
     }
 
--- a/state/src/main/java/brookpath/state/record/LogRecord.java
+++ b/state/src/main/java/brookpath/state/record/LogRecord.java
@@ -174,6 +174,11 @@
         return learnedAt;
     }
 
+    /** The same record, learned at another time; shares the encoded bytes. */
+    public LogRecord learnedAt(final long otherLearnedAt) {
+        return new LogRecord(bytes(), otherLearnedAt);
+    }
+
     /** The encoded record: the array itself, not a copy, so it must not be modified. */
     public byte[] bytes() {
         return buf.byteArray();
--- a/testing/src/test/java/brookpath/testing/StoredDataTest.java
+++ b/testing/src/test/java/brookpath/testing/StoredDataTest.java
@@ -164,8 +164,9 @@
     }
 
     private void checkGroup(final String name, final GroupMachine group) {
-        final List<byte[]> checkpoint =
-                group.checkpoint().stream().map(ChunkedBuffer::toByteArray).toList();
+        final List<byte[]> checkpoint = group.checkpoint(START.mono()).stream()
+                .map(ChunkedBuffer::toByteArray)
+                .toList();
         golden.assertHolds(
                 name + ", group " + group.id(),
                 "term " + group.term() + ", " + vote(checkpoint) + ", entries after " + group.baseIndex() + " up to "
--- a/testing/src/test/java/brookpath/testing/sim/ControlStateSizeTest.java
+++ b/testing/src/test/java/brookpath/testing/sim/ControlStateSizeTest.java
@@ -88,7 +88,7 @@
         final ControlState state = (ControlState) node.group().live();
         assertEquals(state.configurationAt(node.group().committed()).version(), MANY_CHANGES);
         assertTrue(largest <= MAX_LOG_BYTES, "the log in memory grew to " + largest + " bytes");
-        final int snapshot = node.group().checkpoint().stream()
+        final int snapshot = node.group().checkpoint(mono).stream()
                 .mapToInt(e -> (int) e.sizeBytes())
                 .sum();
         assertTrue(snapshot <= MAX_SNAPSHOT_BYTES, "the snapshot has " + snapshot + " bytes");
--- a/testing/src/test/java/brookpath/testing/sim/HistoryAfterRestartTest.java
+++ b/testing/src/test/java/brookpath/testing/sim/HistoryAfterRestartTest.java
@@ -18,6 +18,8 @@
     private static final int MAX_ATTEMPTS = 40;
     private static final long DOWN_MS = 600;
     private static final long OBSERVED_MS = 20_000;
+    /** Shorter than records are kept, longer than a checkpoint is old when the processes end. */
+    private static final long OBSERVED_WITHIN_RETENTION_MS = 35_000;
     /** Logs are trimmed in steps of 64 records, each replica on its own. */
     private static final long TRIM_STEPS_RECORDS = 2 * 64;
 
@@ -73,4 +75,21 @@
                             + replica(restarted).baseIndex() + ", another member those after " + trimmed);
         }
     }
+
+    /**
+     * Guards against all members keeping what they replay for another retention time after all of them were restarted:
+     * none is then left that could tell how old the records are.
+     */
+    @Test
+    public void recordsKeepTheirAgeWhenAllMembersAreRestarted() {
+        final long oldest = replica(members().get(0)).baseIndex();
+        restart(members());
+        cluster.run(cluster.now() + OBSERVED_WITHIN_RETENTION_MS);
+        for (final SimulatedProcess member : members()) {
+            assertTrue(
+                    replica(member).baseIndex() > oldest + TRIM_STEPS_RECORDS,
+                    "node " + member.id + " has trimmed no more than "
+                            + replica(member).baseIndex() + " since its start, " + oldest + " before");
+        }
+    }
 }
