--- a/coordination/src/main/java/brookpath/coordination/group/GroupMachine.java
+++ b/coordination/src/main/java/brookpath/coordination/group/GroupMachine.java
@@ -143,6 +143,11 @@
         return machine.membership.index();
     }
 
+    /** About how much memory the records of this replica's log take, in bytes. */
+    public long logMemoryBytes() {
+        return machine.log.memoryBytes();
+    }
+
     /** Whether nothing in progress depends on timer events, so that they may be less frequent. */
     public boolean isIdle() {
         return machine.roleState.isLeader()
--- a/coordination/src/main/java/brookpath/coordination/group/RaftLog.java
+++ b/coordination/src/main/java/brookpath/coordination/group/RaftLog.java
@@ -25,6 +25,9 @@
 
     private static final int TRIM_BYTES = 64 << 10;
 
+    /** The objects and references that a record takes in memory beside its encoded bytes. */
+    private static final int RECORD_OVERHEAD_BYTES = 160;
+
     private static final long DIGEST_FACTOR = 0x9E3779B97F4A7C15L;
 
     /** A part of the log that is not synced yet. */
@@ -86,6 +89,11 @@
         return committedIndex;
     }
 
+    /** About how much memory the records after the base take, in bytes. */
+    long memoryBytes() {
+        return bytes + (long) RECORD_OVERHEAD_BYTES * records.size();
+    }
+
     /** How many records follow the base. */
     int size() {
         return records.size();
--- a/coordination/src/main/java/brookpath/coordination/node/StorageNode.java
+++ b/coordination/src/main/java/brookpath/coordination/node/StorageNode.java
@@ -71,6 +71,7 @@
      * @param seed for the random election timeouts of the groups
      * @param firstId request IDs begin after it; it differs in each incarnation
      * @param rollBytes the size of a log segment in bytes beyond which a new one begins
+     * @param maxLogMemoryBytes the size of all logs in memory beyond which nothing new is accepted
      */
     public StorageNode(
             final NodeInfo info,
@@ -79,7 +80,8 @@
             final int toleratedLosses,
             final long seed,
             final long firstId,
-            final long rollBytes) {
+            final long rollBytes,
+            final long maxLogMemoryBytes) {
         super(info.node(), timing);
         this.toleratedLosses = toleratedLosses;
         this.seed = seed;
@@ -88,7 +90,7 @@
         retention = new HistoryRetention(client, timing);
         groups = new TopicGroups(self, this::newGroup, client, out);
         pendingPublishes = new PendingPublishes(timing, out);
-        publishes = new PublishAdmission(groups, client, pendingPublishes, out);
+        publishes = new PublishAdmission(groups, client, pendingPublishes, maxLogMemoryBytes, out);
         fetches = new FetchHandler(groups, client, timing, out);
         listenerCounts = new ListenerCounts(timing, out);
         membershipDriver = new MembershipDriver(self, timing);
--- a/coordination/src/main/java/brookpath/coordination/node/storage/PublishAdmission.java
+++ b/coordination/src/main/java/brookpath/coordination/node/storage/PublishAdmission.java
@@ -28,16 +28,23 @@
     private final TopicGroups groups;
     private final ConfigurationClient client;
     private final PendingPublishes pending;
+    private final long maxLogMemoryBytes;
     private final Actions out;
 
+    /**
+     * @param maxLogMemoryBytes beyond this size of all its logs, this node appends nothing new: a process that exhausts
+     *     its memory would end, and find the same logs after its restart
+     */
     public PublishAdmission(
             final TopicGroups groups,
             final ConfigurationClient client,
             final PendingPublishes pending,
+            final long maxLogMemoryBytes,
             final Actions out) {
         this.groups = groups;
         this.client = client;
         this.pending = pending;
+        this.maxLogMemoryBytes = maxLogMemoryBytes;
         this.out = out;
     }
 
@@ -119,11 +126,14 @@
     }
 
     /** Why nothing new may be appended to the group's log at present; null where it may. */
-    private static String appendObstacle(
+    private String appendObstacle(
             final TopicState state, final GroupMachine group, final int requiredReplicas, final long now) {
         if (state.senders() >= MAX_SENDERS) {
             return "too many senders in the last hour";
         }
+        if (groups.logMemoryBytes() > maxLogMemoryBytes) {
+            return "the history in memory has reached its limit";
+        }
         final int active = group.active(now);
         return requiredReplicas > active
                 ? "only " + active + " of " + requiredReplicas + " required replicas are active"
--- a/coordination/src/main/java/brookpath/coordination/node/storage/TopicGroups.java
+++ b/coordination/src/main/java/brookpath/coordination/node/storage/TopicGroups.java
@@ -89,6 +89,15 @@
         return groups.values();
     }
 
+    /** About how much memory the logs of all replicas of this node take, in bytes. */
+    long logMemoryBytes() {
+        long bytes = 0;
+        for (final GroupMachine group : groups.values()) {
+            bytes += group.logMemoryBytes();
+        }
+        return bytes;
+    }
+
     /** The cluster metadata of a group; null where there is no such group. */
     GroupInfo metadataOf(final int id) {
         for (final GroupInfo info : client.metadata().groups()) {
--- a/programs/src/main/java/brookpath/programs/boot/ProcessAssembly.java
+++ b/programs/src/main/java/brookpath/programs/boot/ProcessAssembly.java
@@ -9,6 +9,7 @@
 import brookpath.coordination.node.Node;
 import brookpath.coordination.node.Node.Time;
 import brookpath.coordination.node.StorageNode;
+import brookpath.state.wal.WriteAheadLog;
 import brookpath.transport.identity.ProcessIdentity;
 import brookpath.transport.identity.RandomNumbers;
 import brookpath.transport.loop.Host;
@@ -24,6 +25,13 @@
  */
 public final class ProcessAssembly {
     private static final int EXIT_CODE_FATAL_ERROR = 1;
+    /**
+     * The heap of a storage node in units of its logs: a start holds the snapshot beside the records read from it, and
+     * the rest is for the derived state, connections and garbage.
+     */
+    private static final int HEAP_PER_LOG_MEMORY = 4;
+    /** Leaves room for the derived state in the snapshot of all logs, which is one entry. */
+    private static final long MAX_LOG_MEMORY_BYTES = WriteAheadLog.MAX_ENTRY_BYTES / 8 * 7;
 
     private final Host host;
     private final List<Action> firstActions;
@@ -82,7 +90,8 @@
                         plan.founding().toleratedLosses(),
                         randomSeed,
                         firstRequestId,
-                        plan.segmentBytes());
+                        plan.segmentBytes(),
+                        maxLogMemoryBytes());
             case CONTROLLER ->
                 new ControllerNode(
                         self,
@@ -96,6 +105,11 @@
         };
     }
 
+    /** How much memory the logs of a storage node may take. */
+    private static long maxLogMemoryBytes() {
+        return Math.min(Runtime.getRuntime().maxMemory() / HEAP_PER_LOG_MEMORY, MAX_LOG_MEMORY_BYTES);
+    }
+
     /** When the configuration lease of the process ends, in milliseconds of the monotonic clock. */
     private static LongSupplier configurationLeaseEnd(final Node node) {
         final ConfigurationClient client = configurationClient(node);
--- a/testing/src/main/java/brookpath/testing/sim/ControlFleet.java
+++ b/testing/src/main/java/brookpath/testing/sim/ControlFleet.java
@@ -88,7 +88,8 @@
                 TOLERATED_LOSSES,
                 cluster.random.nextLong(),
                 firstId(),
-                ROLL_BYTES);
+                ROLL_BYTES,
+                Long.MAX_VALUE);
         entries.forEach(entry -> node.replay(entry, process.time()));
         return node;
     }
--- a/testing/src/main/java/brookpath/testing/sim/SimulatedCluster.java
+++ b/testing/src/main/java/brookpath/testing/sim/SimulatedCluster.java
@@ -42,6 +42,9 @@
     /** The faults deliberately built into the simulation, which the oracles must find. */
     public final EnumSet<Mutation> mutations;
 
+    /** The limit of storage nodes that start from now on. */
+    long maxLogMemoryBytes = Long.MAX_VALUE;
+
     final SimulatedNetwork net = new SimulatedNetwork(this);
     final Callers callers;
     /** Receives the usage reports. */
@@ -157,7 +160,14 @@
         storages.add(id);
         final SimulatedProcess added = new SimulatedProcess(this, id, zone, true, (process, entries) -> {
             final StorageNode node = new StorageNode(
-                    process.info(), SEEDS, timing, 1, random.nextLong(), process.incarnation << 32, ROLL_BYTES);
+                    process.info(),
+                    SEEDS,
+                    timing,
+                    1,
+                    random.nextLong(),
+                    process.incarnation << 32,
+                    ROLL_BYTES,
+                    maxLogMemoryBytes);
             entries.forEach(e -> node.replay(e, process.time()));
             return node;
         });
--- a/testing/src/test/java/brookpath/testing/StoredDataTest.java
+++ b/testing/src/test/java/brookpath/testing/StoredDataTest.java
@@ -147,7 +147,8 @@
                 TOLERATED_LOSSES,
                 1,
                 1,
-                ROLL_BYTES);
+                ROLL_BYTES,
+                Long.MAX_VALUE);
         replay(node, recovery);
         int groupsFound = 0;
         for (int id = 0; id < GROUPS; id++) {
