--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/bin/bash
-# Builds the stand-ins of the cases 4 to 8; to be run after the build of the deploy file.
+# Builds the stand-ins of the cases 4 to 6; to be run after the build of the deploy file.
 set -e
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
