--- a/review/standins-2/Cluster.java
+++ b/review/standins-2/Cluster.java
@@ -2,7 +2,6 @@
 import java.io.File;
 import java.io.IOException;
 import java.io.InputStream;
-import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -66,10 +65,6 @@
             }
         }
 
-        void signal(final String signal) throws IOException, InterruptedException {
-            new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid())).start().waitFor();
-        }
-
         boolean runs() {
             return process != null && process.isAlive();
         }
--- a/review/standins-2/HistoryCase.java
+++ b/review/standins-2/HistoryCase.java
@@ -2,11 +2,9 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicBoolean;
 
--- a/review/standins-2/Publisher.java
+++ b/review/standins-2/Publisher.java
@@ -1,5 +1,4 @@
 import java.util.List;
-import java.util.concurrent.SynchronousQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 
@@ -79,7 +78,6 @@
         sequence++;
         offered++;
         final long deadline = System.currentTimeMillis() + DEADLINE_MS;
-        boolean uncertain = false;
         while (System.currentTimeMillis() < deadline) {
             if ((client == null || client.closed) && !connect()) {
                 Thread.sleep(100);
@@ -89,7 +87,6 @@
                 client.publish(topic, sequence, body(name, sequence, bodyBytes));
                 final String[] answer = answerTo(sequence);
                 if (answer == null) {
-                    uncertain = true;
                     drop();
                 } else if (answer[0].equals("ACCEPTED")) {
                     served++;
