--- a/coordination/src/main/java/brookpath/coordination/action/Action.java
+++ b/coordination/src/main/java/brookpath/coordination/action/Action.java
@@ -4,19 +4,30 @@
 import brookpath.coordination.message.Response;
 import brookpath.state.record.ChunkedBuffer;
 import brookpath.state.record.LogRecord;
+import java.util.List;
 
 /** An effect of a decision, which the executor of the process carries out. */
 public sealed interface Action {
     /** Sends a message to another process. */
     record Send(int node, PeerMessage message) implements Action {}
 
+    /** A change of the write-ahead log. The executor later reports the number up to which all changes are synced. */
+    sealed interface ToDisk extends Action {
+        /** The number of the change, one more than that of the change before. */
+        long number();
+    }
+
+    /** Appends an entry to the write-ahead log. */
+    record Write(long number, byte[] entry) implements ToDisk {}
+
     /**
-     * Appends an entry to the write-ahead log. The executor later reports the number up to which all writes are synced.
+     * Appends entries to the write-ahead log, one after another. They take effect together, by their contents: the log
+     * may end within them after a crash.
      */
-    record Write(long number, byte[] entry) implements Action {}
+    record WriteAll(long number, List<ChunkedBuffer> entries) implements ToDisk {}
 
     /** Begins a new log segment with this snapshot, which replaces everything written before it. */
-    record Roll(long number, ChunkedBuffer snapshot) implements Action {}
+    record Roll(long number, ChunkedBuffer snapshot) implements ToDisk {}
 
     /** Sends a full round of heartbeats without waiting for the period. */
     record HeartbeatNow() implements Action {}
--- a/coordination/src/main/java/brookpath/coordination/action/Actions.java
+++ b/coordination/src/main/java/brookpath/coordination/action/Actions.java
@@ -32,6 +32,18 @@
         return writes;
     }
 
+    /**
+     * Appends entries to the log that take effect together, by their contents. They are encoded one at a time when they
+     * are written.
+     *
+     * @return the number of the write, as for {@link #write}
+     */
+    public long writeAll(final List<ChunkedBuffer> entries) {
+        bytesSinceRoll += entries.stream().mapToLong(ChunkedBuffer::sizeBytes).sum();
+        collected.add(new Action.WriteAll(++writes, entries));
+        return writes;
+    }
+
     /** Begins a new log segment with a snapshot that replaces everything written before it. */
     public void roll(final ChunkedBuffer snapshot) {
         bytesSinceRoll = 0;
--- a/coordination/src/main/java/brookpath/coordination/group/GroupEntryKind.java
+++ b/coordination/src/main/java/brookpath/coordination/group/GroupEntryKind.java
@@ -19,7 +19,14 @@
     /** A complete snapshot of the group's log, which replaces everything before it. */
     SNAPSHOT(5),
     /** For how long the replica had held the records of the snapshot before this entry ({@link RecordAges}). */
-    AGES(6);
+    AGES(6),
+    /**
+     * The base of a snapshot that is too large for one entry, and the number of its records. It replaces everything
+     * before it once the last record has followed; until then it counts for nothing.
+     */
+    SNAPSHOT_BASE(7),
+    /** Records of the snapshot that began with the last entry {@link #SNAPSHOT_BASE}. */
+    SNAPSHOT_RECORDS(8);
 
     private static final GroupEntryKind[] KINDS = values();
 
--- a/coordination/src/main/java/brookpath/coordination/group/GroupMachine.java
+++ b/coordination/src/main/java/brookpath/coordination/group/GroupMachine.java
@@ -9,7 +9,6 @@
 import brookpath.state.record.ChunkedBuffer;
 import brookpath.state.record.LogRecord;
 import brookpath.state.record.PackedBuffer;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Supplier;
 
@@ -37,6 +36,7 @@
     private final int self;
     private final int toleratedLosses;
     private final GroupStateMachine machine;
+    private final GroupCheckpoint checkpoint;
 
     /**
      * A follower with an empty log; {@link #replay} restores what is on disk, {@link #configure} sets the members.
@@ -57,6 +57,7 @@
         this.self = self;
         this.toleratedLosses = toleratedLosses;
         machine = new GroupStateMachine(id, self, timing, toleratedLosses, seed, states, promises, out);
+        checkpoint = new GroupCheckpoint(id, machine);
     }
 
     // ---- queries
@@ -272,24 +273,7 @@
      * @throws IllegalStateException where its kind is unknown or a record does not follow the last one
      */
     public void replay(final PackedBuffer in, final long now) {
-        final long code = in.getLong();
-        final GroupEntryKind kind = GroupEntryKind.ofCode(code);
-        if (kind == null) {
-            throw new IllegalStateException("group " + id + ": unknown entry kind " + code);
-        }
-        switch (kind) {
-            case RECORD -> {
-                final LogRecord logRecord = LogRecord.wrap(in.getBytes(), now);
-                machine.log.replay(logRecord);
-                machine.voteStore.replayRecordOf(logRecord.term());
-            }
-            case TRUNCATE -> machine.log.replayTruncate(in.getLong());
-            case VOTE -> machine.voteStore.replay(in.getLong(), (int) in.getLong());
-            case INITIALISED -> machine.recovery.replay(in.getLong() == 1);
-            case SNAPSHOT -> machine.log.replaySnapshot(in.getBytes(), now);
-            case AGES -> machine.log.replayAges(RecordAges.load(in), now);
-        }
-        machine.log.recovered();
+        checkpoint.replay(in, now);
     }
 
     /**
@@ -298,19 +282,7 @@
      * @param now of the steady clock, in milliseconds
      */
     public List<ChunkedBuffer> checkpoint(final long now) {
-        final List<ChunkedBuffer> entries = new ArrayList<>();
-        entries.add(ChunkedBuffer.of(machine.voteStore.entry()));
-        if (machine.recovery.isInitialised()) {
-            entries.add(ChunkedBuffer.of(machine.recovery.entry()));
-        }
-        entries.add(GroupEntryKind.SNAPSHOT.chunkedEntry(id).putBytes(machine.log.snapshot()));
-        final RecordAges ages = machine.log.ages(now);
-        if (!ages.isEmpty()) {
-            final PackedBuffer entry = GroupEntryKind.AGES.entry(id);
-            ages.save(entry);
-            entries.add(ChunkedBuffer.of(entry.toByteArray()));
-        }
-        return entries;
+        return checkpoint.entries(now);
     }
 
     /** Marks this empty member as a founding one of the control group: it is new, and has not lost its disk. */
@@ -336,6 +308,7 @@
      * @param isFounded whether the group was founded before, so that an empty disk means a lost replica
      */
     public void configure(final Membership placed, final boolean isFounded, final long now) {
+        checkpoint.endReplay();
         machine.configure(placed, isFounded, now);
     }
 
--- a/coordination/src/main/java/brookpath/coordination/group/LogAppender.java
+++ b/coordination/src/main/java/brookpath/coordination/group/LogAppender.java
@@ -234,7 +234,7 @@
             if (!isCompleteLogIntact()) {
                 return;
             }
-            snapshotSender.keep(log.snapshot().toByteArray(), log.endIndex(), now);
+            snapshotSender.keep(log.snapshot().encode(), log.endIndex(), now);
         }
         final SnapshotSender.Part part = snapshotSender.part(pull.snapshotSum(), pull.snapshotOffset(), now);
         out.send(
--- a/coordination/src/main/java/brookpath/coordination/group/LogFetcher.java
+++ b/coordination/src/main/java/brookpath/coordination/group/LogFetcher.java
@@ -241,7 +241,7 @@
         if (reply.snapshot().length == 0 || (SourceStanding.FOLLOWER.is(reply) && !mayAdoptFollowersLog())) {
             return false;
         }
-        final byte[] snapshot = snapshotReceiver.take(reply);
+        final LogSnapshot snapshot = snapshotReceiver.take(reply, now);
         if (snapshot == null) {
             return true;
         }
--- a/coordination/src/main/java/brookpath/coordination/group/RaftLog.java
+++ b/coordination/src/main/java/brookpath/coordination/group/RaftLog.java
@@ -31,7 +31,7 @@
     private static final long DIGEST_FACTOR = 0x9E3779B97F4A7C15L;
 
     /** A part of the log that is not synced yet. */
-    private record Unsynced(long write, long index, int bytes, long since) {}
+    private record Unsynced(long write, long index, long bytes, long since) {}
 
     private final int group;
     private final Supplier<LogState> states;
@@ -184,7 +184,7 @@
         return mixed ^ mixed >>> 31;
     }
 
-    private void addUnsynced(final long write, final long index, final int size, final long now) {
+    private void addUnsynced(final long write, final long index, final long size, final long now) {
         unsynced.add(new Unsynced(write, index, size, now));
         unsyncedBytes += size;
     }
@@ -314,19 +314,9 @@
 
     // ---- snapshots
 
-    /** Serializes the complete log: the state at the base, and the records after it. */
-    ChunkedBuffer snapshot() {
-        final ChunkedBuffer buffer = new ChunkedBuffer()
-                .putLong(baseIndex)
-                .putLong(baseTerm)
-                .putLong(baseDigest)
-                .putBytes(base.save())
-                .putLong(records.size());
-        records.forEach(r -> buffer.putBytes(r.bytes()));
-        if (baseMembership != null) {
-            buffer.putBytes(baseMembership.save());
-        }
-        return buffer;
+    /** The complete log: the state at the base, and the records after it. */
+    LogSnapshot snapshot() {
+        return new LogSnapshot(baseIndex, baseTerm, baseDigest, base.save(), List.copyOf(records), baseMembership);
     }
 
     /** For how long the records have been held, where the state keeps them by age; else without contents. */
@@ -340,34 +330,30 @@
     }
 
     /** Replaces the complete log by a snapshot and writes that to disk; only its base counts as synced until then. */
-    void install(final byte[] snapshot, final long now) {
+    void install(final LogSnapshot snapshot, final long now) {
         replaySnapshot(snapshot, now);
         syncedIndex = baseIndex;
         unsynced.clear();
         unsyncedBytes = 0;
-        final long write = out.write(
-                GroupEntryKind.SNAPSHOT.entry(group).putBytes(snapshot).toByteArray());
-        addUnsynced(write, endIndex(), snapshot.length, now);
+        final List<ChunkedBuffer> entries = snapshot.entries(group);
+        final long write = entries.size() == 1 ? out.write(entries.get(0).toByteArray()) : out.writeAll(entries);
+        addUnsynced(write, endIndex(), bytes, now);
     }
 
     /** Replaces the complete log by a snapshot that is on disk already. */
-    void replaySnapshot(final byte[] snapshot, final long now) {
-        final PackedBuffer in = PackedBuffer.reader(snapshot);
+    void replaySnapshot(final LogSnapshot snapshot, final long now) {
         records.clear();
         digests.clear();
         bytes = 0;
-        baseIndex = in.getLong();
-        baseTerm = in.getLong();
-        baseDigest = in.getLong();
-        final byte[] saved = in.getBytes();
+        baseIndex = snapshot.baseIndex();
+        baseTerm = snapshot.baseTerm();
+        baseDigest = snapshot.baseDigest();
         base = states.get();
-        base.load(saved);
+        base.load(snapshot.baseState());
         live = states.get();
-        live.load(saved);
-        for (long left = in.getLong(); left > 0; left--) {
-            replay(LogRecord.wrap(in.getBytes(), now));
-        }
-        baseMembership = in.hasRemaining() ? Membership.load(PackedBuffer.reader(in.getBytes())) : null;
+        live.load(snapshot.baseState());
+        snapshot.records().forEach(logRecord -> replay(logRecord.learnedAt(now)));
+        baseMembership = snapshot.baseMembership();
         membershipChanged.run();
         commit(baseIndex);
         base.committed(baseIndex);
--- a/coordination/src/main/java/brookpath/coordination/group/SnapshotSender.java
+++ b/coordination/src/main/java/brookpath/coordination/group/SnapshotSender.java
@@ -1,10 +1,11 @@
 package brookpath.coordination.group;
 
-import java.util.Arrays;
+import brookpath.state.record.ChunkedBuffer;
 
 /**
- * The sending side of a full sync: caches one snapshot of the group, which is sent in parts to all receivers. It is
- * dropped when no part was requested for {@code keepMs}, or when the log that it was made of is truncated or replaced.
+ * The sending side of a full sync: caches one snapshot of the group, which is sent in parts to all receivers. The
+ * snapshot refers to the records of the log, which the parts are copied from. It is dropped when no part was requested
+ * for {@code keepMs}, or when the log that it was made of is truncated or replaced.
  */
 final class SnapshotSender {
     /**
@@ -17,7 +18,7 @@
     record Part(long sum, long total, long offset, byte[] bytes) {}
 
     private final long keepMs;
-    private byte[] snapshot;
+    private ChunkedBuffer snapshot;
     private long sum;
     private long endIndex;
     private long lastRequestAt;
@@ -28,9 +29,11 @@
     }
 
     /** Caches a new snapshot, in place of any other. */
-    void keep(final byte[] newSnapshot, final long newEndIndex, final long now) {
+    void keep(final ChunkedBuffer newSnapshot, final long newEndIndex, final long now) {
         snapshot = newSnapshot;
-        sum = SnapshotChecksum.of(newSnapshot);
+        final SnapshotChecksum checksum = new SnapshotChecksum();
+        newSnapshot.chunks().forEach(checksum::update);
+        sum = checksum.value();
         endIndex = newEndIndex;
         lastRequestAt = now;
     }
@@ -48,11 +51,11 @@
      */
     Part part(final long requestedSum, final long requestedOffset, final long now) {
         lastRequestAt = now;
-        final int from = requestedSum == sum && requestedOffset > 0 && requestedOffset < snapshot.length
-                ? (int) requestedOffset
-                : 0;
-        final int to = Math.min(snapshot.length, from + PART_BYTES);
-        return new Part(sum, snapshot.length, from, Arrays.copyOfRange(snapshot, from, to));
+        final long total = snapshot.sizeBytes();
+        final boolean continues = requestedSum == sum && requestedOffset > 0 && requestedOffset < total;
+        final long from = continues ? requestedOffset : 0;
+        final int length = (int) Math.min(PART_BYTES, total - from);
+        return new Part(sum, total, from, snapshot.copyOfRange(from, length));
     }
 
     /** The index up to which the log may be trimmed: a receiver of the snapshot continues from its end. */
--- a/state/src/main/java/brookpath/state/record/ChunkedBuffer.java
+++ b/state/src/main/java/brookpath/state/record/ChunkedBuffer.java
@@ -70,6 +70,24 @@
         return bytes.array();
     }
 
+    /** Returns a copy of this many bytes of the contents from an offset on. */
+    public byte[] copyOfRange(final long offset, final int length) {
+        endChunk();
+        final byte[] copy = new byte[length];
+        int done = 0;
+        long chunkStart = 0;
+        for (final byte[] chunk : chunks) {
+            final long skipped = offset + done - chunkStart;
+            if (skipped < chunk.length && done < length) {
+                final int count = Math.min(length - done, chunk.length - (int) skipped);
+                System.arraycopy(chunk, (int) skipped, copy, done, count);
+                done += count;
+            }
+            chunkStart += chunk.length;
+        }
+        return copy;
+    }
+
     private void putLength(final int length) {
         endChunk();
         addChunk(ByteBuffer.allocate(Integer.BYTES)
--- a/testing/src/main/java/brookpath/testing/fuzz/FuzzDisk.java
+++ b/testing/src/main/java/brookpath/testing/fuzz/FuzzDisk.java
@@ -1,6 +1,5 @@
 package brookpath.testing.fuzz;
 
-import brookpath.coordination.action.Action;
 import java.util.ArrayList;
 import java.util.List;
 
@@ -34,9 +33,9 @@
         unsynced.clear();
     }
 
-    void append(final Action.Write write) {
-        unsynced.add(write.entry());
-        lastNumber = write.number();
+    void append(final long number, final byte[] entry) {
+        unsynced.add(entry);
+        lastNumber = number;
     }
 
     /** Starts to sync the appended entries, unless a sync is in progress. */
--- a/testing/src/main/java/brookpath/testing/fuzz/FuzzMember.java
+++ b/testing/src/main/java/brookpath/testing/fuzz/FuzzMember.java
@@ -230,7 +230,9 @@
             if (action instanceof Action.Send send) {
                 context.network.send(id, send.node(), send.message());
             } else if (action instanceof Action.Write write) {
-                disk.append(write);
+                disk.append(write.number(), write.entry());
+            } else if (action instanceof Action.WriteAll writes) {
+                writes.entries().forEach(entry -> disk.append(writes.number(), entry.toByteArray()));
             } else if (action instanceof Action.HeartbeatNow) {
                 heartbeatNow = true;
             } else if (action instanceof Action.Note note && note.isError()) {
--- a/testing/src/main/java/brookpath/testing/model/ModelWorld.java
+++ b/testing/src/main/java/brookpath/testing/model/ModelWorld.java
@@ -279,6 +279,8 @@
                 send(m, send);
             } else if (action instanceof Action.Write write) {
                 m.entries.add(write.entry());
+            } else if (action instanceof Action.WriteAll writes) {
+                writes.entries().forEach(entry -> m.entries.add(entry.toByteArray()));
             } else if (action instanceof Action.Note note && note.isError()) {
                 throw new Violation(note.text());
             }
--- a/testing/src/main/java/brookpath/testing/sim/ProcessLog.java
+++ b/testing/src/main/java/brookpath/testing/sim/ProcessLog.java
@@ -15,7 +15,7 @@
     private final SimulatedCluster cluster;
     private WriteAheadLog writeAheadLog;
     private DiskWriter writer;
-    private List<Action> pending = new ArrayList<>();
+    private List<Action.ToDisk> pending = new ArrayList<>();
     private boolean busy;
 
     ProcessLog(final SimulatedProcess process) {
@@ -56,7 +56,7 @@
         }
     }
 
-    void add(final Action write) {
+    void add(final Action.ToDisk write) {
         pending.add(write);
     }
 
@@ -67,14 +67,14 @@
         }
     }
 
-    private List<Action> takePending() {
-        final List<Action> batch = pending;
+    private List<Action.ToDisk> takePending() {
+        final List<Action.ToDisk> batch = pending;
         pending = new ArrayList<>();
         writer.add(batch);
         return batch;
     }
 
-    private void write(final List<Action> batch) {
+    private void write(final List<Action.ToDisk> batch) {
         busy = true;
         final boolean allWritten;
         try {
@@ -86,7 +86,7 @@
         process.after(process.syncMs + cluster.random.nextInt(3), () -> sync(batch, allWritten));
     }
 
-    private void sync(final List<Action> batch, final boolean allWritten) {
+    private void sync(final List<Action.ToDisk> batch, final boolean allWritten) {
         final long incarnation = process.incarnation;
         final long number;
         try {
@@ -107,7 +107,7 @@
         }
     }
 
-    private boolean crashesAfterSync(final List<Action> batch) {
+    private boolean crashesAfterSync(final List<Action.ToDisk> batch) {
         return cluster.armed != null
                 && batch.stream()
                         .anyMatch(a -> a instanceof Action.Write w && CrashPoint.ofWrite(w.entry()) == cluster.armed)
--- a/testing/src/main/java/brookpath/testing/sim/SimulatedProcess.java
+++ b/testing/src/main/java/brookpath/testing/sim/SimulatedProcess.java
@@ -226,8 +226,8 @@
     private void execute(final Action action) {
         if (action instanceof Action.Send send) {
             send(send);
-        } else if (action instanceof Action.Write || action instanceof Action.Roll) {
-            log.add(action);
+        } else if (action instanceof Action.ToDisk write) {
+            log.add(write);
         } else if (action instanceof Action.Respond respond) {
             cluster.callers.respond(
                     this, respond.requestId(), respond.response().at(mono()));
--- a/testing/src/test/java/brookpath/coordination/group/RaftLogTest.java
+++ b/testing/src/test/java/brookpath/coordination/group/RaftLogTest.java
@@ -145,7 +145,7 @@
         source.trim(Long.MAX_VALUE, 0, 0);
         final RaftLog target = log();
         append(target, 1, 3);
-        target.install(source.snapshot().toByteArray(), 0);
+        target.install(source.snapshot(), 0);
         assertEquals(target.endIndex(), 200);
         assertEquals(target.digestAt(200), source.digestAt(200));
         assertEquals(target.syncedIndex(), source.baseIndex());
@@ -169,7 +169,7 @@
         assertEquals(log.newestMembershipRecord(), null);
         assertEquals(log.baseMembership(), membership);
         final RaftLog target = log();
-        target.install(log.snapshot().toByteArray(), 0);
+        target.install(log.snapshot(), 0);
         assertEquals(target.baseMembership(), membership);
     }
 
--- a/testing/src/test/java/brookpath/testing/TraceDigest.java
+++ b/testing/src/test/java/brookpath/testing/TraceDigest.java
@@ -67,6 +67,10 @@
             beginAction(WRITE, nowMs, node);
             add(a.number());
             add(a.entry());
+        } else if (action instanceof Action.WriteAll a) {
+            beginAction(WRITE, nowMs, node);
+            add(a.number());
+            a.entries().forEach(entry -> add(entry.toByteArray()));
         } else if (action instanceof Action.Roll a) {
             beginAction(ROLL, nowMs, node);
             add(a.number());
--- a/transport/src/main/java/brookpath/transport/loop/ActionExecutor.java
+++ b/transport/src/main/java/brookpath/transport/loop/ActionExecutor.java
@@ -44,8 +44,8 @@
     private void execute(final Action action) {
         if (action instanceof Action.Send send) {
             send(send);
-        } else if (action instanceof Action.Write || action instanceof Action.Roll) {
-            write(action);
+        } else if (action instanceof Action.ToDisk write) {
+            write(write);
         } else if (action instanceof Action.HeartbeatNow) {
             heartbeats.requestHeartbeat();
         } else if (action instanceof Action.Respond respond) {
@@ -67,7 +67,7 @@
         }
     }
 
-    private void write(final Action action) {
+    private void write(final Action.ToDisk action) {
         if (disk != null) {
             disk.add(action);
         }
--- a/transport/src/main/java/brookpath/transport/loop/DiskLoop.java
+++ b/transport/src/main/java/brookpath/transport/loop/DiskLoop.java
@@ -35,8 +35,8 @@
     private final long retryMs;
     private final long scrubPeriodMs;
     private final long diskFullRetryMs;
-    private final BlockingQueue<Action> writes = new LinkedBlockingQueue<>();
-    private final List<Action> batch = new ArrayList<>();
+    private final BlockingQueue<Action.ToDisk> writes = new LinkedBlockingQueue<>();
+    private final List<Action.ToDisk> batch = new ArrayList<>();
     private long nextScrubMs;
     private boolean scrubbing;
     private long scrubStartedMs;
@@ -58,7 +58,7 @@
     }
 
     /** Queues an action, which is written after those queued before it. Any thread may call it. */
-    void add(final Action write) {
+    void add(final Action.ToDisk write) {
         writes.add(write);
     }
 
@@ -73,7 +73,8 @@
         nextScrubMs = SystemClock.monotonicMs() + ThreadLocalRandom.current().nextLong(scrubPeriodMs);
         try {
             while (!threads.closed()) {
-                final Action first = diskFull ? null : writes.poll(scrubbing ? SCRUB_PAUSE_MS : retryMs, MILLISECONDS);
+                final Action.ToDisk first =
+                        diskFull ? null : writes.poll(scrubbing ? SCRUB_PAUSE_MS : retryMs, MILLISECONDS);
                 final long nowMs = SystemClock.monotonicMs();
                 scrubIfDue(nowMs);
                 reportRefusedSnapshotIfDue(nowMs);
@@ -120,7 +121,7 @@
     }
 
     /** @param first an action that was already taken from the queue; null for none */
-    private void writeBatch(final Action first, final long nowMs) throws InterruptedException {
+    private void writeBatch(final Action.ToDisk first, final long nowMs) throws InterruptedException {
         batch.clear();
         if (first != null) {
             batch.add(first);
--- a/transport/src/main/java/brookpath/transport/loop/DiskWriter.java
+++ b/transport/src/main/java/brookpath/transport/loop/DiskWriter.java
@@ -13,7 +13,7 @@
  */
 public final class DiskWriter {
     private final WriteAheadLog writeAheadLog;
-    private final ArrayDeque<Action> queued = new ArrayDeque<>();
+    private final ArrayDeque<Action.ToDisk> queued = new ArrayDeque<>();
     private long written;
     private boolean snapshotRefused;
 
@@ -22,8 +22,8 @@
         this.writeAheadLog = writeAheadLog;
     }
 
-    /** Queues actions ({@link Action.Write} or {@link Action.Roll}) without writing them yet. */
-    public void add(final Collection<Action> writes) {
+    /** Queues changes of the log without writing them yet. */
+    public void add(final Collection<Action.ToDisk> writes) {
         queued.addAll(writes);
     }
 
@@ -41,16 +41,17 @@
     }
 
     /** Writes one action and returns its number. */
-    private long write(final Action action) {
-        if (action instanceof Action.Write w) {
-            writeAheadLog.append(w.entry());
-            return w.number();
-        } else if (action instanceof Action.Roll r) {
+    private long write(final Action.ToDisk action) {
+        if (action instanceof Action.Write write) {
+            writeAheadLog.append(write.entry());
+        } else if (action instanceof Action.WriteAll writeAll) {
+            // After a full disk all of them are written again; those before count for nothing without the last one
+            writeAll.entries().forEach(entry -> writeAheadLog.append(entry.toByteArray()));
+        } else if (action instanceof Action.Roll roll) {
             writeAheadLog.sync();
-            roll(r);
-            return r.number();
+            roll(roll);
         }
-        throw new IllegalArgumentException("neither a write nor a roll: " + action);
+        return action.number();
     }
 
     private void roll(final Action.Roll roll) {
