--- a/testing/src/test/java/brookpath/testing/WriteAheadLogSpaceTest.java
+++ b/testing/src/test/java/brookpath/testing/WriteAheadLogSpaceTest.java
@@ -5,8 +5,6 @@
 import static org.testng.Assert.assertThrows;
 import static org.testng.Assert.assertTrue;
 
-import brookpath.state.disk.Disk;
-import brookpath.state.disk.DiskFile;
 import brookpath.state.disk.DiskFullException;
 import brookpath.state.record.ChunkedBuffer;
 import brookpath.state.wal.WriteAheadLog;
@@ -96,17 +94,17 @@
                 writeAheadLog.roll(ChunkedBuffer.of(filled(7, 200)));
                 writeAheadLog.append(FIRST);
                 writeAheadLog.sync();
-                disk.stepsLeft = step;
+                disk.stopAfter(step);
                 try {
                     writeAheadLog.roll(ChunkedBuffer.of(filled(8, 200)));
-                } catch (final StoppedException ex) {
+                } catch (final StoppingDisk.StoppedException ex) {
                     interrupted++;
                 }
-                disk.stepsLeft = Integer.MAX_VALUE;
+                disk.stopAfter(Integer.MAX_VALUE);
                 if (seed % 2 == 0) {
-                    disk.disk.powerLoss(new SplittableRandom(seed));
+                    disk.content().powerLoss(new SplittableRandom(seed));
                 } else {
-                    disk.disk.powerLossByName(new SplittableRandom(seed));
+                    disk.content().powerLossByName(new SplittableRandom(seed));
                 }
                 final Recovery after = WriteAheadLog.recover(disk);
                 assertFalse(after.damaged(), "step " + step + ": " + after.findings());
@@ -149,92 +147,6 @@
         assertFalse(DiskFullException.ofWrite(new IOException("Input/output error")) instanceof DiskFullException);
     }
 
-    private static final class StoppedException extends RuntimeException {
-        private static final long serialVersionUID = 1L;
-    }
-
-    /** A disk on which the process stops after a given number of operations. */
-    private static final class StoppingDisk implements Disk {
-        private final FaultyDisk disk = new FaultyDisk();
-        private int stepsLeft = Integer.MAX_VALUE;
-
-        private void step() {
-            if (stepsLeft-- <= 0) {
-                throw new StoppedException();
-            }
-        }
-
-        @Override
-        public DiskFile open(final String name) {
-            step();
-            return new StoppingFile(disk.open(name));
-        }
-
-        @Override
-        public List<String> list() {
-            return disk.list();
-        }
-
-        @Override
-        public void delete(final String name) {
-            step();
-            disk.delete(name);
-        }
-
-        @Override
-        public void rename(final String from, final String to) {
-            step();
-            disk.rename(from, to);
-        }
-
-        @Override
-        public void syncFolder() {
-            step();
-            disk.syncFolder();
-        }
-
-        private final class StoppingFile implements DiskFile {
-            private final DiskFile file;
-
-            StoppingFile(final DiskFile file) {
-                this.file = file;
-            }
-
-            @Override
-            public long size() {
-                return file.size();
-            }
-
-            @Override
-            public void append(final byte[] bytes, final int off, final int len) {
-                step();
-                file.append(bytes, off, len);
-            }
-
-            @Override
-            public int read(final long position, final byte[] target, final int off, final int len) {
-                return file.read(position, target, off, len);
-            }
-
-            @Override
-            public void sync() {
-                step();
-                file.sync();
-            }
-
-            @Override
-            public void truncate(final long size) {
-                step();
-                file.truncate(size);
-            }
-
-            @Override
-            public void close() {
-                file.close();
-            }
-        }
-    }
-
     private static byte[] filled(final int value, final int length) {
         final byte[] bytes = new byte[length];
         Arrays.fill(bytes, (byte) value);
