--- a/coordination/src/main/java/brookpath/coordination/action/Action.java
+++ b/coordination/src/main/java/brookpath/coordination/action/Action.java
@@ -53,6 +53,12 @@
     /** Notifies a session that it no longer listens to a topic that it had joined, and why. */
     record TopicEnded(long sessionId, String topic, Response reason) implements ToSession {}
 
+    /**
+     * Asks to be notified, by {@code NodeRequest.SessionFlushed}, once all that was delivered to the session before has
+     * been passed on to its connection.
+     */
+    record NotifyFlushed(long sessionId) implements ToSession {}
+
     /** Asks a session to reconnect at another gateway; the address is empty where none is known. */
     record MoveSession(long sessionId, String address) implements ToSession {}
 
--- a/coordination/src/main/java/brookpath/coordination/action/Actions.java
+++ b/coordination/src/main/java/brookpath/coordination/action/Actions.java
@@ -85,6 +85,11 @@
         collected.add(new Action.TopicEnded(sessionId, topic, reason));
     }
 
+    /** Asks to be notified once all that was delivered to the session has been passed on to its connection. */
+    public void notifyFlushed(final long sessionId) {
+        collected.add(new Action.NotifyFlushed(sessionId));
+    }
+
     /** Asks a session to reconnect at another gateway; the address is empty where none is known. */
     public void moveSession(final long sessionId, final String address) {
         collected.add(new Action.MoveSession(sessionId, address));
--- a/coordination/src/main/java/brookpath/coordination/node/GatewayNode.java
+++ b/coordination/src/main/java/brookpath/coordination/node/GatewayNode.java
@@ -222,6 +222,8 @@
         } else if (nodeRequest instanceof NodeRequest.Unsubscribe request) {
             leaseQueue.removeRequestsOf(request.sessionId());
             sessionRequests.end(request.sessionId());
+        } else if (nodeRequest instanceof NodeRequest.SessionFlushed request) {
+            subscriptions.flushed(request.sessionId(), now);
         } else {
             handleOperator(nodeRequest, time);
         }
--- a/coordination/src/main/java/brookpath/coordination/node/NodeRequest.java
+++ b/coordination/src/main/java/brookpath/coordination/node/NodeRequest.java
@@ -32,6 +32,11 @@
     /** Ends a caller's session; there is no response. */
     record Unsubscribe(long sessionId) implements NodeRequest {}
 
+    /**
+     * All that was delivered to the session before {@code Action.NotifyFlushed} is with its connection; no response.
+     */
+    record SessionFlushed(long sessionId) implements NodeRequest {}
+
     /** Asks how many sessions listen to a topic; the named session is left out. */
     record Count(long requestId, String key, String topic, String session) implements NodeRequest {}
 
--- a/coordination/src/main/java/brookpath/coordination/node/gateway/CatchUpFetcher.java
+++ b/coordination/src/main/java/brookpath/coordination/node/gateway/CatchUpFetcher.java
@@ -52,7 +52,9 @@
     /** Retries fetches that got no reply in time, and those for which no member could be read from. */
     void retryIfOverdue(final Session session, final GroupSubscription subscription, final long now) {
         final boolean inFlight = !subscription.fetches.isEmpty();
-        if (subscription.live || (inFlight && now - subscription.fetchSentAt <= timing.detectionTime())) {
+        if (subscription.live
+                || subscription.waitsForFlush
+                || (inFlight && now - subscription.fetchSentAt <= timing.detectionTime())) {
             return;
         }
         if (inFlight) {
@@ -163,11 +165,42 @@
             writer.start(session, now);
         }
         writer.confirmJoin(subscription);
-        for (final LogRecord logRecord : reply.records()) {
+        final boolean complete = deliver(session, subscription, reply.records(), now);
+        if (complete) {
+            subscription.advanceAll(reply.scannedTo());
+            joinFeed(session, subscription, reply, now);
+        }
+        if (session.catchUpWindow.needsNotification()) {
+            out.notifyFlushed(session.id);
+        }
+    }
+
+    /** Delivers records while the session's window is open; the others are fetched again once it is. */
+    private boolean deliver(
+            final Session session,
+            final GroupSubscription subscription,
+            final List<LogRecord> records,
+            final long now) {
+        for (final LogRecord logRecord : records) {
+            if (!session.catchUpWindow.isOpen()) {
+                subscription.waitsForFlush = true;
+                return false;
+            }
             writer.deliver(session, subscription, logRecord, now);
+            session.catchUpWindow.delivered(logRecord.bytes().length);
+        }
+        return true;
+    }
+
+    /** The session's connection has taken what was delivered: its subscriptions continue to catch up. */
+    void flushed(final Session session, final long now) {
+        session.catchUpWindow.flushed();
+        for (final GroupSubscription subscription : session.subscriptions()) {
+            if (subscription.waitsForFlush) {
+                subscription.waitsForFlush = false;
+                fetch(session, subscription, now);
+            }
         }
-        subscription.advanceAll(reply.scannedTo());
-        joinFeed(session, subscription, reply, now);
     }
 
     /**
--- a/coordination/src/main/java/brookpath/coordination/node/gateway/GroupSubscription.java
+++ b/coordination/src/main/java/brookpath/coordination/node/gateway/GroupSubscription.java
@@ -23,6 +23,8 @@
     private final TreeMap<String, Long> positions = new TreeMap<>();
     /** Whether the session gets the records through the group's feed. */
     boolean live;
+    /** Whether it continues to catch up only once the session's connection has taken what was delivered. */
+    boolean waitsForFlush;
     /** Whether the fetch in flight requests only the end of the log. */
     boolean resolvingEnd;
     /** The fetches in flight. */
--- a/coordination/src/main/java/brookpath/coordination/node/gateway/Session.java
+++ b/coordination/src/main/java/brookpath/coordination/node/gateway/Session.java
@@ -21,6 +21,9 @@
     final long deadline;
 
     private final TreeMap<String, GroupSubscription> byTopic = new TreeMap<>();
+    /** Paces what is delivered to catch up. */
+    final CatchUpWindow catchUpWindow = new CatchUpWindow();
+
     boolean started;
     long lastLineAt;
     /** When the session is moved to another node, in monotonic milliseconds. */
--- a/coordination/src/main/java/brookpath/coordination/node/gateway/Subscriptions.java
+++ b/coordination/src/main/java/brookpath/coordination/node/gateway/Subscriptions.java
@@ -85,6 +85,14 @@
         permissions.reviewAll(routes.apply(now));
     }
 
+    /** A session's connection has taken what was delivered to it. */
+    public void flushed(final long sessionId, final long now) {
+        final Session session = registry.get(sessionId);
+        if (session != null) {
+            catchUpFetcher.flushed(session, now);
+        }
+    }
+
     // ---- drain
 
     /** Schedules the moves of all sessions to other nodes, spread over the duration. */
--- a/testing/src/main/java/brookpath/testing/sim/Callers.java
+++ b/testing/src/main/java/brookpath/testing/sim/Callers.java
@@ -83,6 +83,29 @@
     /** Actions for sessions that join their topics one by one, in order. */
     final List<Action.ToSession> sessionActions = new ArrayList<>();
 
+    /** Whether connections take nothing more: what is delivered stays in their queues. */
+    boolean holdsDeliveries;
+
+    private final List<Runnable> heldFlushes = new ArrayList<>();
+
+    /** Notifies the gateway at once, or when the connections take deliveries again. */
+    void notifyFlushed(final SimulatedProcess gateway, final long sessionId) {
+        final Runnable notification = () -> gateway.after(
+                0, () -> gateway.run(p -> p.node.request(new NodeRequest.SessionFlushed(sessionId), p.time())));
+        if (holdsDeliveries) {
+            heldFlushes.add(notification);
+        } else {
+            notification.run();
+        }
+    }
+
+    /** The connections take what was delivered so far, and what follows only if they no longer hold deliveries. */
+    void flushHeld() {
+        final List<Runnable> notifications = List.copyOf(heldFlushes);
+        heldFlushes.clear();
+        notifications.forEach(Runnable::run);
+    }
+
     boolean isOpen(final Subscriber s) {
         return sessions.get(s.sessionId) == s;
     }
--- a/testing/src/main/java/brookpath/testing/sim/SimulatedProcess.java
+++ b/testing/src/main/java/brookpath/testing/sim/SimulatedProcess.java
@@ -237,6 +237,8 @@
             cluster.platform.post(this, post);
         } else if (action instanceof Action.CloseSession close) {
             cluster.callers.closed(this, close.sessionId(), close.reason());
+        } else if (action instanceof Action.NotifyFlushed notify) {
+            cluster.callers.notifyFlushed(this, notify.sessionId());
         } else if (action instanceof Action.ToSession toSession) {
             cluster.callers.sessionActions.add(toSession);
         } else if (action instanceof Action.Note note) {
--- a/transport/src/main/java/brookpath/transport/loop/ActionExecutor.java
+++ b/transport/src/main/java/brookpath/transport/loop/ActionExecutor.java
@@ -54,6 +54,8 @@
             post(post);
         } else if (action instanceof Action.CloseSession close) {
             sinks.close(close.sessionId(), close.reason());
+        } else if (action instanceof Action.NotifyFlushed notify) {
+            notifyFlushed(notify.sessionId());
         } else if (action instanceof Action.ToSession delivery) {
             deliver(delivery);
         } else if (action instanceof Action.Note note) {
@@ -80,6 +82,12 @@
                         (node, time) -> node.request(new NodeRequest.Posted(post.requestId(), outcome), time)));
     }
 
+    private void notifyFlushed(final long sessionId) {
+        sinks.whenFlushed(
+                sessionId,
+                () -> events.add((node, time) -> node.request(new NodeRequest.SessionFlushed(sessionId), time)));
+    }
+
     private void deliver(final Action.ToSession delivery) {
         if (!sinks.deliver(delivery)) {
             events.add((node, time) -> node.request(new NodeRequest.Unsubscribe(delivery.sessionId()), time));
--- a/transport/src/main/java/brookpath/transport/loop/Host.java
+++ b/transport/src/main/java/brookpath/transport/loop/Host.java
@@ -33,6 +33,14 @@
         /** Queues a delivery; false if the queue is full. The session is then ended, and its cursors stay valid. */
         boolean offer(Action.ToSession action);
 
+        /**
+         * Runs the task once everything that was queued before has been passed on to the connection. A sink without a
+         * queue of its own runs it at once.
+         */
+        default void whenFlushed(final Runnable task) {
+            task.run();
+        }
+
         /** Ends the session; the reason is sent to the caller. */
         void close(String reason);
     }
--- a/transport/src/main/java/brookpath/transport/loop/SessionSinks.java
+++ b/transport/src/main/java/brookpath/transport/loop/SessionSinks.java
@@ -34,6 +34,14 @@
         return false;
     }
 
+    /** Runs the task once everything that was queued for the session is with its connection; not for an ended one. */
+    void whenFlushed(final long sessionId, final Runnable task) {
+        final Host.Sink sink = sinks.get(sessionId);
+        if (sink != null) {
+            sink.whenFlushed(task);
+        }
+    }
+
     void closeAll(final String reason) {
         sinks.values().forEach(sink -> sink.close(reason));
     }
