--- a/transport/src/main/java/brookpath/transport/loop/Host.java
+++ b/transport/src/main/java/brookpath/transport/loop/Host.java
@@ -4,6 +4,7 @@
 import brookpath.coordination.action.Action;
 import brookpath.coordination.message.PeerMessage;
 import brookpath.coordination.message.Response;
+import brookpath.coordination.message.ResponseStatus;
 import brookpath.coordination.node.Node;
 import brookpath.coordination.node.NodeRequest;
 import brookpath.coordination.node.usage.PostOutcome;
@@ -153,10 +154,27 @@
         events.add((node, time) -> node.request(request, time));
     }
 
-    /** Submits the request that opens a listening session, whose lines are delivered to the sink. */
+    /**
+     * Submits the request that opens a listening session, whose lines are delivered to the sink. The sink is released
+     * where the request is refused.
+     */
     public CompletableFuture<Response> subscribe(final long sessionId, final NodeRequest request, final Sink sink) {
         sinks.add(sessionId, sink);
-        return submit(sessionId, request);
+        final CompletableFuture<Response> response = submit(sessionId, request);
+        response.thenAccept(decided -> {
+            if (decided.status() != ResponseStatus.OK.code()) {
+                releaseSink(sessionId);
+            }
+        });
+        return response;
+    }
+
+    /** Releases a sink after the actions of the present event, which may still redirect its caller. */
+    private void releaseSink(final long sessionId) {
+        events.add((node, time) -> {
+            sinks.remove(sessionId);
+            return List.of();
+        });
     }
 
     /** Ends a listening session whose caller has disconnected. */
