--- a/coordination/src/main/java/brookpath/coordination/node/GatewayNode.java
+++ b/coordination/src/main/java/brookpath/coordination/node/GatewayNode.java
@@ -220,8 +220,7 @@
             leaseQueue.removeJoins(request.sessionId(), request.topic()).forEach(sessionRequests::refuseCancelledJoin);
             sessionRequests.leave(request);
         } else if (nodeRequest instanceof NodeRequest.Unsubscribe request) {
-            leaseQueue.removeRequestsOf(request.sessionId());
-            sessionRequests.end(request.sessionId());
+            sessionRequests.end(request.sessionId(), leaseQueue.removeRequestsOf(request.sessionId()));
         } else if (nodeRequest instanceof NodeRequest.SessionFlushed request) {
             subscriptions.flushed(request.sessionId(), now);
         } else {
--- a/coordination/src/main/java/brookpath/coordination/node/gateway/GroupSubscription.java
+++ b/coordination/src/main/java/brookpath/coordination/node/gateway/GroupSubscription.java
@@ -90,6 +90,13 @@
         positions.replaceAll((topic, reached) -> Math.max(reached, position));
     }
 
+    /** The join request that waits for the topic's position, which the caller answers now; 0 for none. */
+    long takePendingJoin() {
+        final long requestId = pendingJoin;
+        pendingJoin = 0;
+        return requestId;
+    }
+
     /** The topics to fetch, each with the position after which it is read. */
     List<TopicPosition> wanted() {
         final List<TopicPosition> wanted = new ArrayList<>();
--- a/coordination/src/main/java/brookpath/coordination/node/gateway/LeaseQueue.java
+++ b/coordination/src/main/java/brookpath/coordination/node/gateway/LeaseQueue.java
@@ -12,6 +12,8 @@
     private static final int MAX_REQUESTS = 4_096;
     private static final long NEVER = Long.MAX_VALUE / 2;
 
+    private static final long NONE = 0;
+
     private record WaitingRequest(NodeRequest request, long deadline) {}
 
     private final TimingBounds timing;
@@ -61,16 +63,25 @@
         return removed;
     }
 
-    /** Removes the requests of a session whose caller no longer waits for responses. */
-    public void removeRequestsOf(final long sessionId) {
-        waiting.removeIf(entry -> belongsTo(entry.request, sessionId));
+    /**
+     * Removes the requests of a session whose caller has disconnected.
+     *
+     * @return their IDs in FIFO order; none of them has been answered
+     */
+    public List<Long> removeRequestsOf(final long sessionId) {
+        final List<Long> removed = new ArrayList<>();
+        waiting.removeIf(entry -> {
+            final long requestId = requestOf(entry.request, sessionId);
+            return requestId != NONE && removed.add(requestId);
+        });
+        return removed;
     }
 
-    private static boolean belongsTo(final NodeRequest nodeRequest, final long sessionId) {
+    private static long requestOf(final NodeRequest nodeRequest, final long sessionId) {
         if (nodeRequest instanceof NodeRequest.Open open) {
-            return open.requestId() == sessionId;
+            return open.requestId() == sessionId ? sessionId : NONE;
         }
-        return nodeRequest instanceof NodeRequest.Join join && join.sessionId() == sessionId;
+        return nodeRequest instanceof NodeRequest.Join join && join.sessionId() == sessionId ? join.requestId() : NONE;
     }
 
     private boolean isLeaseOverdue(final long now) {
--- a/coordination/src/main/java/brookpath/coordination/node/gateway/SessionDrain.java
+++ b/coordination/src/main/java/brookpath/coordination/node/gateway/SessionDrain.java
@@ -8,10 +8,12 @@
     private static final String CLOSE_REASON = "this node is draining; resume at another gateway with the cursor";
 
     private final SessionRegistry registry;
+    private final SessionTerminator terminator;
     private final Actions out;
 
-    SessionDrain(final SessionRegistry registry, final Actions out) {
+    SessionDrain(final SessionRegistry registry, final SessionTerminator terminator, final Actions out) {
         this.registry = registry;
+        this.terminator = terminator;
         this.out = out;
     }
 
@@ -38,6 +40,7 @@
     }
 
     private void move(final Session session, final Supplier<String> nextAddress) {
+        terminator.cancelRequests(session);
         registry.remove(session);
         if (session.sharedCursor) {
             out.closeSession(session.id, CLOSE_REASON);
--- a/coordination/src/main/java/brookpath/coordination/node/gateway/SessionRequests.java
+++ b/coordination/src/main/java/brookpath/coordination/node/gateway/SessionRequests.java
@@ -12,6 +12,7 @@
 import brookpath.coordination.route.Route;
 import brookpath.coordination.route.RouteFinder;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.function.IntSupplier;
@@ -27,6 +28,7 @@
     private final Actions out;
     private final SessionRegistry registry;
     private final CatchUpFetcher catchUpFetcher;
+    private final SessionTerminator terminator;
 
     /**
      * @param maxTopics the most topics that a session may listen to
@@ -35,12 +37,14 @@
     SessionRequests(
             final SessionRegistry registry,
             final CatchUpFetcher catchUpFetcher,
+            final SessionTerminator terminator,
             final IntSupplier maxTopics,
             final TimingBounds timing,
             final LongFunction<RouteFinder> routes,
             final Actions out) {
         this.registry = registry;
         this.catchUpFetcher = catchUpFetcher;
+        this.terminator = terminator;
         this.maxTopics = maxTopics;
         this.timing = timing;
         this.routes = routes;
@@ -83,6 +87,7 @@
         }
         if (previous != null) {
             // joining a topic again restarts it at the requested cursor
+            terminator.cancelJoin(previous);
             registry.unsubscribe(session, previous);
         }
         final GroupSubscription subscription =
@@ -97,6 +102,7 @@
         final Session session = registry.get(request.sessionId());
         final GroupSubscription subscription = session == null ? null : session.subscription(request.topic());
         if (subscription != null) {
+            terminator.cancelJoin(subscription);
             registry.unsubscribe(session, subscription);
         }
         out.respond(request.requestId(), new Response(OK, 0, "{}"));
@@ -104,9 +110,7 @@
 
     /** Refuses a join that was not completed before its session left the topic. */
     public void refuseCancelledJoin(final NodeRequest.Join request) {
-        out.respond(
-                request.requestId(),
-                Refusals.retryLater(timing, "left", "the session left the topic before it was joined"));
+        terminator.cancel(request.requestId());
     }
 
     /**
@@ -164,10 +168,16 @@
         return null;
     }
 
-    /** Ends the session of a caller that has disconnected. */
-    public void end(final long sessionId) {
+    /**
+     * Ends the session of a caller that has disconnected.
+     *
+     * @param queued the IDs of its requests that were still queued, and are not carried out any more
+     */
+    public void end(final long sessionId, final List<Long> queued) {
+        queued.forEach(terminator::cancel);
         final Session session = registry.get(sessionId);
         if (session != null) {
+            terminator.cancelRequests(session);
             registry.remove(session);
         }
     }
--- a/coordination/src/main/java/brookpath/coordination/node/gateway/SessionTerminator.java
+++ b/coordination/src/main/java/brookpath/coordination/node/gateway/SessionTerminator.java
@@ -11,6 +11,7 @@
 
 /** Ends sessions, or single subscriptions, and notifies the callers of the reason. */
 final class SessionTerminator {
+    private static final String LEFT_BEFORE_JOINED = "the session left the topic before it was joined";
     private static final String NOT_READ_IN_TIME = "no in-sync member could be read in time";
     private static final String NO_LONGER_KEPT = "history after the cursor is no longer kept";
 
@@ -61,6 +62,34 @@
         }
     }
 
+    /**
+     * Answers the requests of a session that ends before they are completed: nobody may wait for them any more, but
+     * each holds an entry of the process until it is answered.
+     */
+    void cancelRequests(final Session session) {
+        if (session.sharedCursor && !session.started) {
+            out.respond(session.id, cancelled());
+        }
+        session.subscriptions().forEach(this::cancelJoin);
+    }
+
+    /** Answers the join of a subscription that ends before it is completed. */
+    void cancelJoin(final GroupSubscription subscription) {
+        final long requestId = subscription.takePendingJoin();
+        if (requestId != 0) {
+            out.respond(requestId, cancelled());
+        }
+    }
+
+    /** Answers a request that was removed from a queue before it was carried out. */
+    void cancel(final long requestId) {
+        out.respond(requestId, cancelled());
+    }
+
+    private Response cancelled() {
+        return Refusals.retryLater(timing, "left", LEFT_BEFORE_JOINED);
+    }
+
     /** Ends a subscription for which records that it has not read yet were trimmed. */
     void historyGone(final Session session, final GroupSubscription subscription, final List<String> topics) {
         joins.historyGone();
--- a/coordination/src/main/java/brookpath/coordination/node/gateway/Subscriptions.java
+++ b/coordination/src/main/java/brookpath/coordination/node/gateway/Subscriptions.java
@@ -54,8 +54,8 @@
         catchUpFetcher =
                 new CatchUpFetcher(registry, sources, feedFetcher, writer, terminator, joinReport, timing, ids, out);
         listenerReporter = new ListenerReporter(registry, timing, routes, ids, out);
-        drain = new SessionDrain(registry, out);
-        requests = new SessionRequests(registry, catchUpFetcher, maxTopics, timing, routes, out);
+        drain = new SessionDrain(registry, terminator, out);
+        requests = new SessionRequests(registry, catchUpFetcher, terminator, maxTopics, timing, routes, out);
         permissions = new PermissionReview(registry, terminator, timing);
     }
 
