--- a/state/src/main/java/brookpath/state/wal/WriteAheadLog.java
+++ b/state/src/main/java/brookpath/state/wal/WriteAheadLog.java
@@ -93,6 +93,10 @@
         this.segment = segment;
         file = disk.open(LogFiles.segment(segment));
         segmentSize = file.size();
+        if (segmentSize > 0) {
+            // A process that was killed may have left bytes that are not on disk yet; from now on they count as synced
+            file.sync();
+        }
         syncedSize = segmentSize;
         disk.syncFolder();
     }
--- a/testing/src/test/java/brookpath/testing/WriteAheadLogSpaceTest.java
+++ b/testing/src/test/java/brookpath/testing/WriteAheadLogSpaceTest.java
@@ -62,6 +62,21 @@
         assertEquals(texts(WriteAheadLog.recover(disk)), List.of(text(FIRST)));
     }
 
+    /** Guards against a restart that takes what a killed process had not synced for synced (issue 43 A 8). */
+    @Test
+    public void entriesThatAStartHasReadSurviveALossOfPower() {
+        final FaultyDisk disk = new FaultyDisk();
+        final WriteAheadLog killed = WriteAheadLog.recover(disk).writeAheadLog();
+        killed.append(FIRST);
+        killed.sync();
+        killed.append(SECOND);
+        assertEquals(texts(WriteAheadLog.recover(disk)), List.of(text(FIRST), text(SECOND)));
+        for (int seed = 0; seed < SEEDS; seed++) {
+            disk.powerLoss(new SplittableRandom(seed));
+            assertEquals(texts(WriteAheadLog.recover(disk)), List.of(text(FIRST), text(SECOND)), "seed " + seed);
+        }
+    }
+
     @Test
     public void aRollWithoutSpaceForItsSnapshotLeavesTheSegmentInUse() {
         final FaultyDisk disk = new FaultyDisk();
