Count what a notification of the catch-up window is about; start on a full disk

Two findings of the read before the landing, none reproduced. - A flush was taken for all that was delivered, also what came after the question; so up to 192 KiB could wait in a connection's queue of 256 KiB, not 128. - A damaged log that is set aside on a full disk left no room for the new one, and the start would have waited; the set-aside files are dropped then, as in a write.

CatchUpPacingTest, JoinedSessionsTest, BehaviourDigestTest and the tests of the write-ahead log pass; there is no test for the second.

--- a/coordination/src/main/java/brookpath/coordination/node/gateway/CatchUpWindow.java
+++ b/coordination/src/main/java/brookpath/coordination/node/gateway/CatchUpWindow.java
@@ -11,6 +11,9 @@
     private static final int NOTIFY_BYTES = MAX_BYTES / 2;
 
     private long bytes;
+    /** How many of these the pending notification is about. */
+    private long notifiedBytes;
+
     private boolean notificationPending;
 
     /** Whether another record may be delivered. */
@@ -26,13 +29,16 @@
     /** Whether the connection has to be asked now; it is asked once at a time. */
     boolean needsNotification() {
         final boolean needed = bytes >= NOTIFY_BYTES && !notificationPending;
-        notificationPending |= needed;
+        if (needed) {
+            notificationPending = true;
+            notifiedBytes = bytes;
+        }
         return needed;
     }
 
-    /** The connection has taken what was delivered. */
+    /** The connection has taken what was delivered before it was asked. */
     void flushed() {
-        bytes = 0;
+        bytes -= notifiedBytes;
         notificationPending = false;
     }
 }
--- a/state/src/main/java/brookpath/state/wal/LogRecovery.java
+++ b/state/src/main/java/brookpath/state/wal/LogRecovery.java
@@ -2,6 +2,7 @@
 
 import brookpath.state.disk.Disk;
 import brookpath.state.disk.DiskFile;
+import brookpath.state.disk.DiskFullException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.TreeMap;
@@ -38,14 +39,24 @@
         }
         if (damaged) {
             setAside();
-            return new WriteAheadLog.Recovery(
-                    new WriteAheadLog(disk, 0), new LogContents(disk, null, null), findings, true);
+            return new WriteAheadLog.Recovery(open(0), new LogContents(disk, null, null), findings, true);
         }
-        final WriteAheadLog writeAheadLog = new WriteAheadLog(disk, current);
+        final WriteAheadLog writeAheadLog = open(current);
         writeAheadLog.deleteOlderThan(current);
         return new WriteAheadLog.Recovery(writeAheadLog, new LogContents(disk, snapshot, segment), findings, false);
     }
 
+    private WriteAheadLog open(final long number) {
+        try {
+            return new WriteAheadLog(disk, number);
+        } catch (final DiskFullException ex) {
+            if (!SetAsideFiles.deleteAll(disk)) {
+                throw ex;
+            }
+            return new WriteAheadLog(disk, number);
+        }
+    }
+
     private void listFiles() {
         for (final String name : disk.list()) {
             if (LogFiles.isTemporary(name)) {
