Begin the first scrub of the log no sooner than half a period after the start

Change: the first pass begins between half a period and a period after the start, drawn per process, and its line goes to the log ring. So the test's verdict no longer depends on the draw.

--- a/transport/src/main/java/brookpath/transport/loop/DiskLoop.java
+++ b/transport/src/main/java/brookpath/transport/loop/DiskLoop.java
@@ -6,6 +6,7 @@
 import brookpath.coordination.action.Action;
 import brookpath.coordination.node.Node;
 import brookpath.state.wal.WriteAheadLog;
+import brookpath.transport.log.LogRing;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
@@ -69,8 +70,9 @@
 
     @Override
     public void run() {
-        // Processes that start together do not scrub together
-        nextScrubMs = SystemClock.monotonicMs() + ThreadLocalRandom.current().nextLong(scrubPeriodMs);
+        // Processes that start together do not scrub together, and none scrubs while it starts
+        final long firstDelayMs = ThreadLocalRandom.current().nextLong(scrubPeriodMs / 2, scrubPeriodMs);
+        nextScrubMs = SystemClock.monotonicMs() + firstDelayMs;
         try {
             while (!threads.closed()) {
                 final Action.ToDisk first =
@@ -109,7 +111,7 @@
         if (state == WriteAheadLog.ScrubState.DAMAGED) {
             events.add(Node::damaged);
         } else {
-            Logger.debug("log scrub: a pass of {} ms found no damage", nowMs - scrubStartedMs);
+            LogRing.info("log scrub: a pass of " + (nowMs - scrubStartedMs) + " ms found no damage");
         }
     }
 
