--- a/testing/src/test/java/brookpath/testing/SessionSinkReleaseTest.java
+++ b/testing/src/test/java/brookpath/testing/SessionSinkReleaseTest.java
@@ -12,6 +12,7 @@
 import brookpath.transport.loop.Host;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import org.testng.annotations.Test;
 
 /** What a process keeps of callers whose session was not opened. */
@@ -75,6 +76,25 @@
         }
     }
 
+    /** Guards against an OK to SUBSCRIBE behind the first messages, or to DETACH ahead of the last (review/6). */
+    @Test
+    public void aHandlerRunsInTheOrderOfTheNodesActions() {
+        final Host host = new ScriptedNode(SessionSinkReleaseTest::refuseOpens).start();
+        try {
+            for (int i = 0; i < ATTEMPTS; i++) {
+                final CompletableFuture<String> thread = new CompletableFuture<>();
+                final long id = host.nextRequestId();
+                host.submit(
+                        id,
+                        new NodeRequest.Status(id),
+                        response -> thread.complete(Thread.currentThread().getName()));
+                assertEquals(thread.join(), "state");
+            }
+        } finally {
+            host.close();
+        }
+    }
+
     @Test
     public void aRedirectedCallerGetsItsMoveAndLeavesNothingBehind() {
         final Host host = new ScriptedNode(SessionSinkReleaseTest::refuseOpens).start();
--- a/transport/src/main/java/brookpath/transport/loop/Host.java
+++ b/transport/src/main/java/brookpath/transport/loop/Host.java
@@ -15,6 +15,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.function.LongSupplier;
 
@@ -139,12 +140,29 @@
 
     /** Submits a request to the node; completes at once with a 503 refusal if the queues are full. */
     public CompletableFuture<Response> submit(final long requestId, final NodeRequest request) {
+        return begin(requestId, request, response -> {});
+    }
+
+    /**
+     * As {@link #submit(long, NodeRequest)}, and passes the response to the handler in the order of the node's actions:
+     * on the state thread, after the deliveries before it and ahead of those after it.
+     */
+    public void submit(final long requestId, final NodeRequest request, final Consumer<Response> handler) {
+        begin(requestId, request, handler);
+    }
+
+    /** @param handler attached before the node sees the request; a thread that waits for the response may run it */
+    private CompletableFuture<Response> begin(
+            final long requestId, final NodeRequest request, final Consumer<Response> handler) {
         if (events.refusesRequests() || requests.isFull()) {
             // A refusal at this point is certain, since processing has not begun, and costs the state thread nothing.
             sinks.remove(requestId);
-            return requests.refuse(timing.retryAfterMs());
+            final CompletableFuture<Response> refused = requests.refuse(timing.retryAfterMs());
+            refused.thenAccept(handler);
+            return refused;
         }
         final CompletableFuture<Response> response = requests.add(requestId);
+        response.thenAccept(handler);
         submitWithoutReply(request);
         return response;
     }
@@ -160,13 +178,23 @@
      */
     public CompletableFuture<Response> subscribe(final long sessionId, final NodeRequest request, final Sink sink) {
         sinks.add(sessionId, sink);
-        final CompletableFuture<Response> response = submit(sessionId, request);
-        response.thenAccept(decided -> {
-            if (decided.status() != ResponseStatus.OK.code()) {
-                releaseSink(sessionId);
-            }
+        return begin(sessionId, request, response -> releaseIfRefused(sessionId, response));
+    }
+
+    /** As {@link #subscribe(long, NodeRequest, Sink)}, with a handler as for {@link #submit}. */
+    public void subscribe(
+            final long sessionId, final NodeRequest request, final Sink sink, final Consumer<Response> handler) {
+        sinks.add(sessionId, sink);
+        begin(sessionId, request, response -> {
+            releaseIfRefused(sessionId, response);
+            handler.accept(response);
         });
-        return response;
+    }
+
+    private void releaseIfRefused(final long sessionId, final Response response) {
+        if (response.status() != ResponseStatus.OK.code()) {
+            releaseSink(sessionId);
+        }
     }
 
     /** Releases a sink after the actions of the present event, which may still redirect its caller. */
